--- /dev/null
+++ b/apps/hemlockdoor/main.cc
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("hemlockdoor " HEMLOCKDOOR_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/modules/decide/decide.h
@@ -0,0 +1,5 @@
+// Umbrella header of the decide module: the pure decision code.
+#pragma once
+
+#include "modules/decide/scheduler/decisions.h"  // IWYU pragma: export
+#include "modules/decide/scheduler/scheduler.h"  // IWYU pragma: export
--- /dev/null
+++ b/modules/model/model.h
@@ -0,0 +1,9 @@
+// Umbrella header of the model module: jobs, workers, catalogue, messages and
+// their JSON form. No Qt, no I/O.
+#pragma once
+
+#include "modules/model/catalogue/catalogue.h"  // IWYU pragma: export
+#include "modules/model/job/job.h"              // IWYU pragma: export
+#include "modules/model/json/json_reader.h"     // IWYU pragma: export
+#include "modules/model/messages/messages.h"    // IWYU pragma: export
+#include "modules/model/worker/worker.h"        // IWYU pragma: export
--- /dev/null
+++ b/modules/settings/settings.h
@@ -0,0 +1,4 @@
+// Umbrella header of the settings module: typed settings and their checks.
+#pragma once
+
+#include "modules/settings/process/process_settings.h"  // IWYU pragma: export
--- /dev/null
+++ b/modules/wire/client/http_client.cc
@@ -0,0 +1,190 @@
+#include "modules/wire/client/http_client.h"
+
+#include <QHostAddress>
+#include <QNetworkAccessManager>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QTimer>
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <utility>
+
+namespace hemlockdoor::wire {
+
+namespace {
+
+/// A body that can be read once only, so that Qt cannot send it again.
+class SingleReadBody : public QIODevice {
+ public:
+  SingleReadBody(const std::string& content, QObject* parent)
+      : QIODevice(parent), bytes(content) {
+    this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
+  }
+
+  bool isSequential() const override { return true; }
+  qint64 bytesAvailable() const override {
+    return static_cast<qint64>(this->bytes.size() - this->offset) +
+           QIODevice::bytesAvailable();
+  }
+  bool atEnd() const override { return this->offset == this->bytes.size(); }
+
+ protected:
+  qint64 readData(char* target, qint64 max_bytes) override {
+    const std::size_t left = this->bytes.size() - this->offset;
+    if (left == 0) {
+      return -1;
+    }
+    const std::size_t count =
+        std::min(left, static_cast<std::size_t>(max_bytes));
+    std::memcpy(target, this->bytes.data() + this->offset, count);
+    this->offset += count;
+    return static_cast<qint64>(count);
+  }
+  qint64 writeData(const char* /*source*/, qint64 /*count*/) override {
+    return -1;
+  }
+
+ private:
+  std::string bytes;
+  std::size_t offset = 0;
+};
+
+QByteArray MethodName(HttpMethod method) {
+  switch (method) {
+    case HttpMethod::kGet:
+      return "GET";
+    case HttpMethod::kPut:
+      return "PUT";
+    case HttpMethod::kPost:
+      return "POST";
+    case HttpMethod::kDelete:
+      return "DELETE";
+    case HttpMethod::kOther:
+      break;
+  }
+  return "OPTIONS";
+}
+
+QNetworkRequest ToNetworkRequest(const HttpCall& call) {
+  const std::string text = "http://" + call.endpoint.ToText() + call.target;
+  QNetworkRequest request(QUrl(QString::fromStdString(text)));
+  request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+  request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                       QNetworkRequest::ManualRedirectPolicy);
+  request.setRawHeader("Content-Type", "application/json");
+  for (const HttpHeader& field : call.headers.All()) {
+    request.setRawHeader(QByteArray::fromStdString(field.name),
+                         QByteArray::fromStdString(field.value));
+  }
+  if (call.single_send) {
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+    request.setHeader(QNetworkRequest::ContentLengthHeader,
+                      static_cast<qulonglong>(call.body.size()));
+  }
+  return request;
+}
+
+core::Expected<HttpResponse> ToResponse(QNetworkReply* reply, bool timed_out) {
+  const QVariant status =
+      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
+  const QNetworkReply::NetworkError error = reply->error();
+  if (timed_out) {
+    return core::MakeError(core::ErrorCode::kTimeout, "no answer in time");
+  }
+  // Codes from 200 up describe HTTP statuses, which are responses here.
+  const bool transport_error = error != QNetworkReply::NoError &&
+                               error < QNetworkReply::ContentAccessDenied;
+  if (!status.isValid() || transport_error ||
+      error == QNetworkReply::ContentReSendError) {
+    return core::MakeError(core::ErrorCode::kUnavailable,
+                           reply->errorString().toStdString());
+  }
+  HttpResponse response;
+  response.status = status.toInt();
+  response.body = reply->readAll().toStdString();
+  response.content_type = reply->header(QNetworkRequest::ContentTypeHeader)
+                              .toString()
+                              .toStdString();
+  for (const auto& [name, value] : reply->rawHeaderPairs()) {
+    response.headers.Add(name.toStdString(), value.toStdString());
+  }
+  return response;
+}
+
+}  // namespace
+
+core::Expected<Endpoint> Endpoint::Parse(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  if (colon != std::string::npos) {
+    endpoint.address = text.substr(0, colon);
+    const char* first = text.data() + colon + 1;
+    const char* last = text.data() + text.size();
+    const auto [end, failure] = std::from_chars(first, last, endpoint.port);
+    const QHostAddress host(QString::fromStdString(endpoint.address));
+    const bool port_is_valid =
+        failure == std::errc() && end == last && endpoint.port != 0;
+    if (port_is_valid && !host.isNull()) {
+      return endpoint;
+    }
+  }
+  return core::MakeError(
+      core::ErrorCode::kInvalidArgument,
+      "expected ADDRESS:PORT with an IP address, got \"" + text + "\"");
+}
+
+std::string Endpoint::ToText() const {
+  return this->address + ":" + std::to_string(this->port);
+}
+
+class HttpClient::Backend : public QObject {
+ public:
+  Backend() { this->manager.setProxy(QNetworkProxy::NoProxy); }
+
+  QNetworkAccessManager manager;
+  std::uint64_t bytes_moved = 0;
+};
+
+HttpClient::HttpClient() : backend(std::make_unique<Backend>()) {}
+
+HttpClient::~HttpClient() = default;
+
+std::uint64_t HttpClient::BytesMoved() const {
+  return this->backend->bytes_moved;
+}
+
+void HttpClient::Send(const HttpCall& call, Done done) {
+  Backend* owner = this->backend.get();
+  const QNetworkRequest request = ToNetworkRequest(call);
+  QNetworkReply* reply = nullptr;
+  if (call.single_send) {
+    auto* body = new SingleReadBody(call.body, owner);
+    reply = owner->manager.sendCustomRequest(request, MethodName(call.method),
+                                             body);
+    body->setParent(reply);
+  } else {
+    reply = owner->manager.sendCustomRequest(
+        request, MethodName(call.method), QByteArray::fromStdString(call.body));
+  }
+  owner->bytes_moved += call.target.size() + call.body.size();
+  auto* timer = new QTimer(reply);
+  timer->setSingleShot(true);
+  auto timed_out = std::make_shared<bool>(false);
+  QObject::connect(timer, &QTimer::timeout, reply, [reply, timed_out] {
+    *timed_out = true;
+    reply->abort();
+  });
+  QObject::connect(reply, &QNetworkReply::finished, owner,
+                   [owner, reply, timed_out, callback = std::move(done)] {
+                     core::Expected<HttpResponse> response =
+                         ToResponse(reply, *timed_out);
+                     owner->bytes_moved += response ? response->body.size() : 0;
+                     reply->deleteLater();
+                     callback(std::move(response));
+                   });
+  timer->start(static_cast<int>(call.timeout.InMilliseconds()));
+}
+
+}  // namespace hemlockdoor::wire
--- /dev/null
+++ b/modules/wire/client/http_client_test.cc
@@ -0,0 +1,130 @@
+#include "modules/wire/client/http_client.h"
+
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "modules/wire/server/http_server.h"
+
+namespace hemlockdoor::wire {
+
+namespace {
+
+using Answer = core::Expected<HttpResponse>;
+
+Answer SendAndWait(HttpClient& client, const HttpCall& call) {
+  QEventLoop loop;
+  std::optional<Answer> answer;
+  client.Send(call, [&](Answer received) {
+    answer = std::move(received);
+    loop.quit();
+  });
+  loop.exec();
+  return *answer;
+}
+
+/// Reads each request and closes its connection without an answer.
+class ClosingPeer {
+ public:
+  ClosingPeer() {
+    this->server.listen(QHostAddress::LocalHost);
+    QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+      QTcpSocket* socket = this->server.nextPendingConnection();
+      QObject::connect(socket, &QTcpSocket::readyRead, [this, socket] {
+        if (socket->readAll().contains("POST")) {
+          ++this->requests;
+        }
+        socket->disconnectFromHost();
+      });
+    });
+  }
+
+  HttpCall Call() const {
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", this->server.serverPort()};
+    call.method = HttpMethod::kPost;
+    call.target = "/tasks";
+    call.body = "{}";
+    return call;
+  }
+
+  int requests = 0;
+
+ private:
+  QTcpServer server;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpClientTest)
+
+// Guards against Qt sending a request again after the peer has taken it and
+// closed the connection: the peer would start the same work several times.
+BOOST_AUTO_TEST_CASE(SingleSendPutsTheRequestOnTheWireOnce) {
+  ClosingPeer peer;
+  HttpClient client;
+  HttpCall call = peer.Call();
+  call.single_send = true;
+  const Answer answer = SendAndWait(client, call);
+  BOOST_TEST(!answer.has_value());
+  BOOST_TEST(peer.requests == 1);
+}
+
+// Documents the behaviour that makes `single_send` necessary; if Qt changes
+// it, the option can go.
+BOOST_AUTO_TEST_CASE(QtRepeatsAnOrdinaryPost) {
+  ClosingPeer peer;
+  HttpClient client;
+  const Answer answer = SendAndWait(client, peer.Call());
+  BOOST_TEST(!answer.has_value());
+  BOOST_TEST(peer.requests > 1);
+}
+
+// Guards against a lost body, status or header in either direction.
+BOOST_AUTO_TEST_CASE(ExchangesBodyStatusAndHeaders) {
+  auto server = HttpServer::Listen(
+      "127.0.0.1", 0, {}, [](HttpRequest request, HttpResponder responder) {
+        HttpResponse response;
+        response.status = http_status::kAccepted;
+        response.headers.Add("X-Path", request.path);
+        response.body = request.body + "|" +
+                        request.headers.Find("x-token").value_or("none");
+        responder.Respond(response);
+      });
+  BOOST_REQUIRE(server.has_value());
+  HttpClient client;
+  HttpCall call;
+  call.endpoint = {"127.0.0.1", (*server)->Port()};
+  call.method = HttpMethod::kPost;
+  call.target = "/v1/jobs?x=1";
+  call.headers.Add("X-Token", "secret");
+  call.body = "hello";
+  for (const bool single_send : {false, true}) {
+    call.single_send = single_send;
+    const Answer answer = SendAndWait(client, call);
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status == http_status::kAccepted);
+    BOOST_TEST(answer->body == "hello|secret");
+    BOOST_TEST(answer->headers.Find("X-Path").value() == "/v1/jobs");
+  }
+}
+
+// Guards against a call that waits for ever for a silent peer.
+BOOST_AUTO_TEST_CASE(SilentPeerEndsInTimeout) {
+  QTcpServer silent;
+  silent.listen(QHostAddress::LocalHost);
+  HttpClient client;
+  HttpCall call;
+  call.endpoint = {"127.0.0.1", silent.serverPort()};
+  call.timeout = core::Duration::Milliseconds(100);
+  const Answer answer = SendAndWait(client, call);
+  BOOST_REQUIRE(!answer.has_value());
+  BOOST_TEST((answer.error().code == core::ErrorCode::kTimeout));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::wire
--- /dev/null
+++ b/modules/wire/loop/inbox.h
@@ -0,0 +1,53 @@
+// Bounded ring whose consumer runs on a Qt event loop.
+#pragma once
+
+#include <QMetaObject>
+#include <QObject>
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <utility>
+
+#include "modules/core/core.h"
+
+namespace hemlockdoor::wire {
+
+/// Passes messages from any thread to a handler on the thread that made the
+/// inbox. One wake-up serves all messages that wait.
+template <typename Message>
+class Inbox {
+ public:
+  using Handler = std::function<void(Message)>;
+
+  /// Makes an inbox for `capacity` messages; call on the consumer's thread.
+  Inbox(std::size_t capacity, Handler message_handler)
+      : ring(capacity), handler(std::move(message_handler)) {}
+
+  /// Adds a message; false when the inbox is full.
+  [[nodiscard]] bool TryPush(Message message) {
+    if (!this->ring.TryPush(std::move(message))) {
+      return false;
+    }
+    if (!this->wake_pending.exchange(true)) {
+      QMetaObject::invokeMethod(
+          &this->context, [this] { this->Drain(); }, Qt::QueuedConnection);
+    }
+    return true;
+  }
+
+ private:
+  void Drain() {
+    this->wake_pending.store(false);
+    while (std::optional<Message> message = this->ring.TryPop()) {
+      this->handler(std::move(*message));
+    }
+  }
+
+  core::BoundedRing<Message> ring;
+  Handler handler;
+  std::atomic<bool> wake_pending = false;
+  QObject context;
+};
+
+}  // namespace hemlockdoor::wire
