Add the scheduler: guaranteed cells, gangs, queues, limits and reclaim

Cause: other modules build against decide::Scheduler and need a working one.

Guarantees are kept as a stored packing: each guaranteed shape that is not in use claims a place on capacity that is free or lent to work that may be stopped. A placement keeps all guarantees reclaimable when no unstoppable work enters a claimed place, which is a mask test instead of a packing search.

Ruled out: packing all guarantees again at each placement (cost grows with the number of guarantees and workers).

No measurement of speed yet.

--- /dev/null
+++ b/modules/decide/fleet/fleet.cc
@@ -0,0 +1,371 @@
+#include "modules/decide/fleet/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdoor::decide {
+
+using model::AcceleratorSet;
+
+namespace {
+
+constexpr std::size_t Index(CapacityView view) {
+  return static_cast<std::size_t>(view);
+}
+
+constexpr std::size_t Index(Lane lane) {
+  return static_cast<std::size_t>(lane);
+}
+
+constexpr int kPercent = 100;
+
+template <typename Value>
+void EraseOne(std::vector<Value>& values, Value value) {
+  const auto found = std::find(values.begin(), values.end(), value);
+  HD_ASSERT(found != values.end());
+  *found = values.back();
+  values.pop_back();
+}
+
+}  // namespace
+
+AcceleratorSet WorkerRecord::FreeAccelerators(CapacityView view) const {
+  const AcceleratorSet open =
+      this->all.Without(this->foreign.Union(this->held));
+  switch (view) {
+    case CapacityView::kHard:
+      return open.Without(
+          this->used.Union(this->claimed).Union(this->reserved));
+    case CapacityView::kSoft:
+      return open.Without(this->used);
+    case CapacityView::kClaim:
+      return open.Without(this->hard.Union(this->claimed));
+  }
+  return {};
+}
+
+int WorkerRecord::FreeSlots(CapacityView view, Lane lane) const {
+  const int unclaimed = this->shape.slots - this->hard_slots -
+                        this->foreign_slots - this->claimed_slots -
+                        this->held_slots;
+  if (view == CapacityView::kClaim) {
+    return unclaimed;
+  }
+  const int most = std::min(this->shape.slots, this->concurrency_limit);
+  int free = most - this->used_slots - this->foreign_slots - this->held_slots;
+  if (lane == Lane::kLong) {
+    free = std::min(free, this->shape.slots - this->short_reserve -
+                              this->long_slots - this->held_slots);
+  }
+  if (view == CapacityView::kHard) {
+    free = std::min(free, unclaimed - this->reserved_slots);
+  }
+  return free;
+}
+
+WorkerIndex Fleet::Upsert(const core::AgentId& agent,
+                          const model::WorkerShape& shape) {
+  const auto [place, inserted] = this->by_agent.try_emplace(
+      agent, static_cast<WorkerIndex>(this->workers.size()));
+  const WorkerIndex index = place->second;
+  if (inserted) {
+    this->workers.emplace_back();
+    this->workers.back().agent = agent;
+    this->counted.emplace_back();
+  }
+  WorkerRecord& worker = this->workers[index];
+  if (worker.present && worker.shape == shape) {
+    return index;
+  }
+  if (!inserted) {
+    this->Unindex(index);
+    EraseOne(this->racks[worker.rack].workers, index);
+  }
+  const bool same_limit = worker.concurrency_limit == worker.shape.slots;
+  worker.shape = shape;
+  if (inserted || same_limit || worker.concurrency_limit > shape.slots) {
+    worker.concurrency_limit = shape.slots;
+  }
+  worker.short_reserve = (shape.slots * this->short_reserve_percent) / kPercent;
+  worker.all = AcceleratorSet::First(shape.accelerators);
+  worker.service_group = this->GroupOf(shape.services);
+  worker.rack = this->RackOf(shape);
+  this->racks[worker.rack].workers.push_back(index);
+  worker.present = true;
+  ++this->shape_generation;
+  this->Reindex(index);
+  return index;
+}
+
+void Fleet::SetForeign(WorkerIndex index,
+                       int slots,
+                       AcceleratorSet accelerators) {
+  WorkerRecord& worker = this->workers[index];
+  worker.foreign_slots = slots;
+  worker.foreign = accelerators;
+  this->Reindex(index);
+}
+
+void Fleet::SetDraining(WorkerIndex index, bool draining) {
+  this->workers[index].draining = draining;
+  this->Reindex(index);
+}
+
+void Fleet::SetQuarantined(WorkerIndex index, bool quarantined) {
+  this->workers[index].quarantined = quarantined;
+  this->Reindex(index);
+}
+
+void Fleet::SetConcurrencyLimit(WorkerIndex index, int limit) {
+  this->workers[index].concurrency_limit = limit;
+  this->Reindex(index);
+}
+
+void Fleet::SetAbsent(WorkerIndex index, core::TimePoint now) {
+  WorkerRecord& worker = this->workers[index];
+  worker.present = false;
+  worker.absent_since = now;
+  worker.foreign_slots = 0;
+  worker.foreign = {};
+  ++this->shape_generation;
+  this->Reindex(index);
+}
+
+void Fleet::Occupy(const MemberPlace& place, JobHandle job, TaskKind kind) {
+  WorkerRecord& worker = this->workers[place.worker];
+  HD_ASSERT(!worker.used.Intersects(place.accelerators));
+  worker.used = worker.used.Union(place.accelerators);
+  worker.used_slots += 1;
+  if (kind.hard) {
+    worker.hard = worker.hard.Union(place.accelerators);
+    worker.hard_slots += 1;
+  }
+  worker.long_slots += kind.lane == Lane::kLong ? 1 : 0;
+  worker.jobs.push_back(job);
+  this->Reindex(place.worker);
+}
+
+void Fleet::Release(const MemberPlace& place, JobHandle job, TaskKind kind) {
+  WorkerRecord& worker = this->workers[place.worker];
+  HD_ASSERT(worker.used.Contains(place.accelerators));
+  worker.used = worker.used.Without(place.accelerators);
+  worker.used_slots -= 1;
+  if (kind.hard) {
+    worker.hard = worker.hard.Without(place.accelerators);
+    worker.hard_slots -= 1;
+  }
+  worker.long_slots -= kind.lane == Lane::kLong ? 1 : 0;
+  EraseOne(worker.jobs, job);
+  this->Reindex(place.worker);
+}
+
+void Fleet::Claim(const MemberPlace& place, int slots) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.claimed = worker.claimed.Union(place.accelerators);
+  worker.claimed_slots += slots;
+  this->Reindex(place.worker);
+}
+
+void Fleet::Unclaim(const MemberPlace& place, int slots) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.claimed = worker.claimed.Without(place.accelerators);
+  worker.claimed_slots -= slots;
+  this->Reindex(place.worker);
+}
+
+void Fleet::Hold(const MemberPlace& place) {
+  WorkerRecord& worker = this->workers[place.worker];
+  HD_ASSERT(!worker.held.Intersects(place.accelerators));
+  worker.held = worker.held.Union(place.accelerators);
+  worker.held_slots += 1;
+  this->Reindex(place.worker);
+}
+
+void Fleet::Unhold(const MemberPlace& place) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.held = worker.held.Without(place.accelerators);
+  worker.held_slots -= 1;
+  this->Reindex(place.worker);
+}
+
+void Fleet::Reserve(const MemberPlace& place) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.reserved = worker.reserved.Union(place.accelerators);
+  worker.reserved_slots += 1;
+  this->Reindex(place.worker);
+}
+
+void Fleet::Unreserve(const MemberPlace& place) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.reserved = worker.reserved.Without(place.accelerators);
+  worker.reserved_slots -= 1;
+  this->Reindex(place.worker);
+}
+
+void Fleet::MoveToLongLane(WorkerIndex worker) {
+  this->workers[worker].long_slots += 1;
+  this->Reindex(worker);
+}
+
+void Fleet::SetHard(const MemberPlace& place, bool hard) {
+  WorkerRecord& worker = this->workers[place.worker];
+  worker.hard = hard ? worker.hard.Union(place.accelerators)
+                     : worker.hard.Without(place.accelerators);
+  worker.hard_slots += hard ? 1 : -1;
+  this->Reindex(place.worker);
+}
+
+std::vector<WorkerIndex> Fleet::TakeChangedCellWorkers() {
+  return std::exchange(this->changed_cell_workers, {});
+}
+
+void Fleet::AddCell(WorkerIndex worker, CellHandle cell) {
+  this->workers[worker].cells.push_back(cell);
+}
+
+void Fleet::RemoveCell(WorkerIndex worker, CellHandle cell) {
+  EraseOne(this->workers[worker].cells, cell);
+}
+
+std::optional<WorkerIndex> Fleet::Find(const core::AgentId& agent) const {
+  const auto found = this->by_agent.find(agent);
+  if (found == this->by_agent.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+ServiceIndex Fleet::ServiceOf(const core::ServiceName& service) {
+  const auto [place, inserted] = this->service_numbers.try_emplace(
+      service, static_cast<ServiceIndex>(this->offering.size()));
+  if (inserted) {
+    this->offering.emplace_back();
+  }
+  return place->second;
+}
+
+ServiceGroup Fleet::GroupOf(const std::vector<core::ServiceName>& services) {
+  std::vector<ServiceIndex> numbers;
+  for (const core::ServiceName& service : services) {
+    numbers.push_back(this->ServiceOf(service));
+  }
+  std::sort(numbers.begin(), numbers.end());
+  numbers.erase(std::unique(numbers.begin(), numbers.end()), numbers.end());
+  for (std::size_t i = 0; i < this->groups.size(); ++i) {
+    if (this->groups[i].services == numbers) {
+      return static_cast<ServiceGroup>(i);
+    }
+  }
+  this->groups.emplace_back();
+  this->groups.back().services = numbers;
+  const auto group = static_cast<ServiceGroup>(this->groups.size() - 1);
+  for (const ServiceIndex number : numbers) {
+    this->offering[number].push_back(group);
+  }
+  return group;
+}
+
+std::uint32_t Fleet::RackOf(const model::WorkerShape& shape) {
+  const std::string name = shape.data_centre.Text() + '\n' + shape.rack.Text();
+  const auto [place, inserted] = this->rack_numbers.try_emplace(
+      name, static_cast<std::uint32_t>(this->racks.size()));
+  if (inserted) {
+    this->racks.emplace_back();
+  }
+  return place->second;
+}
+
+bool Fleet::Offers(WorkerIndex worker, ServiceIndex service) const {
+  const std::vector<ServiceGroup>& offers = this->offering[service];
+  return std::find(offers.begin(), offers.end(),
+                   this->workers[worker].service_group) != offers.end();
+}
+
+const BucketIndex& Fleet::AcceleratorIndex(ServiceGroup group,
+                                           CapacityView view,
+                                           bool adjacent) const {
+  return this->groups[group].accelerators[Index(view)][adjacent ? 1 : 0];
+}
+
+const BucketIndex& Fleet::SlotIndex(ServiceGroup group,
+                                    CapacityView view,
+                                    Lane lane) const {
+  return this->groups[group].slots[Index(view)][Index(lane)];
+}
+
+int Fleet::ShortSlots(ServiceIndex service) const {
+  int total = 0;
+  for (const ServiceGroup group : this->offering[service]) {
+    total += this->groups[group].short_slots;
+  }
+  return total;
+}
+
+int Fleet::TotalAccelerators() const {
+  int total = 0;
+  for (const WorkerRecord& worker : this->workers) {
+    total += worker.Usable() ? worker.shape.accelerators : 0;
+  }
+  return total;
+}
+
+int Fleet::FreeAccelerators(CapacityView view) const {
+  int total = 0;
+  for (const Rack& rack : this->racks) {
+    total += rack.free[Index(view)];
+  }
+  return total;
+}
+
+void Fleet::Unindex(WorkerIndex index) {
+  WorkerRecord& worker = this->workers[index];
+  Group& group = this->groups[worker.service_group];
+  for (std::size_t view = 0; view < kCapacityViews; ++view) {
+    this->racks[worker.rack].free[view] -= this->counted[index].free[view];
+    this->counted[index].free[view] = 0;
+    group.accelerators[view][0].Set(index, 0);
+    group.accelerators[view][1].Set(index, 0);
+  }
+  group.short_slots -= this->counted[index].short_slots;
+  this->counted[index].short_slots = 0;
+  for (auto& by_lane : group.slots) {
+    by_lane[0].Set(index, 0);
+    by_lane[1].Set(index, 0);
+  }
+}
+
+void Fleet::Reindex(WorkerIndex index) {
+  const WorkerRecord& worker = this->workers[index];
+  if (!worker.cells.empty()) {
+    this->changed_cell_workers.push_back(index);
+  }
+  if (!worker.Usable()) {
+    this->Unindex(index);
+    return;
+  }
+  Group& group = this->groups[worker.service_group];
+  for (std::size_t i = 0; i < kCapacityViews; ++i) {
+    const auto view = static_cast<CapacityView>(i);
+    const AcceleratorSet free = worker.FreeAccelerators(view);
+    const int count = free.Count();
+    this->racks[worker.rack].free[i] += count - this->counted[index].free[i];
+    this->counted[index].free[i] = static_cast<std::uint8_t>(count);
+    const bool has_slot = worker.FreeSlots(view, Lane::kLong) > 0;
+    group.accelerators[i][0].Set(index, has_slot ? count : 0);
+    group.accelerators[i][1].Set(
+        index, has_slot ? worker.Blocks().LongestRun(free) : 0);
+  }
+  const int short_slots = std::max(
+      0, std::min(worker.shape.slots, worker.concurrency_limit) -
+             worker.foreign_slots - worker.held_slots - worker.long_slots);
+  group.short_slots += short_slots - this->counted[index].short_slots;
+  this->counted[index].short_slots = static_cast<std::int16_t>(short_slots);
+  for (const CapacityView view : {CapacityView::kHard, CapacityView::kSoft}) {
+    for (const Lane lane : {Lane::kShort, Lane::kLong}) {
+      group.slots[Index(view)][Index(lane)].Set(
+          index, std::max(0, worker.FreeSlots(view, lane)));
+    }
+  }
+}
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/gang/backfill_reservation.cc
@@ -0,0 +1,164 @@
+#include "modules/decide/gang/backfill_reservation.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <utility>
+
+namespace hemlockdoor::decide {
+
+using model::AcceleratorSet;
+using model::Adjacency;
+
+namespace {
+
+/// Workers looked at for one reservation, so that its cost is bounded.
+constexpr std::size_t kMaxWorkersSearched = 1024;
+
+}  // namespace
+
+void BackfillReservations::AddOptions(
+    const GangRequest& request,
+    WorkerIndex index,
+    const std::function<core::Duration(JobHandle)>& remaining,
+    std::vector<Option>& options) const {
+  const WorkerRecord& worker = this->fleet.At(index);
+  if (!worker.Usable() ||
+      (request.service && !this->fleet.Offers(index, *request.service))) {
+    return;
+  }
+  const bool hard = request.view == CapacityView::kHard;
+  AcceleratorSet open =
+      worker.all.Without(worker.foreign.Union(worker.held)
+                             .Union(worker.reserved)
+                             .Union(hard ? worker.claimed : AcceleratorSet()));
+  int slots = worker.shape.slots - worker.short_reserve - worker.foreign_slots -
+              worker.held_slots - worker.reserved_slots -
+              (hard ? worker.claimed_slots : 0);
+  if (request.shape.adjacency == Adjacency::kSpread) {
+    slots = std::min(slots, 1);
+  }
+  const bool adjacent = NeedsAdjacentAccelerators(request.shape.adjacency);
+  const int size = request.shape.accelerators_per_member;
+  const core::Duration by_job = [&]() {
+    core::Duration longest;
+    for (const JobHandle job : worker.jobs) {
+      longest = std::max(longest, remaining(job));
+    }
+    return longest;
+  }();
+  const AcceleratorBlocks blocks = worker.Blocks();
+  for (; slots > 0; --slots) {
+    AcceleratorSet taken =
+        blocks.Take(open.Without(worker.used), size, adjacent);
+    const bool is_free = taken.Count() > 0;
+    if (!is_free) {
+      taken = blocks.Take(open, size, adjacent);
+    }
+    if (taken.Count() == 0) {
+      return;
+    }
+    options.push_back({is_free ? core::Duration() : by_job, {index, taken}});
+    open = open.Without(taken);
+  }
+}
+
+std::optional<std::vector<MemberPlace>> BackfillReservations::PickEarliest(
+    const model::GangShape& shape,
+    std::vector<Option>& options) const {
+  const auto members = static_cast<std::size_t>(shape.gang_size);
+  if (options.size() < members) {
+    return std::nullopt;
+  }
+  std::stable_sort(options.begin(), options.end(),
+                   [](const Option& left, const Option& right) {
+                     return left.ready < right.ready;
+                   });
+  std::vector<MemberPlace> places;
+  for (std::size_t i = 0; i < members; ++i) {
+    places.push_back(options[i].place);
+  }
+  // Members on one worker lie next to each other.
+  std::stable_sort(places.begin(), places.end(),
+                   [](const MemberPlace& left, const MemberPlace& right) {
+                     return left.worker < right.worker;
+                   });
+  return places;
+}
+
+std::optional<std::vector<MemberPlace>> BackfillReservations::PickInOneRack(
+    const model::GangShape& shape,
+    const std::vector<Option>& options) const {
+  std::map<std::uint32_t, std::vector<Option>> by_rack;
+  for (const Option& option : options) {
+    by_rack[this->fleet.At(option.place.worker).rack].push_back(option);
+  }
+  std::optional<std::vector<MemberPlace>> best;
+  core::Duration earliest =
+      core::Duration::Milliseconds(std::numeric_limits<std::int64_t>::max());
+  for (auto& [rack, in_rack] : by_rack) {
+    std::optional<std::vector<MemberPlace>> places =
+        this->PickEarliest(shape, in_rack);
+    if (!places) {
+      continue;
+    }
+    const core::Duration ready =
+        in_rack[static_cast<std::size_t>(shape.gang_size - 1)].ready;
+    if (ready < earliest) {
+      earliest = ready;
+      best = std::move(places);
+    }
+  }
+  return best;
+}
+
+bool BackfillReservations::Reserve(
+    JobHandle job,
+    const GangRequest& request,
+    const std::function<core::Duration(JobHandle)>& remaining,
+    core::TimePoint now) {
+  std::vector<Option> options;
+  const std::size_t count = this->fleet.Count();
+  const std::size_t searched = std::min(count, kMaxWorkersSearched);
+  for (std::size_t i = 0; i < searched; ++i) {
+    const auto worker =
+        static_cast<WorkerIndex>((this->next_worker + i) % count);
+    this->AddOptions(request, worker, remaining, options);
+  }
+  this->next_worker = static_cast<WorkerIndex>(
+      count == 0 ? 0 : (this->next_worker + searched) % count);
+  std::optional<std::vector<MemberPlace>> places =
+      request.shape.adjacency == Adjacency::kRack
+          ? this->PickInOneRack(request.shape, options)
+          : this->PickEarliest(request.shape, options);
+  if (!places) {
+    return false;
+  }
+  for (const MemberPlace& place : *places) {
+    this->fleet.Reserve(place);
+  }
+  this->reservations.push_back({job, std::move(*places), now});
+  return true;
+}
+
+void BackfillReservations::Drop(JobHandle job) {
+  const auto found =
+      std::find_if(this->reservations.begin(), this->reservations.end(),
+                   [job](const Reservation& row) { return row.job == job; });
+  if (found == this->reservations.end()) {
+    return;
+  }
+  for (const MemberPlace& place : found->members) {
+    this->fleet.Unreserve(place);
+  }
+  this->reservations.erase(found);
+}
+
+const Reservation* BackfillReservations::Find(JobHandle job) const {
+  const auto found =
+      std::find_if(this->reservations.begin(), this->reservations.end(),
+                   [job](const Reservation& row) { return row.job == job; });
+  return found == this->reservations.end() ? nullptr : &*found;
+}
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/health/job_history.cc
@@ -0,0 +1,52 @@
+#include "modules/decide/health/job_history.h"
+
+#include <algorithm>
+
+namespace hemlockdoor::decide {
+
+namespace {
+
+constexpr std::size_t kMaxRememberedJobs = 20'000;
+
+}  // namespace
+
+const JobPast* JobHistory::Find(const core::JobId& job) const {
+  const auto found = this->jobs.find(job);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+JobPast& JobHistory::At(const core::JobId& job) {
+  const auto [place, inserted] = this->jobs.try_emplace(job);
+  if (!inserted) {
+    return place->second;
+  }
+  place->second.identity = this->next_identity++;
+  this->oldest_first.push_back(job);
+  while (this->oldest_first.size() > kMaxRememberedJobs) {
+    this->jobs.erase(this->oldest_first.front());
+    this->oldest_first.pop_front();
+  }
+  return this->jobs.at(job);
+}
+
+const JobPast& JobHistory::AddFailure(const core::JobId& job,
+                                      WorkerIndex worker) {
+  JobPast& past = this->At(job);
+  if (std::find(past.failed_on.begin(), past.failed_on.end(), worker) ==
+      past.failed_on.end()) {
+    past.failed_on.push_back(worker);
+  }
+  return past;
+}
+
+const JobPast& JobHistory::AddPreemption(const core::JobId& job) {
+  JobPast& past = this->At(job);
+  ++past.preemptions;
+  return past;
+}
+
+void JobHistory::Forget(const core::JobId& job) {
+  this->jobs.erase(job);
+}
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/health/job_history.h
@@ -0,0 +1,44 @@
+// Where jobs failed and how often they were stopped, across attempts.
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "modules/core/core.h"
+#include "modules/decide/fleet/fleet.h"
+
+namespace hemlockdoor::decide {
+
+/// What is remembered of a job between its attempts.
+struct JobPast {
+  /// A number that stays the same for all attempts.
+  JobHandle identity = 0;
+  /// Distinct workers that the job failed on.
+  std::vector<WorkerIndex> failed_on;
+  /// Times the job was stopped for others.
+  int preemptions = 0;
+};
+
+/// Remembers jobs that failed or were stopped, and forgets the oldest above a
+/// bound.
+class JobHistory {
+ public:
+  /// The past of a job, or null when it has none.
+  const JobPast* Find(const core::JobId& job) const;
+  /// Adds a failure; one on a worker known already changes nothing.
+  const JobPast& AddFailure(const core::JobId& job, WorkerIndex worker);
+  const JobPast& AddPreemption(const core::JobId& job);
+  /// The job ended for good.
+  void Forget(const core::JobId& job);
+  std::size_t Count() const { return this->jobs.size(); }
+
+ private:
+  JobPast& At(const core::JobId& job);
+
+  std::unordered_map<core::JobId, JobPast> jobs;
+  std::deque<core::JobId> oldest_first;
+  JobHandle next_identity = 0;
+};
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/reclaim/reclaim_planner.h
@@ -0,0 +1,44 @@
+// Chooses which jobs to stop so that a place becomes free.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "modules/decide/scheduler/job_table.h"
+
+namespace hemlockdoor::decide {
+
+/// Jobs to stop for one place, and what that costs.
+struct ReclaimChoice {
+  std::vector<MemberPlace> places;
+  CellHandle cell = kNoCell;
+  /// Jobs that must end; those already being stopped are among them.
+  std::vector<JobHandle> victims;
+  /// Capacity-milliseconds of work that is lost.
+  double cost = 0;
+};
+
+/// Weighs lost work, restarts so far and the size of the jobs to stop.
+class ReclaimPlanner {
+ public:
+  ReclaimPlanner(const Fleet& workers, const JobTable& job_table)
+      : fleet(workers), jobs(job_table) {}
+
+  /// Work lost when a job is stopped now.
+  double CostOf(const JobRecord& job, core::TimePoint now) const;
+  /// Jobs to stop for a place; nothing when unstoppable work is in the way.
+  std::optional<ReclaimChoice> Choose(const std::vector<MemberPlace>& places,
+                                      core::TimePoint now) const;
+
+ private:
+  bool AddOverlapping(const MemberPlace& place, ReclaimChoice& choice) const;
+  bool AddForSlots(WorkerIndex worker,
+                   int slots,
+                   core::TimePoint now,
+                   ReclaimChoice& choice) const;
+
+  const Fleet& fleet;
+  const JobTable& jobs;
+};
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/scheduler/intake.cc
@@ -0,0 +1,219 @@
+#include "modules/decide/scheduler/intake.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdoor::decide {
+
+namespace {
+
+/// Distinct good workers that a job may fail on.
+constexpr int kFailuresToBeFaulty = 3;
+constexpr core::Duration kQueueFullRetry = core::Duration::Seconds(5);
+constexpr core::Duration kRetryBudgetRetry = core::Duration::Seconds(10);
+
+RefuseDecision Refusal(const model::JobDescription& job,
+                       RefusalKind kind,
+                       std::string reason,
+                       core::Duration retry_after = {}) {
+  return {job.id, kind, std::move(reason), retry_after};
+}
+
+std::string ShapeText(const model::GangShape& shape) {
+  return std::to_string(shape.gang_size) + " members with " +
+         std::to_string(shape.accelerators_per_member) +
+         " accelerators each (" +
+         std::string(model::AdjacencyName(shape.adjacency)) + ")";
+}
+
+}  // namespace
+
+Intake::Check Intake::CheckShape(const model::JobDescription& job) const {
+  if (job.shape.gang_size < 1 || job.shape.gang_size > model::kMaxGangSize ||
+      job.shape.accelerators_per_member < 0 ||
+      job.shape.accelerators_per_member > model::kMaxAcceleratorsPerWorker) {
+    return Refusal(job, RefusalKind::kNeverRunnable,
+                   "its shape is out of range: " + ShapeText(job.shape));
+  }
+  if (!this->state.options.plans_accelerators &&
+      (job.shape.accelerators_per_member > 0 || job.shape.gang_size > 1)) {
+    return Refusal(job, RefusalKind::kNeverRunnable,
+                   "this entry is not the planning owner and places only "
+                   "single tasks without accelerators");
+  }
+  return std::nullopt;
+}
+
+Intake::Check Intake::CheckPast(const model::JobDescription& job) {
+  const JobPast* past = this->state.history.Find(job.id);
+  if (past == nullptr || past->failed_on.empty()) {
+    return std::nullopt;
+  }
+  const auto good = std::count_if(
+      past->failed_on.begin(), past->failed_on.end(),
+      [this](WorkerIndex worker) {
+        return this->state.health.StateOf(worker) == HealthState::kGood;
+      });
+  if (good >= kFailuresToBeFaulty) {
+    return Refusal(job, RefusalKind::kFaulty,
+                   "it failed on " + std::to_string(good) +
+                       " workers that run other work well");
+  }
+  if (this->state.Rules().retry_budget &&
+      !this->state.retry_budget.TryTake(
+          this->state.fleet.ServiceOf(job.service))) {
+    return Refusal(job, RefusalKind::kShed,
+                   "too large a share of the service's work is retries",
+                   kRetryBudgetRetry);
+  }
+  return std::nullopt;
+}
+
+Intake::Check Intake::CheckLimits(const model::JobDescription& job,
+                                  const EntryState& entry) const {
+  const std::string name = "entry " + entry.name.Text();
+  const model::ClassLimits& limits = entry.limits;
+  if (limits.max_accelerators &&
+      job.shape.TotalAccelerators() > *limits.max_accelerators) {
+    return Refusal(job, RefusalKind::kOverLimit,
+                   "it needs " + std::to_string(job.shape.TotalAccelerators()) +
+                       " accelerators and " + name + " allows " +
+                       std::to_string(*limits.max_accelerators) + " in all");
+  }
+  if (limits.max_slots && job.shape.gang_size > *limits.max_slots) {
+    return Refusal(job, RefusalKind::kOverLimit,
+                   "it needs " + std::to_string(job.shape.gang_size) +
+                       " slots and " + name + " allows " +
+                       std::to_string(*limits.max_slots) + " in all");
+  }
+  if (limits.max_queued && entry.queued >= *limits.max_queued) {
+    return Refusal(job, RefusalKind::kQueueFull,
+                   name + " has " + std::to_string(entry.queued) +
+                       " jobs queued, its limit",
+                   kQueueFullRetry);
+  }
+  if (this->state.queue.Count() >= this->state.Rules().max_queued) {
+    return Refusal(job, RefusalKind::kQueueFull,
+                   "this scheduler's queue is full", kQueueFullRetry);
+  }
+  return std::nullopt;
+}
+
+Intake::Check Intake::CheckFeasible(const model::JobDescription& job,
+                                    core::TimePoint now) {
+  if (!this->state.IsSettled(now) ||
+      this->state.feasibility.CouldEverFit(
+          job.shape, this->state.fleet.ServiceOf(job.service),
+          now - this->state.Rules().absent_memory)) {
+    return std::nullopt;
+  }
+  return Refusal(job, RefusalKind::kNeverRunnable,
+                 "no set of workers that offers service " + job.service.Text() +
+                     " has room for " + ShapeText(job.shape) +
+                     ", even when idle");
+}
+
+Intake::Check Intake::CheckDeadline(const model::JobDescription& job,
+                                    const EntryState& entry) {
+  if (!job.deadline || !this->state.Rules().shedding ||
+      job.shape.accelerators_per_member > 0) {
+    return std::nullopt;
+  }
+  const ServiceIndex service = this->state.fleet.ServiceOf(job.service);
+  const WorkKindIndex kind =
+      this->state.lanes.KindOf({entry.organisation, service, job.job_class});
+  if (this->state.lanes.LaneOf(kind, job.declared_run) == Lane::kLong) {
+    return std::nullopt;
+  }
+  const double weight = this->state.fair_share.Weight(entry.organisation);
+  const double active =
+      std::max(weight, this->state.fair_share.ActiveWeight(Lane::kShort));
+  AdmissionRequest request;
+  request.organisation = entry.organisation;
+  request.deadline = *job.deadline;
+  request.expected_run = this->state.lanes.Expected(kind, job.declared_run);
+  request.slots = this->state.fleet.ShortSlots(service);
+  request.share = this->state.Rules().fair_share ? weight / active : 1.0;
+  const std::optional<core::Duration> retry_after =
+      this->state.admission.Refuse(request);
+  if (!retry_after) {
+    return std::nullopt;
+  }
+  return Refusal(
+      job, RefusalKind::kShed,
+      "it would wait past its deadline: the work queued for its "
+      "organisation takes about " +
+          std::to_string(
+              this->state.admission.ExpectedWait(request).InMilliseconds()) +
+          " ms at its share of the slots",
+      *retry_after);
+}
+
+JobHandle Intake::MakeRecord(const model::JobDescription& description,
+                             core::TimePoint now) {
+  const EntryIndex entry_index = this->state.entries.IndexOf(
+      description.organisation, description.job_class);
+  const JobHandle handle = this->state.jobs.Add(description.id);
+  JobRecord& job = this->state.jobs.At(handle);
+  job.entry = entry_index;
+  job.organisation = this->state.entries.At(entry_index).organisation;
+  job.service = this->state.fleet.ServiceOf(description.service);
+  job.kind = this->state.lanes.KindOf(
+      {job.organisation, job.service, description.job_class});
+  job.shape = description.shape;
+  job.expected_run =
+      this->state.lanes.Expected(job.kind, description.declared_run);
+  job.lane = this->state.lanes.LaneOf(job.kind, description.declared_run);
+  // Work that must not be repeated cannot be stopped: its end would not be
+  // known.
+  job.stoppable = description.repeatable;
+  job.checkpointable = description.checkpointable;
+  job.urgent = description.urgent;
+  const JobPast* past = this->state.history.Find(description.id);
+  job.preemptions = static_cast<std::uint16_t>(
+      past == nullptr ? 0 : std::min(past->preemptions, 1000));
+  job.sequence = this->state.next_sequence++;
+  job.submitted = now;
+  if (description.deadline) {
+    job.expires = now + *description.deadline;
+  }
+  return handle;
+}
+
+tl::expected<void, RefuseDecision> Intake::Submit(
+    const model::JobDescription& job,
+    core::TimePoint now) {
+  if (const std::optional<JobHandle> known = this->state.jobs.Find(job.id)) {
+    if (this->state.jobs.At(*known).phase != JobPhase::kLapsed) {
+      return {};
+    }
+    this->lifecycle.Remove(*known, now);
+  }
+  if (Check shape = this->CheckShape(job)) {
+    return tl::unexpected<RefuseDecision>(std::move(*shape));
+  }
+  const EntryIndex index =
+      this->state.entries.IndexOf(job.organisation, job.job_class);
+  const EntryState& entry = this->state.entries.At(index);
+  if (!entry.present) {
+    return tl::unexpected<RefuseDecision>(
+        Refusal(job, RefusalKind::kNoEntry,
+                "no catalogue entry covers class " + job.job_class.Text() +
+                    " of organisation " + job.organisation.Text()));
+  }
+  Check refusal = this->CheckLimits(job, entry);
+  refusal = refusal ? refusal : this->CheckFeasible(job, now);
+  refusal = refusal ? refusal : this->CheckDeadline(job, entry);
+  refusal = refusal ? refusal : this->CheckPast(job);
+  if (refusal) {
+    return tl::unexpected<RefuseDecision>(std::move(*refusal));
+  }
+  const JobHandle handle = this->MakeRecord(job, now);
+  this->lifecycle.Enqueue(handle);
+  if (job.deadline) {
+    this->state.AddTimer(handle, now + *job.deadline, TimerKind::kExpiry);
+  }
+  return {};
+}
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/scheduler/preemption.cc
@@ -0,0 +1,207 @@
+#include "modules/decide/scheduler/preemption.h"
+
+#include <algorithm>
+
+namespace hemlockdoor::decide {
+
+namespace {
+
+/// Cells compared for their cost; bounds the time of one decision.
+constexpr std::size_t kCellsCompared = 16;
+
+bool Overlap(const std::vector<MemberPlace>& left,
+             const std::vector<MemberPlace>& right) {
+  return std::any_of(left.begin(), left.end(), [&right](const MemberPlace& a) {
+    return std::any_of(right.begin(), right.end(), [&a](const MemberPlace& b) {
+      return a.worker == b.worker && a.accelerators.Intersects(b.accelerators);
+    });
+  });
+}
+
+}  // namespace
+
+void Preemption::Emit(JobHandle victim,
+                      PreemptMode mode,
+                      core::Duration grace,
+                      core::TimePoint now) {
+  JobRecord& job = this->state.jobs.At(victim);
+  PreemptDecision decision;
+  decision.job = job.id;
+  decision.mode = mode;
+  decision.grace = grace;
+  if (job.beneficiary != kNoJob) {
+    decision.beneficiary = this->state.jobs.At(job.beneficiary).id;
+  }
+  this->state.decisions.emplace_back(std::move(decision));
+  job.preempt_due = now + grace;
+  this->state.AddTimer(victim, job.preempt_due, TimerKind::kPreempt);
+}
+
+void Preemption::Preempt(JobHandle victim,
+                         JobHandle beneficiary,
+                         core::TimePoint now) {
+  JobRecord& job = this->state.jobs.At(victim);
+  const Policy& rules = this->state.Rules();
+  const bool urgent =
+      beneficiary != kNoJob && this->state.jobs.At(beneficiary).urgent;
+  const core::Duration grace =
+      urgent ? rules.urgent_grace : rules.ordinary_grace;
+  if (job.preempt != PreemptStep::kNone) {
+    // Another job waits already; an urgent one shortens the grace.
+    if (job.preempt == PreemptStep::kCheckpoint &&
+        now + grace < job.preempt_due) {
+      job.preempt_due = now + grace;
+      this->state.AddTimer(victim, job.preempt_due, TimerKind::kPreempt);
+    }
+    return;
+  }
+  job.beneficiary = beneficiary;
+  if (job.checkpointable && job.phase == JobPhase::kRunning) {
+    job.preempt = PreemptStep::kCheckpoint;
+    this->Emit(victim, PreemptMode::kCheckpoint, grace, now);
+    return;
+  }
+  job.preempt = PreemptStep::kStop;
+  this->Emit(victim, PreemptMode::kStop, rules.stop_grace, now);
+}
+
+void Preemption::OnGraceOver(JobHandle victim, core::TimePoint now) {
+  JobRecord& job = this->state.jobs.At(victim);
+  if (job.preempt == PreemptStep::kNone || !job.UsesCapacity() ||
+      now < job.preempt_due) {
+    return;
+  }
+  // A stop without an end is asked for again: the request may have been lost.
+  job.preempt = PreemptStep::kStop;
+  if (job.beneficiary != kNoJob &&
+      this->state.jobs.At(job.beneficiary).phase != JobPhase::kReclaiming) {
+    job.beneficiary = kNoJob;
+  }
+  this->Emit(victim, PreemptMode::kStop, this->state.Rules().stop_grace, now);
+}
+
+void Preemption::CancelHoldsAt(const std::vector<MemberPlace>& places) {
+  const std::vector<JobHandle> holders = this->state.reclaiming;
+  for (const JobHandle holder : holders) {
+    const JobRecord& job = this->state.jobs.At(holder);
+    if (job.cell == kNoCell && Overlap(job.members, places)) {
+      this->lifecycle.RequeueHeld(holder);
+    }
+  }
+}
+
+void Preemption::PreemptAll(const ReclaimChoice& choice,
+                            JobHandle beneficiary,
+                            core::TimePoint now) {
+  for (const JobHandle victim : choice.victims) {
+    this->Preempt(victim, beneficiary, now);
+  }
+}
+
+bool Preemption::ReclaimCell(JobHandle handle,
+                             GuaranteeUse use,
+                             core::TimePoint now) {
+  const JobRecord& job = this->state.jobs.At(handle);
+  std::vector<CellHandle> candidates = this->state.cells.FindLent(
+      use, job.service, kCellsCompared, job.sequence);
+  if (candidates.empty()) {
+    const std::optional<CellHandle> moved =
+        this->state.cells.Move(use, job.service, CapacityView::kClaim);
+    if (!moved) {
+      return false;
+    }
+    candidates.push_back(*moved);
+  }
+  std::optional<ReclaimChoice> best;
+  for (const CellHandle cell : candidates) {
+    std::optional<ReclaimChoice> choice =
+        this->planner.Choose(this->state.cells.PlacesIn(cell, job.shape), now);
+    if (choice && (!best || choice->cost < best->cost)) {
+      choice->cell = cell;
+      best = std::move(choice);
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  this->CancelHoldsAt(best->places);
+  this->lifecycle.Hold(handle, best->places, use, best->cell);
+  this->PreemptAll(*best, handle, now);
+  return true;
+}
+
+bool Preemption::ReclaimPlaces(JobHandle handle,
+                               const std::vector<MemberPlace>& places,
+                               core::TimePoint now) {
+  const std::optional<ReclaimChoice> choice = this->planner.Choose(places, now);
+  if (!choice) {
+    return false;
+  }
+  this->lifecycle.Hold(handle, places, std::nullopt, kNoCell);
+  this->PreemptAll(*choice, handle, now);
+  return true;
+}
+
+void Preemption::StartReclaimed(core::TimePoint now) {
+  const std::vector<JobHandle> waiting = this->state.reclaiming;
+  for (const JobHandle handle : waiting) {
+    const JobRecord& job = this->state.jobs.At(handle);
+    bool lost = false;
+    bool free = true;
+    for (std::size_t i = 0; i < job.members.size(); ++i) {
+      const MemberPlace& place = job.members[i];
+      const WorkerRecord& worker = this->state.fleet.At(place.worker);
+      lost = lost || !worker.Usable() ||
+             worker.foreign.Intersects(place.accelerators);
+      const auto members_here =
+          static_cast<int>(std::count_if(job.members.begin(), job.members.end(),
+                                         [&place](const MemberPlace& other) {
+                                           return other.worker == place.worker;
+                                         }));
+      free = free && !worker.used.Intersects(place.accelerators) &&
+             worker.IdleSlots() >= members_here;
+    }
+    if (lost) {
+      this->lifecycle.RequeueHeld(handle);
+    } else if (free) {
+      this->lifecycle.GrantHeld(handle, now);
+    }
+  }
+}
+
+void Preemption::OnOverrun(JobHandle handle, core::TimePoint now) {
+  JobRecord& job = this->state.jobs.At(handle);
+  if (!job.UsesCapacity() || job.lane == Lane::kLong) {
+    return;
+  }
+  this->state.lanes.ObserveAtLeast(job.kind, now - job.started);
+  job.lane = Lane::kLong;
+  bool overfull = false;
+  for (const MemberPlace& place : job.members) {
+    this->state.fleet.MoveToLongLane(place.worker);
+    const WorkerRecord& worker = this->state.fleet.At(place.worker);
+    overfull = overfull ||
+               worker.long_slots > worker.shape.slots - worker.short_reserve;
+  }
+  if (!overfull || job.cell != kNoCell) {
+    return;
+  }
+  if (!job.hard) {
+    this->Preempt(handle, kNoJob, now);
+    return;
+  }
+  PreemptDecision throttle;
+  throttle.job = job.id;
+  throttle.mode = PreemptMode::kThrottle;
+  this->state.decisions.emplace_back(std::move(throttle));
+}
+
+void Preemption::OnMaxRun(JobHandle handle, core::TimePoint now) {
+  const JobRecord& job = this->state.jobs.At(handle);
+  // A request that must not be repeated is not cut: its end would be unknown.
+  if (job.UsesCapacity() && job.stoppable) {
+    this->Preempt(handle, kNoJob, now);
+  }
+}
+
+}  // namespace hemlockdoor::decide
--- a/modules/decide/scheduler/scheduler.h
+++ b/modules/decide/scheduler/scheduler.h
@@ -9,6 +9,7 @@
 
 #include "modules/core/core.h"
 #include "modules/decide/scheduler/decisions.h"
+#include "modules/decide/scheduler/policy.h"
 #include "modules/model/model.h"
 
 namespace hemlockdoor::decide {
@@ -19,6 +20,7 @@
   /// Which jobs this scheduler is given. An entry that is not planning owner
   /// places only jobs without accelerators that are single tasks.
   bool plans_accelerators = true;
+  Policy policy;
 };
 
 /// What is known of a worker beyond its shape.
@@ -94,6 +96,9 @@
                const std::optional<core::AgentId>& failed_on,
                core::TimePoint now);
 
+  /// True when the job holds capacity of one of its entry's guarantees, which
+  /// is not taken back for others.
+  bool IsWithinGuarantee(const core::JobId& job) const;
   /// Why a queued job waits; nothing when it is not queued.
   std::optional<WaitReason> WhyWaiting(const core::JobId& job) const;
   /// Workers that get trial work only.
--- /dev/null
+++ b/modules/decide/scheduler/scheduler_test.cc
@@ -0,0 +1,202 @@
+#include "modules/decide/scheduler/scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "modules/decide/testing/fake_cluster.h"
+
+namespace hemlockdoor::decide {
+
+using model::Adjacency;
+using model::GangShape;
+
+namespace {
+
+/// Two workers of 8 accelerators in one rack; north is guaranteed one worker.
+FakeCluster TwoWorkers(const SchedulerOptions& options = {}) {
+  FakeCluster cluster(options);
+  cluster.AddWorker(MakeWorker("w1"));
+  cluster.AddWorker(MakeWorker("w2"));
+  cluster.scheduler.ApplyCatalogue(
+      MakeCatalogue(
+          {MakeEntry("north", {{1, GangShape{1, 8, Adjacency::kWorker}}}),
+           MakeEntry("south")}),
+      cluster.now);
+  cluster.now = cluster.now + core::Duration::Seconds(10);
+  return cluster;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(SchedulerTest)
+
+// Guards against a guarantee that cannot be reclaimed because unstoppable work
+// took its place.
+BOOST_AUTO_TEST_CASE(UnstoppableWorkStaysOutOfGuaranteedCapacity) {
+  FakeCluster cluster = TwoWorkers();
+  model::JobDescription fixed =
+      MakeJob("fixed-1", "south", {1, 8, Adjacency::kWorker});
+  fixed.repeatable = false;
+  BOOST_TEST(cluster.Submit(fixed));
+  fixed.id = core::JobId("fixed-2");
+  BOOST_TEST(cluster.Submit(fixed));
+  cluster.Plan();
+  BOOST_TEST(cluster.IsRunning("fixed-1"));
+  BOOST_TEST(!cluster.IsRunning("fixed-2"));
+  const std::optional<WaitReason> reason =
+      cluster.scheduler.WhyWaiting(core::JobId("fixed-2"));
+  BOOST_REQUIRE(reason.has_value());
+  BOOST_TEST(reason->text.find("kept for guarantees") != std::string::npos);
+}
+
+// Guards against urgent work within its guarantee that starts later than 5.7 s
+// because a borrower ignores the request to write a checkpoint.
+BOOST_AUTO_TEST_CASE(UrgentGuaranteedWorkStartsInTimeWhenCheckpointIsIgnored) {
+  FakeCluster cluster = TwoWorkers();
+  for (const char* id : {"loan-1", "loan-2"}) {
+    model::JobDescription loan =
+        MakeJob(id, "south", {1, 8, Adjacency::kWorker});
+    loan.checkpointable = true;
+    BOOST_REQUIRE(cluster.Submit(loan));
+  }
+  cluster.Plan();
+  BOOST_REQUIRE(cluster.IsRunning("loan-1") && cluster.IsRunning("loan-2"));
+  model::JobDescription urgent =
+      MakeJob("urgent", "north", {1, 8, Adjacency::kWorker});
+  urgent.urgent = true;
+  BOOST_REQUIRE(cluster.Submit(urgent));
+  const core::TimePoint submitted = cluster.now;
+  while (!cluster.IsRunning("urgent")) {
+    BOOST_REQUIRE(cluster.now - submitted < core::Duration::Seconds(10));
+    cluster.now = cluster.now + core::Duration::Milliseconds(100);
+    cluster.Plan();
+    const auto stopping = cluster.stopping;
+    for (const auto& [id, decision] : stopping) {
+      if (decision.mode == PreemptMode::kStop) {
+        cluster.now = cluster.now + core::Duration::Milliseconds(1000);
+        cluster.End(id.Text(), model::JobOutcome::kCancelled);
+        cluster.Plan();
+      }
+    }
+  }
+  BOOST_TEST((cluster.now - submitted).InMilliseconds() <= 5700);
+  BOOST_TEST(cluster.scheduler.IsWithinGuarantee(core::JobId("urgent")));
+}
+
+// Guards against a job that waits for ever because no worker can hold it.
+BOOST_AUTO_TEST_CASE(RefusesWhatCanNeverRun) {
+  struct Case {
+    GangShape shape;
+    std::string service;
+    RefusalKind kind;
+  };
+  const std::vector<Case> cases = {
+      {{1, 9, Adjacency::kAny}, "s", RefusalKind::kNeverRunnable},
+      {{3, 1, Adjacency::kSpread}, "s", RefusalKind::kNeverRunnable},
+      {{17, 1, Adjacency::kAny}, "s", RefusalKind::kNeverRunnable},
+      {{1, 1, Adjacency::kAny}, "unknown", RefusalKind::kNeverRunnable},
+  };
+  FakeCluster cluster = TwoWorkers();
+  for (const Case& row : cases) {
+    model::JobDescription job = MakeJob("never", "south", row.shape);
+    job.service = core::ServiceName(row.service);
+    BOOST_TEST(!cluster.Submit(job));
+    BOOST_TEST((cluster.refused.at(job.id).kind == row.kind));
+    BOOST_TEST((cluster.refused.at(job.id).retry_after == core::Duration()));
+  }
+}
+
+// Guards against a refusal for good while workers have yet to announce
+// themselves after a restart.
+BOOST_AUTO_TEST_CASE(DoesNotRefuseBeforeWorkersHadTimeToAnnounce) {
+  FakeCluster cluster;
+  cluster.scheduler.ApplyCatalogue(MakeCatalogue({MakeEntry("north")}),
+                                   cluster.now);
+  BOOST_TEST(cluster.Submit(MakeJob("early", "north")));
+  cluster.Plan();
+  cluster.AddWorker(MakeWorker("w1"));
+  cluster.Plan();
+  BOOST_TEST(cluster.IsRunning("early"));
+}
+
+// Guards against a cap that is passed, or that cuts work in progress.
+BOOST_AUTO_TEST_CASE(CapsHoldAndCutNothing) {
+  FakeCluster cluster = TwoWorkers();
+  model::ClassLimits limits;
+  limits.max_accelerators = 4;
+  const auto apply = [&]() {
+    cluster.scheduler.ApplyCatalogue(
+        MakeCatalogue({MakeEntry("south", {}, limits)}), cluster.now);
+  };
+  apply();
+  for (int i = 0; i < 4; ++i) {
+    cluster.Submit(MakeJob("j" + std::to_string(i), "south", {1, 2}));
+  }
+  cluster.Plan();
+  BOOST_TEST(cluster.running.size() == 2);
+  limits.max_accelerators = 2;
+  apply();
+  cluster.Plan();
+  BOOST_TEST(cluster.running.size() == 2);
+  BOOST_TEST(cluster.stopping.empty());
+  cluster.End("j0");
+  cluster.Plan();
+  BOOST_TEST(cluster.running.size() == 1);
+  limits.max_accelerators.reset();
+  apply();
+  cluster.Plan();
+  BOOST_TEST(cluster.running.size() == 3);
+}
+
+// Guards against a start that is lost or doubled when an agent refuses it.
+BOOST_AUTO_TEST_CASE(RefusedStartIsQueuedAgainAtItsPlace) {
+  FakeCluster cluster = TwoWorkers();
+  cluster.Submit(MakeJob("first", "south", {1, 8}));
+  const std::vector<Decision> decisions = cluster.scheduler.Plan(cluster.now);
+  BOOST_REQUIRE(decisions.size() == 1);
+  const auto& start = std::get<StartDecision>(decisions[0]);
+  cluster.scheduler.OnStartRefused(start.job, start.members[0].agent,
+                                   cluster.now);
+  BOOST_TEST(cluster.scheduler.QueuedCount() == 1);
+  cluster.Submit(MakeJob("second", "south", {1, 8}));
+  cluster.Submit(MakeJob("third", "south", {1, 8}));
+  cluster.Plan();
+  BOOST_TEST(cluster.IsRunning("first"));
+  BOOST_TEST(cluster.IsRunning("second"));
+  BOOST_TEST(!cluster.IsRunning("third"));
+}
+
+// Guards against capacity that leaks when the report of a start never comes,
+// and against a second use when the report comes late.
+BOOST_AUTO_TEST_CASE(StartWithoutReportLapses) {
+  FakeCluster cluster = TwoWorkers();
+  cluster.Submit(MakeJob("silent", "south", {2, 8, Adjacency::kSpread}));
+  BOOST_REQUIRE(cluster.scheduler.Plan(cluster.now).size() == 1);
+  cluster.Submit(MakeJob("next", "south", {2, 8, Adjacency::kSpread}));
+  BOOST_TEST(cluster.scheduler.Plan(cluster.now).empty());
+  cluster.now = cluster.now + core::Duration::Seconds(31);
+  const std::vector<Decision> decisions = cluster.scheduler.Plan(cluster.now);
+  BOOST_REQUIRE(decisions.size() == 2);
+  const auto* stop = std::get_if<PreemptDecision>(&decisions[0]);
+  BOOST_REQUIRE(stop != nullptr);
+  BOOST_TEST((stop->mode == PreemptMode::kStop));
+  BOOST_TEST(std::get<StartDecision>(decisions[1]).job.Text() == "next");
+  cluster.scheduler.OnStarted(core::JobId("silent"), cluster.now);
+  BOOST_TEST(cluster.scheduler.Plan(cluster.now).empty());
+}
+
+// Guards against work of another kind than a scheduler without the planning
+// lease may place.
+BOOST_AUTO_TEST_CASE(NonOwnerPlacesSingleTasksOnly) {
+  SchedulerOptions options;
+  options.plans_accelerators = false;
+  FakeCluster cluster = TwoWorkers(options);
+  BOOST_TEST(!cluster.Submit(MakeJob("gang", "south", {2, 0})));
+  BOOST_TEST(!cluster.Submit(MakeJob("gpu", "south", {1, 1})));
+  BOOST_TEST(cluster.Submit(MakeJob("task", "south")));
+  cluster.Plan();
+  BOOST_TEST(cluster.IsRunning("task"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::decide
--- /dev/null
+++ b/modules/decide/scheduler/wait_explainer.h
@@ -0,0 +1,26 @@
+// Says in words why a job waits.
+#pragma once
+
+#include <string>
+
+#include "modules/decide/scheduler/scheduler_state.h"
+
+namespace hemlockdoor::decide {
+
+/// Explains the wait of one job from the state now.
+class WaitExplainer {
+ public:
+  explicit WaitExplainer(const SchedulerState& scheduler) : state(scheduler) {}
+
+  /// Nothing when the job is not queued.
+  std::optional<WaitReason> Explain(const core::JobId& id) const;
+
+ private:
+  std::string ForCap(const JobRecord& job, BlockReason reason) const;
+  std::string ForCapacity(JobHandle job) const;
+  std::string ForSlots(const JobRecord& job) const;
+
+  const SchedulerState& state;
+};
+
+}  // namespace hemlockdoor::decide
