--- a/modules/decide/scheduler/entry_table.h
+++ b/modules/decide/scheduler/entry_table.h
@@ -24,6 +24,14 @@
   int used_slots = 0;
   int queued = 0;
 
+  /// True when the entry is in force and its use is within its caps.
+  bool IsWithinCaps() const {
+    return this->present &&
+           (!this->limits.max_accelerators ||
+            this->used_accelerators <= *this->limits.max_accelerators) &&
+           (!this->limits.max_slots ||
+            this->used_slots <= *this->limits.max_slots);
+  }
   /// True when a job of a shape keeps the caps.
   bool HasAccelerators(const model::GangShape& shape) const {
     return !this->limits.max_accelerators ||
--- a/modules/decide/scheduler/preemption.cc
+++ b/modules/decide/scheduler/preemption.cc
@@ -146,7 +146,8 @@
   const std::vector<JobHandle> waiting = this->state.reclaiming;
   for (const JobHandle handle : waiting) {
     const JobRecord& job = this->state.jobs.At(handle);
-    bool lost = false;
+    // The catalogue may have changed since the job got its place.
+    bool lost = !this->state.entries.At(job.entry).IsWithinCaps();
     bool free = true;
     for (std::size_t i = 0; i < job.members.size(); ++i) {
       const MemberPlace& place = job.members[i];
--- a/modules/decide/scheduler/scheduler.cc
+++ b/modules/decide/scheduler/scheduler.cc
@@ -277,6 +277,7 @@
   starter.ServeReservations(now);
   all.capacity_changed = false;
   starter.StartQueued(now);
+  starter.MakeReservation(now);
   return std::exchange(all.decisions, {});
 }
 
--- /dev/null
+++ b/modules/decide/scheduler/scheduler_property_test.cc
@@ -0,0 +1,412 @@
+// Random sequences of events on small fleets, checked after every step.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <sstream>
+
+#include "modules/decide/testing/exhaustive_packer.h"
+#include "modules/decide/testing/fake_cluster.h"
+
+namespace hemlockdoor::decide {
+
+using model::Adjacency;
+using model::GangShape;
+
+namespace {
+
+/// Drives one scheduler through random events.
+class RandomWorld {
+ public:
+  explicit RandomWorld(std::uint64_t seed)
+      : random(seed), cluster(SchedulerOptions{.seed = seed}) {
+    const int count = this->Draw(2, 6);
+    for (int i = 0; i < count; ++i) {
+      this->cluster.AddWorker(this->RandomWorker(i));
+    }
+    while (this->catalogue.entries.empty()) {
+      this->EditCatalogue();
+    }
+    this->cluster.now = this->cluster.now + core::Duration::Seconds(10);
+  }
+
+  void Step() {
+    this->cluster.now =
+        this->cluster.now + core::Duration::Milliseconds(this->Draw(1, 2000));
+    const int event = this->Draw(0, 99);
+    if (event < 45) {
+      this->SubmitJob();
+    } else if (event < 75) {
+      this->EndOne();
+    } else if (event < 85) {
+      this->CancelOne();
+    } else if (event < 89) {
+      this->ChangeWorker();
+    } else if (event < 92) {
+      this->EditCatalogue();
+    } else {
+      this->LeaveVictims();
+    }
+    for (const Decision& decision : this->cluster.Plan()) {
+      this->Record(decision);
+    }
+    this->CheckCaps();
+    this->CheckReclaimable();
+  }
+
+  const std::string& Log() const { return this->log; }
+  int checked = 0;
+  int gave_up = 0;
+  int short_but_packable = 0;
+
+ private:
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(this->random);
+  }
+  template <typename Map>
+  typename Map::iterator Any(Map& map) {
+    return std::next(map.begin(),
+                     this->Draw(0, static_cast<int>(map.size()) - 1));
+  }
+
+  WorkerView RandomWorker(int i) {
+    const int accelerators = this->Draw(1, 3) * 2;
+    return MakeWorker("w" + std::to_string(i), accelerators, this->Draw(2, 8),
+                      "r" + std::to_string(i % 2),
+                      this->Draw(0, 1) == 0 ? 0 : 2);
+  }
+
+  GangShape RandomShape() {
+    return {this->Draw(1, 3), this->Draw(1, 3),
+            static_cast<Adjacency>(this->Draw(0, 3))};
+  }
+
+  void EditCatalogue() {
+    model::Catalogue next;
+    const int count = this->Draw(1, 3);
+    for (int i = 0; i < count; ++i) {
+      model::ClassLimits limits;
+      if (this->Draw(0, 1) == 0) {
+        limits.max_accelerators = this->Draw(2, 12);
+      }
+      model::CatalogueEntry entry =
+          MakeEntry("o" + std::to_string(i),
+                    {{this->Draw(1, 2), this->RandomShape()}}, limits);
+      next.entries[entry.name] = entry;
+    }
+    if (!this->cluster.scheduler.CheckGuarantees(next)) {
+      return;
+    }
+    this->catalogue = next;
+    this->cluster.scheduler.ApplyCatalogue(next, this->cluster.now);
+  }
+
+  void SubmitJob() {
+    const std::string owner = "o" + std::to_string(this->Draw(0, 2));
+    GangShape shape = this->RandomShape();
+    if (this->Draw(0, 3) == 0) {
+      shape = {1, 0};
+    }
+    model::JobDescription job =
+        MakeJob("j" + std::to_string(this->next_job++), owner, shape);
+    job.repeatable = this->Draw(0, 2) > 0;
+    job.checkpointable = this->Draw(0, 1) == 0;
+    job.urgent = this->Draw(0, 4) == 0;
+    this->cluster.Submit(job);
+  }
+
+  void EndOne() {
+    if (this->cluster.running.empty()) {
+      return;
+    }
+    const auto task = this->Any(this->cluster.running);
+    const std::string id = task->first.Text();
+    const bool fails = this->Draw(0, 9) == 0;
+    const core::AgentId agent = task->second.members[0].agent;
+    this->cluster.End(
+        id, fails ? model::JobOutcome::kFailed : model::JobOutcome::kDone,
+        fails ? std::optional(agent) : std::nullopt);
+  }
+
+  void CancelOne() {
+    if (this->cluster.queued.empty()) {
+      return;
+    }
+    const auto job = this->Any(this->cluster.queued);
+    BOOST_REQUIRE(
+        this->cluster.scheduler.Cancel(job->first, this->cluster.now));
+    this->cluster.queued.erase(job);
+  }
+
+  void ChangeWorker() {
+    const auto worker = this->Any(this->cluster.workers);
+    WorkerView& view = worker->second;
+    if (this->Draw(0, 1) == 0) {
+      view.draining = !view.draining;
+      this->cluster.scheduler.UpsertWorker(view, this->cluster.now);
+      return;
+    }
+    this->cluster.scheduler.RemoveWorker(view.agent, this->cluster.now);
+    std::vector<std::string> lost;
+    for (const auto& [id, task] : this->cluster.running) {
+      for (const Placement& member : task.members) {
+        if (member.agent == view.agent) {
+          lost.push_back(id.Text());
+          break;
+        }
+      }
+    }
+    for (const std::string& id : lost) {
+      this->cluster.End(id, model::JobOutcome::kUnknown);
+    }
+    if (this->Draw(0, 1) == 0) {
+      this->cluster.scheduler.UpsertWorker(view, this->cluster.now);
+    } else {
+      view.draining = true;
+      this->cluster.scheduler.UpsertWorker(view, this->cluster.now);
+    }
+  }
+
+  void LeaveVictims() {
+    const auto stopping = this->cluster.stopping;
+    for (const auto& [id, decision] : stopping) {
+      if (decision.mode == PreemptMode::kStop || this->Draw(0, 1) == 0) {
+        this->cluster.End(id.Text(), model::JobOutcome::kCancelled);
+      }
+    }
+  }
+
+  void Record(const Decision& decision) {
+    std::ostringstream text;
+    text << this->cluster.now.InMilliseconds() << ' ' << decision.index();
+    if (const auto* start = std::get_if<StartDecision>(&decision)) {
+      text << ' ' << start->job.Text();
+      for (const Placement& member : start->members) {
+        text << ' ' << member.agent.Text() << ':' << member.accelerators.Mask();
+      }
+      this->CheckCapAtStart(start->job);
+    }
+    this->log += text.str() + '\n';
+  }
+
+  int AcceleratorsOf(const core::OrganisationId& owner) const {
+    int used = 0;
+    for (const auto& [id, task] : this->cluster.running) {
+      if (task.job.organisation == owner) {
+        used += task.job.shape.TotalAccelerators();
+      }
+    }
+    return used;
+  }
+
+  void CheckCapAtStart(const core::JobId& job) {
+    const core::OrganisationId owner =
+        this->cluster.running.at(job).job.organisation;
+    const model::CatalogueEntry* entry =
+        this->catalogue.FindFor(owner, core::JobClass("c"));
+    BOOST_REQUIRE(entry != nullptr);
+    if (entry->limits.max_accelerators) {
+      BOOST_REQUIRE(this->AcceleratorsOf(owner) <=
+                    *entry->limits.max_accelerators);
+    }
+  }
+
+  void CheckCaps() {
+    for (const auto& [agent, worker] : this->cluster.workers) {
+      BOOST_REQUIRE(this->cluster.SlotsUsedOn(agent) <= worker.shape.slots);
+    }
+  }
+
+  /// All guaranteed shapes that are not in use must fit at once on capacity
+  /// that is free or used by work that may be stopped.
+  void CheckReclaimable() {
+    const bool is_short = !this->cluster.scheduler.ShortGuarantees().empty();
+    std::vector<OracleWorker> oracle;
+    const std::vector<QuarantinedWorker> bad =
+        this->cluster.scheduler.Quarantined();
+    for (const auto& [agent, worker] : this->cluster.workers) {
+      const bool quarantined = std::any_of(
+          bad.begin(), bad.end(),
+          [&agent = agent](const auto& row) { return row.agent == agent; });
+      if (worker.draining || quarantined) {
+        continue;
+      }
+      oracle.push_back(this->OracleOf(worker));
+    }
+    std::vector<GangShape> unused;
+    for (const auto& [name, entry] : this->catalogue.entries) {
+      const model::Guarantee& guarantee = entry.guarantees[0];
+      int count = guarantee.count;
+      for (const auto& [id, task] : this->cluster.running) {
+        if (task.job.organisation == entry.owner &&
+            this->cluster.scheduler.IsWithinGuarantee(id)) {
+          --count;
+        }
+      }
+      BOOST_REQUIRE(count >= 0);
+      unused.insert(unused.end(), static_cast<std::size_t>(count),
+                    guarantee.shape);
+    }
+    const OracleAnswer answer = ExhaustivePacker(oracle).Fits(unused);
+    ++this->checked;
+    this->gave_up += answer == OracleAnswer::kGaveUp ? 1 : 0;
+    this->short_but_packable +=
+        is_short && answer == OracleAnswer::kFits ? 1 : 0;
+    if (!is_short) {
+      BOOST_REQUIRE_MESSAGE(answer != OracleAnswer::kDoesNotFit,
+                            this->Describe(oracle, unused));
+    }
+  }
+
+  std::string Describe(const std::vector<OracleWorker>& oracle,
+                       const std::vector<GangShape>& unused) const {
+    std::ostringstream text;
+    text << "unused guarantees do not fit; workers:";
+    for (const OracleWorker& worker : oracle) {
+      text << " [free " << worker.free.Mask() << " slots " << worker.slots
+           << " of " << worker.accelerators << "/" << worker.per_group
+           << " rack " << worker.rack << "]";
+    }
+    text << " shapes:";
+    for (const GangShape& shape : unused) {
+      text << " " << shape.gang_size << "x" << shape.accelerators_per_member
+           << model::AdjacencyName(shape.adjacency);
+    }
+    text << " running:";
+    for (const auto& [id, task] : this->cluster.running) {
+      text << " " << id.Text()
+           << (this->cluster.scheduler.IsWithinGuarantee(id) ? "G" : "")
+           << (task.job.repeatable ? "" : "!");
+      for (const Placement& member : task.members) {
+        text << " " << member.agent.Text() << ":" << member.accelerators.Mask();
+      }
+    }
+    return text.str();
+  }
+
+  OracleWorker OracleOf(const WorkerView& worker) const {
+    OracleWorker row;
+    row.free = model::AcceleratorSet::First(worker.shape.accelerators);
+    row.slots = worker.shape.slots;
+    row.accelerators = worker.shape.accelerators;
+    row.per_group = worker.shape.accelerators_per_group;
+    row.rack = worker.shape.rack.Text() == "r0" ? 0 : 1;
+    for (const auto& [id, task] : this->cluster.running) {
+      if (task.job.repeatable &&
+          !this->cluster.scheduler.IsWithinGuarantee(id)) {
+        continue;
+      }
+      for (const Placement& member : task.members) {
+        if (member.agent == worker.agent) {
+          row.free = row.free.Without(member.accelerators);
+          --row.slots;
+        }
+      }
+    }
+    return row;
+  }
+
+  std::mt19937_64 random;
+  FakeCluster cluster;
+  model::Catalogue catalogue;
+  int next_job = 0;
+  std::string log;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(SchedulerPropertyTest)
+
+// Guards against double use of accelerators, partial gangs, passed caps, and a
+// guarantee that could not be reclaimed, after any sequence of events.
+BOOST_AUTO_TEST_CASE(RulesHoldAfterEveryStep) {
+  constexpr std::uint64_t kWorlds = 120;
+  constexpr int kSteps = 150;
+  int checked = 0;
+  int gave_up = 0;
+  int short_but_packable = 0;
+  for (std::uint64_t seed = 1; seed <= kWorlds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      RandomWorld world(seed);
+      for (int step = 0; step < kSteps; ++step) {
+        world.Step();
+      }
+      checked += world.checked;
+      gave_up += world.gave_up;
+      short_but_packable += world.short_but_packable;
+    }
+  }
+  BOOST_TEST_MESSAGE("checked " << checked << ", oracle gave up " << gave_up
+                                << ", short but packable "
+                                << short_but_packable);
+  // The oracle must decide nearly always, or the check above proves little.
+  BOOST_TEST(gave_up * 50 < checked);
+  // The packing is a heuristic; it must rarely miss a packing that exists.
+  BOOST_TEST(short_but_packable * 20 < checked);
+}
+
+// Guards against decisions that depend on anything but events and the seed.
+BOOST_AUTO_TEST_CASE(SameSeedGivesSameDecisions) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    RandomWorld first(seed);
+    RandomWorld second(seed);
+    for (int step = 0; step < 200; ++step) {
+      first.Step();
+      second.Step();
+    }
+    BOOST_TEST(!first.Log().empty());
+    BOOST_TEST(first.Log() == second.Log());
+  }
+}
+
+// Guards against small jobs that overtake a large gang for ever.
+BOOST_AUTO_TEST_CASE(LargeGangStartsUnderAStreamOfSmallJobs) {
+  for (const bool repeatable : {true, false}) {
+    FakeCluster cluster;
+    for (int i = 0; i < 4; ++i) {
+      cluster.AddWorker(MakeWorker("w" + std::to_string(i)));
+    }
+    cluster.scheduler.ApplyCatalogue(
+        MakeCatalogue({MakeEntry("north"), MakeEntry("south")}), cluster.now);
+    int next = 0;
+    const auto stream = [&]() {
+      while (cluster.scheduler.QueuedCount() < 10) {
+        model::JobDescription job =
+            MakeJob("s" + std::to_string(next++), "south", {1, 1});
+        job.repeatable = repeatable;
+        BOOST_REQUIRE(cluster.Submit(job));
+      }
+    };
+    stream();
+    cluster.Plan();
+    model::JobDescription gang =
+        MakeJob("gang", "north", {4, 8, Adjacency::kSpread});
+    gang.repeatable = false;
+    BOOST_REQUIRE(cluster.Submit(gang));
+    int ends = 0;
+    // Twice the tasks that run when the gang arrives.
+    constexpr int kMostEnds = 48;
+    while (!cluster.IsRunning("gang")) {
+      cluster.now = cluster.now + core::Duration::Seconds(2);
+      stream();
+      cluster.Plan();
+      const auto stopping = cluster.stopping;
+      for (const auto& [id, decision] : stopping) {
+        cluster.End(id.Text(), model::JobOutcome::kCancelled);
+      }
+      if (!cluster.running.empty() && !cluster.IsRunning("gang")) {
+        const auto oldest = std::min_element(
+            cluster.running.begin(), cluster.running.end(),
+            [](const auto& left, const auto& right) {
+              return left.second.started < right.second.started;
+            });
+        cluster.End(oldest->first.Text());
+        ++ends;
+      }
+      BOOST_REQUIRE(ends < kMostEnds);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::decide
--- a/modules/decide/scheduler/scheduler_test.cc
+++ b/modules/decide/scheduler/scheduler_test.cc
@@ -184,6 +184,35 @@
   BOOST_TEST(cluster.scheduler.Plan(cluster.now).empty());
 }
 
+// Guards against a job that starts although its entry was deleted, or its cap
+// lowered, while it waited for borrowers to leave.
+BOOST_AUTO_TEST_CASE(JobThatHoldsAPlaceObeysTheCatalogue) {
+  for (const bool deleted : {true, false}) {
+    FakeCluster cluster = TwoWorkers();
+    for (const char* id : {"loan-1", "loan-2"}) {
+      BOOST_REQUIRE(cluster.Submit(MakeJob(id, "south", {1, 8})));
+    }
+    cluster.Plan();
+    BOOST_REQUIRE(cluster.Submit(MakeJob("claim", "north", {1, 8})));
+    cluster.Plan();
+    BOOST_REQUIRE(cluster.stopping.size() == 1);
+    model::ClassLimits limits;
+    limits.max_accelerators = 4;
+    std::vector<model::CatalogueEntry> entries = {MakeEntry("south")};
+    if (!deleted) {
+      entries.push_back(MakeEntry(
+          "north", {{1, GangShape{1, 8, Adjacency::kWorker}}}, limits));
+    }
+    cluster.scheduler.ApplyCatalogue(MakeCatalogue(entries), cluster.now);
+    cluster.End(cluster.stopping.begin()->first.Text(),
+                model::JobOutcome::kCancelled);
+    cluster.Plan();
+    BOOST_TEST(!cluster.IsRunning("claim"));
+    BOOST_TEST(cluster.refused.count(core::JobId("claim")) ==
+               (deleted ? 1U : 0U));
+  }
+}
+
 // Guards against work of another kind than a scheduler without the planning
 // lease may place.
 BOOST_AUTO_TEST_CASE(NonOwnerPlacesSingleTasksOnly) {
--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -254,16 +254,13 @@
 }
 
 void Starter::ServeReservations(core::TimePoint now) {
-  if (!this->state.Rules().reservations) {
+  if (!this->state.capacity_changed) {
     return;
   }
-  if (this->state.capacity_changed) {
-    const std::vector<Reservation> all = this->state.reservations.All();
-    for (const Reservation& reservation : all) {
-      this->ServeReservation(reservation, now);
-    }
+  const std::vector<Reservation> all = this->state.reservations.All();
+  for (const Reservation& reservation : all) {
+    this->ServeReservation(reservation, now);
   }
-  this->MakeReservation(now);
 }
 
 bool Starter::MayClear(const Reservation& reservation,
@@ -300,6 +297,31 @@
   return can_move && gain > kCompactionGain * cost && free >= accelerators;
 }
 
+bool Starter::IsLost(const Reservation& reservation,
+                     const JobRecord& job) const {
+  for (const MemberPlace& place : reservation.members) {
+    const WorkerRecord& worker = this->state.fleet.At(place.worker);
+    if (!worker.Usable() || worker.foreign.Intersects(place.accelerators) ||
+        worker.held.Intersects(place.accelerators)) {
+      return true;
+    }
+    if (job.stoppable) {
+      continue;
+    }
+    // Guarantees may have claimed the place since it was reserved.
+    const auto members_here =
+        std::count_if(reservation.members.begin(), reservation.members.end(),
+                      [&place](const MemberPlace& other) {
+                        return other.worker == place.worker;
+                      });
+    if (worker.claimed.Intersects(place.accelerators) ||
+        worker.FreeSlots(CapacityView::kClaim, Lane::kLong) < members_here) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void Starter::ServeReservation(const Reservation& reservation,
                                core::TimePoint now) {
   const JobHandle handle = reservation.job;
@@ -323,14 +345,7 @@
     this->lifecycle.Grant(handle, std::move(*places), now);
     return;
   }
-  bool lost = false;
-  for (const MemberPlace& place : reservation.members) {
-    const WorkerRecord& worker = this->state.fleet.At(place.worker);
-    lost = lost || !worker.Usable() ||
-           worker.foreign.Intersects(place.accelerators) ||
-           worker.held.Intersects(place.accelerators) ||
-           (!job.stoppable && worker.claimed.Intersects(place.accelerators));
-  }
+  const bool lost = this->IsLost(reservation, job);
   if (lost) {
     this->state.reservations.Drop(handle);
     job.reserved = false;
@@ -342,26 +357,33 @@
 }
 
 void Starter::MakeReservation(core::TimePoint now) {
-  if (now < this->state.next_reservation ||
+  if (!this->state.Rules().reservations || now < this->state.next_reservation ||
       !this->state.reservations.HasRoom()) {
     return;
   }
   this->state.next_reservation = now + kReservationPeriod;
-  JobHandle oldest = kNoJob;
+  // Small jobs fit into whatever is freed. Without the weight of the size,
+  // their reservations would lie scattered in the place a large gang needs.
+  JobHandle chosen = kNoJob;
+  double most = 0;
   for (const BucketHandle handle : this->state.queue.BlockedForAccelerators()) {
     const QueueBucket& bucket = this->state.queue.At(handle);
     if (bucket.count == 0 || this->state.jobs.At(bucket.first).reserved) {
       continue;
     }
-    if (oldest == kNoJob || this->state.queue.SequenceOf(bucket.first) <
-                                this->state.queue.SequenceOf(oldest)) {
-      oldest = bucket.first;
+    const JobRecord& job = this->state.jobs.At(bucket.first);
+    const double claim =
+        static_cast<double>((now - job.submitted).InMilliseconds() + 1) *
+        job.shape.TotalAccelerators();
+    if (claim > most) {
+      most = claim;
+      chosen = bucket.first;
     }
   }
-  if (oldest == kNoJob) {
+  if (chosen == kNoJob) {
     return;
   }
-  JobRecord& job = this->state.jobs.At(oldest);
+  JobRecord& job = this->state.jobs.At(chosen);
   GangRequest request;
   request.shape = job.shape;
   request.service = job.service;
@@ -369,7 +391,7 @@
                      ? CapacityView::kSoft
                      : CapacityView::kHard;
   job.reserved = this->state.reservations.Reserve(
-      oldest, request,
+      chosen, request,
       [this, now](JobHandle other) {
         const JobRecord& running = this->state.jobs.At(other);
         return std::max(core::Duration(),
--- a/modules/decide/scheduler/starter.h
+++ b/modules/decide/scheduler/starter.h
@@ -16,8 +16,10 @@
       : state(scheduler), lifecycle(scheduler), preemption(scheduler) {}
 
   void StartQueued(core::TimePoint now);
-  /// Starts reserved gangs that have room, and reserves for others.
+  /// Starts reserved gangs that have room or whose place can be cleared.
   void ServeReservations(core::TimePoint now);
+  /// Reserves for one of the gangs that could not start.
+  void MakeReservation(core::TimePoint now);
 
  private:
   enum class Attempt : std::uint8_t {
@@ -54,8 +56,9 @@
       const std::vector<WorkerIndex>* excluded);
   bool RefuseIfHopeless(JobHandle job, core::TimePoint now);
   void ServeReservation(const Reservation& reservation, core::TimePoint now);
+  /// The place can no longer be cleared for the job.
+  bool IsLost(const Reservation& reservation, const JobRecord& job) const;
   bool MayClear(const Reservation& reservation, core::TimePoint now) const;
-  void MakeReservation(core::TimePoint now);
 
   SchedulerState& state;
   JobLifecycle lifecycle;
