--- a/modules/decide/scheduler/scheduler_property_test.cc
+++ b/modules/decide/scheduler/scheduler_property_test.cc
@@ -1,6 +1,7 @@
 // Random sequences of events on small fleets, checked after every step.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 #include <random>
 #include <sstream>
 
@@ -242,6 +243,15 @@
           --count;
         }
       }
+      // A job that waits for borrowers to leave needs a place of its own shape,
+      // which may be smaller than the guarantee it uses.
+      for (const auto& [id, job] : this->cluster.queued) {
+        if (job.organisation == entry.owner &&
+            this->cluster.scheduler.IsWithinGuarantee(id)) {
+          --count;
+          unused.push_back(job.shape);
+        }
+      }
       BOOST_REQUIRE(count >= 0);
       unused.insert(unused.end(), static_cast<std::size_t>(count),
                     guarantee.shape);
@@ -319,12 +329,15 @@
 // Guards against double use of accelerators, partial gangs, passed caps, and a
 // guarantee that could not be reclaimed, after any sequence of events.
 BOOST_AUTO_TEST_CASE(RulesHoldAfterEveryStep) {
-  constexpr std::uint64_t kWorlds = 120;
+  // The last seeds failed in longer runs.
+  std::vector<std::uint64_t> seeds(120);
+  std::iota(seeds.begin(), seeds.end(), std::uint64_t{1});
+  seeds.push_back(3986);
   constexpr int kSteps = 150;
   int checked = 0;
   int gave_up = 0;
   int short_but_packable = 0;
-  for (std::uint64_t seed = 1; seed <= kWorlds; ++seed) {
+  for (const std::uint64_t seed : seeds) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       RandomWorld world(seed);
       for (int step = 0; step < kSteps; ++step) {
