--- a/modules/decide/fleet/fleet.cc
+++ b/modules/decide/fleet/fleet.cc
@@ -36,6 +36,8 @@
     case CapacityView::kHard:
       return open.Without(
           this->used.Union(this->claimed).Union(this->reserved));
+    case CapacityView::kLent:
+      return open.Without(this->used.Union(this->reserved));
     case CapacityView::kSoft:
       return open.Without(this->used);
     case CapacityView::kClaim:
@@ -57,12 +59,21 @@
     free = std::min(free, this->shape.slots - this->short_reserve -
                               this->long_slots - this->held_slots);
   }
+  if (view == CapacityView::kLent) {
+    free -= this->reserved_slots;
+  }
   if (view == CapacityView::kHard) {
     free = std::min(free, unclaimed - this->reserved_slots);
   }
   return free;
 }
 
+int WorkerRecord::FreePlainLongSlots(CapacityView view) const {
+  return std::min(this->FreeSlots(view, Lane::kLong),
+                  this->shape.slots - this->short_reserve -
+                      this->accelerator_reserve - this->plain_long_slots);
+}
+
 WorkerIndex Fleet::Upsert(const core::AgentId& agent,
                           const model::WorkerShape& shape) {
   const auto [place, inserted] = this->by_agent.try_emplace(
@@ -87,6 +98,8 @@
     worker.concurrency_limit = shape.slots;
   }
   worker.short_reserve = (shape.slots * this->short_reserve_percent) / kPercent;
+  worker.accelerator_reserve =
+      std::min(shape.accelerators, worker.short_reserve);
   worker.all = AcceleratorSet::First(shape.accelerators);
   worker.service_group = this->GroupOf(shape.services);
   worker.rack = this->RackOf(shape);
@@ -141,6 +154,8 @@
     worker.hard_slots += 1;
   }
   worker.long_slots += kind.lane == Lane::kLong ? 1 : 0;
+  worker.plain_long_slots +=
+      kind.lane == Lane::kLong && !kind.accelerators ? 1 : 0;
   worker.jobs.push_back(job);
   this->Reindex(place.worker);
 }
@@ -155,6 +170,8 @@
     worker.hard_slots -= 1;
   }
   worker.long_slots -= kind.lane == Lane::kLong ? 1 : 0;
+  worker.plain_long_slots -=
+      kind.lane == Lane::kLong && !kind.accelerators ? 1 : 0;
   EraseOne(worker.jobs, job);
   this->Reindex(place.worker);
 }
@@ -202,8 +219,9 @@
   this->Reindex(place.worker);
 }
 
-void Fleet::MoveToLongLane(WorkerIndex worker) {
+void Fleet::MoveToLongLane(WorkerIndex worker, bool accelerators) {
   this->workers[worker].long_slots += 1;
+  this->workers[worker].plain_long_slots += accelerators ? 0 : 1;
   this->Reindex(worker);
 }
 
@@ -360,10 +378,12 @@
              worker.foreign_slots - worker.held_slots - worker.long_slots);
   group.short_slots += short_slots - this->counted[index].short_slots;
   this->counted[index].short_slots = static_cast<std::int16_t>(short_slots);
-  for (const CapacityView view : {CapacityView::kHard, CapacityView::kSoft}) {
+  for (const CapacityView view :
+       {CapacityView::kHard, CapacityView::kLent, CapacityView::kSoft}) {
     for (const Lane lane : {Lane::kShort, Lane::kLong}) {
-      group.slots[Index(view)][Index(lane)].Set(
-          index, std::max(0, worker.FreeSlots(view, lane)));
+      const int slots = lane == Lane::kLong ? worker.FreePlainLongSlots(view)
+                                            : worker.FreeSlots(view, lane);
+      group.slots[Index(view)][Index(lane)].Set(index, std::max(0, slots));
     }
   }
 }
--- a/modules/decide/fleet/fleet.h
+++ b/modules/decide/fleet/fleet.h
@@ -30,10 +30,11 @@
 /// Which capacity counts as free.
 enum class CapacityView : std::uint8_t {
   kHard,   ///< Free, and needed by no guarantee and no reservation.
-  kSoft,   ///< Free now, maybe needed by a guarantee later.
+  kLent,   ///< Free now, maybe needed by a guarantee later.
+  kSoft,   ///< Free now, maybe needed by a guarantee or a reservation later.
   kClaim,  ///< Free, or used by work that may be stopped; no other claim.
 };
-inline constexpr std::size_t kCapacityViews = 3;
+inline constexpr std::size_t kCapacityViews = 4;
 
 /// Run time class of work; long work may not use slots kept for short work.
 enum class Lane : std::uint8_t { kShort, kLong };
@@ -50,6 +51,8 @@
   /// May not be stopped, or runs within a guarantee.
   bool hard = false;
   Lane lane = Lane::kShort;
+  /// Uses accelerators.
+  bool accelerators = false;
 };
 
 /// One worker and the use of its capacity.
@@ -72,6 +75,8 @@
   int used_slots = 0;
   int hard_slots = 0;
   int long_slots = 0;
+  /// Slots of long tasks without accelerators.
+  int plain_long_slots = 0;
   int foreign_slots = 0;
   int claimed_slots = 0;
   int held_slots = 0;
@@ -80,6 +85,9 @@
   int concurrency_limit = 0;
   /// Slots that long work may not take.
   int short_reserve = 0;
+  /// Slots that long work without accelerators may not take either: each
+  /// member with accelerators needs a slot next to them.
+  int accelerator_reserve = 0;
   std::vector<JobHandle> jobs;
   /// Cells with a member here; one mention for each member.
   std::vector<CellHandle> cells;
@@ -94,6 +102,8 @@
   model::AcceleratorSet FreeAccelerators(CapacityView view) const;
   /// Slots free in a view, for work of a lane (kClaim ignores the lane).
   int FreeSlots(CapacityView view, Lane lane) const;
+  /// As `FreeSlots` for long work, for tasks without accelerators.
+  int FreePlainLongSlots(CapacityView view) const;
   /// Slots that no running task uses, held or not.
   int IdleSlots() const {
     return this->shape.slots - this->used_slots - this->foreign_slots;
@@ -131,7 +141,7 @@
   void Reserve(const MemberPlace& place);
   void Unreserve(const MemberPlace& place);
   /// Counts a running task as long from now on.
-  void MoveToLongLane(WorkerIndex worker);
+  void MoveToLongLane(WorkerIndex worker, bool accelerators);
   /// Counts a running task as work that may or may not be stopped.
   void SetHard(const MemberPlace& place, bool hard);
   void AddCell(WorkerIndex worker, CellHandle cell);
@@ -162,7 +172,7 @@
   const BucketIndex& AcceleratorIndex(ServiceGroup group,
                                       CapacityView view,
                                       bool adjacent) const;
-  /// Workers by free slots; `view` is kHard or kSoft.
+  /// Workers by free slots; `view` is any but kClaim.
   const BucketIndex& SlotIndex(ServiceGroup group,
                                CapacityView view,
                                Lane lane) const;
@@ -189,7 +199,7 @@
   struct Group {
     std::vector<ServiceIndex> services;
     std::array<std::array<BucketIndex, 2>, kCapacityViews> accelerators;
-    std::array<std::array<BucketIndex, 2>, 2> slots;
+    std::array<std::array<BucketIndex, 2>, 3> slots;
     int short_slots = 0;
   };
 
--- a/modules/decide/gang/backfill_reservation.cc
+++ b/modules/decide/gang/backfill_reservation.cc
@@ -48,6 +48,7 @@
     return longest;
   }();
   const AcceleratorBlocks blocks = worker.Blocks();
+  int free_slots = worker.FreeSlots(request.view, Lane::kLong);
   for (; slots > 0; --slots) {
     AcceleratorSet taken =
         blocks.Take(open.Without(worker.used), size, adjacent);
@@ -58,7 +59,8 @@
     if (taken.Count() == 0) {
       return;
     }
-    options.push_back({is_free ? core::Duration() : by_job, {index, taken}});
+    const bool ready = is_free && free_slots-- > 0;
+    options.push_back({ready ? core::Duration() : by_job, {index, taken}});
     open = open.Without(taken);
   }
 }
--- a/modules/decide/gang/slot_placer.cc
+++ b/modules/decide/gang/slot_placer.cc
@@ -68,7 +68,9 @@
   std::vector<MemberPlace> places;
   const auto fill = [&](WorkerIndex worker) {
     const WorkerRecord& record = this->fleet.At(worker);
-    int slots = record.FreeSlots(request.view, request.lane);
+    int slots = request.lane == Lane::kLong
+                    ? record.FreePlainLongSlots(request.view)
+                    : record.FreeSlots(request.view, request.lane);
     slots = spread ? std::min(slots, 1) : slots;
     for (; slots > 0 && places.size() < members; --slots) {
       places.push_back({worker, {}});
--- a/modules/decide/guarantees/guarantee_cells.cc
+++ b/modules/decide/guarantees/guarantee_cells.cc
@@ -282,6 +282,15 @@
   return *found;
 }
 
+CellHandle GuaranteeCells::UseAnyCell(GuaranteeUse use, JobHandle job) {
+  this->Refresh();
+  const Shape& shape = this->shapes[use.shape];
+  const CellHandle cell =
+      shape.lent.empty() ? shape.clean.back() : shape.lent.back();
+  this->Use(cell, use, job, {});
+  return cell;
+}
+
 CellHandle GuaranteeCells::UseInPlace(GuaranteeUse use,
                                       JobHandle job,
                                       const std::vector<MemberPlace>& places) {
@@ -416,11 +425,15 @@
     return std::nullopt;
   }
   const CellHandle cell = list.back();
+  this->MoveTo(cell, std::move(*places));
+  return cell;
+}
+
+void GuaranteeCells::MoveTo(CellHandle cell, std::vector<MemberPlace> places) {
   this->UnlistUnused(cell);
   this->ClearMembers(cell);
-  this->SetMembers(cell, std::move(*places));
+  this->SetMembers(cell, std::move(places));
   this->ListUnused(cell);
-  return cell;
 }
 
 std::vector<CellHandle> GuaranteeCells::FindLent(GuaranteeUse use,
--- a/modules/decide/guarantees/guarantee_cells.h
+++ b/modules/decide/guarantees/guarantee_cells.h
@@ -66,6 +66,11 @@
   std::optional<CellHandle> Move(GuaranteeUse use,
                                  ServiceIndex service,
                                  CapacityView view);
+  /// Moves an unused cell to places of its shape that no cell claims.
+  void MoveTo(CellHandle cell, std::vector<MemberPlace> places);
+  const model::GangShape& ShapeAt(ShapeHandle shape) const {
+    return this->shapes[shape].shape;
+  }
   /// Some unused cells that lent work occupies, at most `most`, beginning at a
   /// place that `offset` selects.
   std::vector<CellHandle> FindLent(GuaranteeUse use,
@@ -80,6 +85,10 @@
            GuaranteeUse use,
            JobHandle job,
            const std::vector<MemberPlace>& places);
+  /// Counts a job as using a guarantee without any cell's capacity. The cell
+  /// that is set aside for it keeps its claim, so that it is there again when
+  /// the job ends.
+  CellHandle UseAnyCell(GuaranteeUse use, JobHandle job);
   /// Counts a job that runs already as using a guarantee where it is. The
   /// places must not be claimed.
   CellHandle UseInPlace(GuaranteeUse use,
--- a/modules/decide/reclaim/reclaim_planner.cc
+++ b/modules/decide/reclaim/reclaim_planner.cc
@@ -8,6 +8,8 @@
 
 /// Time to write and read back a checkpoint.
 constexpr double kCheckpointCostMs = 10'000;
+/// Workers looked at for a cheaper place; bounds the time of one decision.
+constexpr std::size_t kWorkersCompared = 32;
 
 bool Contains(const std::vector<JobHandle>& jobs, JobHandle job) {
   return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
@@ -86,6 +88,82 @@
   return true;
 }
 
+void ReclaimPlanner::AddOptions(const model::GangShape& shape,
+                                WorkerIndex index,
+                                core::TimePoint now,
+                                std::vector<Option>& options) const {
+  const WorkerRecord& worker = this->fleet.At(index);
+  const AcceleratorBlocks blocks = worker.Blocks();
+  const bool adjacent = NeedsAdjacentAccelerators(shape.adjacency);
+  model::AcceleratorSet open = worker.FreeAccelerators(CapacityView::kClaim);
+  int slots = worker.FreeSlots(CapacityView::kClaim, Lane::kLong);
+  if (shape.adjacency == model::Adjacency::kSpread) {
+    slots = std::min(slots, 1);
+  }
+  for (; slots > 0; --slots) {
+    model::AcceleratorSet taken = blocks.Take(
+        open.Without(worker.used), shape.accelerators_per_member, adjacent);
+    if (taken.Count() == 0) {
+      taken = blocks.Take(open, shape.accelerators_per_member, adjacent);
+    }
+    if (taken.Count() == 0) {
+      return;
+    }
+    ReclaimChoice choice;
+    Option option;
+    option.place = {index, taken};
+    this->AddOverlapping(option.place, choice);
+    for (const JobHandle victim : choice.victims) {
+      option.cost += this->CostOf(this->jobs.At(victim), now);
+    }
+    options.push_back(option);
+    open = open.Without(taken);
+  }
+}
+
+std::optional<std::vector<MemberPlace>> ReclaimPlanner::CheapestPlaces(
+    const model::GangShape& shape,
+    ServiceIndex service,
+    core::TimePoint now) const {
+  const auto members = static_cast<std::size_t>(shape.gang_size);
+  if (shape.adjacency == model::Adjacency::kRack && members > 1) {
+    return std::nullopt;
+  }
+  const bool adjacent = NeedsAdjacentAccelerators(shape.adjacency);
+  const std::size_t most_workers = kWorkersCompared + members;
+  std::size_t workers_seen = 0;
+  std::vector<Option> options;
+  for (const ServiceGroup group : this->fleet.GroupsOffering(service)) {
+    const BucketIndex& index =
+        this->fleet.AcceleratorIndex(group, CapacityView::kClaim, adjacent);
+    for (int key = index.NextKey(shape.accelerators_per_member);
+         key > 0 && workers_seen < most_workers; key = index.NextKey(key + 1)) {
+      for (const WorkerIndex worker : index.Bucket(key)) {
+        this->AddOptions(shape, worker, now, options);
+        if (++workers_seen >= most_workers) {
+          break;
+        }
+      }
+    }
+  }
+  if (options.size() < members) {
+    return std::nullopt;
+  }
+  std::stable_sort(options.begin(), options.end(),
+                   [](const Option& left, const Option& right) {
+                     return left.cost < right.cost;
+                   });
+  std::vector<MemberPlace> places;
+  for (std::size_t i = 0; i < members; ++i) {
+    places.push_back(options[i].place);
+  }
+  std::stable_sort(places.begin(), places.end(),
+                   [](const MemberPlace& left, const MemberPlace& right) {
+                     return left.worker < right.worker;
+                   });
+  return places;
+}
+
 std::optional<ReclaimChoice> ReclaimPlanner::Choose(
     const std::vector<MemberPlace>& places,
     core::TimePoint now) const {
--- a/modules/decide/reclaim/reclaim_planner.h
+++ b/modules/decide/reclaim/reclaim_planner.h
@@ -26,11 +26,27 @@
 
   /// Work lost when a job is stopped now.
   double CostOf(const JobRecord& job, core::TimePoint now) const;
+  /// Places for a shape on capacity that no other cell claims, chosen for the
+  /// least cost member by member among some workers; nothing when there is no
+  /// room or the shape must lie in one rack.
+  std::optional<std::vector<MemberPlace>> CheapestPlaces(
+      const model::GangShape& shape,
+      ServiceIndex service,
+      core::TimePoint now) const;
   /// Jobs to stop for a place; nothing when unstoppable work is in the way.
   std::optional<ReclaimChoice> Choose(const std::vector<MemberPlace>& places,
                                       core::TimePoint now) const;
 
  private:
+  struct Option {
+    double cost = 0;
+    MemberPlace place;
+  };
+
+  void AddOptions(const model::GangShape& shape,
+                  WorkerIndex worker,
+                  core::TimePoint now,
+                  std::vector<Option>& options) const;
   bool AddOverlapping(const MemberPlace& place, ReclaimChoice& choice) const;
   bool AddForSlots(WorkerIndex worker,
                    int slots,
--- a/modules/decide/scheduler/job_lifecycle.cc
+++ b/modules/decide/scheduler/job_lifecycle.cc
@@ -120,6 +120,20 @@
   this->DecideStart(handle, now);
 }
 
+void JobLifecycle::GrantBeside(JobHandle handle,
+                               GuaranteeUse use,
+                               std::vector<MemberPlace> places,
+                               core::TimePoint now) {
+  this->LeaveQueue(handle);
+  JobRecord& job = this->state.jobs.At(handle);
+  job.members = std::move(places);
+  job.hard = true;
+  job.beside_cell = true;
+  job.use = use;
+  job.cell = this->state.cells.UseAnyCell(use, handle);
+  this->DecideStart(handle, now);
+}
+
 void JobLifecycle::Hold(JobHandle handle,
                         std::vector<MemberPlace> places,
                         std::optional<GuaranteeUse> use,
@@ -154,8 +168,11 @@
   if (job.cell == kNoCell) {
     return;
   }
-  this->state.cells.EndUse(job.cell, job.use, job.members);
+  this->state.cells.EndUse(
+      job.cell, job.use,
+      job.beside_cell ? std::vector<MemberPlace>() : job.members);
   job.cell = kNoCell;
+  job.beside_cell = false;
 }
 
 void JobLifecycle::RequeueHeld(JobHandle handle) {
--- a/modules/decide/scheduler/job_lifecycle.h
+++ b/modules/decide/scheduler/job_lifecycle.h
@@ -23,6 +23,11 @@
                  GuaranteeUse use,
                  CellHandle cell,
                  core::TimePoint now);
+  /// Starts a job within a guarantee on capacity that no cell claims.
+  void GrantBeside(JobHandle job,
+                   GuaranteeUse use,
+                   std::vector<MemberPlace> places,
+                   core::TimePoint now);
   /// Holds places for a queued job until the jobs there have left.
   void Hold(JobHandle job,
             std::vector<MemberPlace> places,
--- a/modules/decide/scheduler/job_table.h
+++ b/modules/decide/scheduler/job_table.h
@@ -46,6 +46,8 @@
   std::uint16_t preemptions = 0;
   std::uint32_t generation = 0;
   CellHandle cell = kNoCell;
+  /// Uses a guarantee outside of the cell, which keeps its whole claim.
+  bool beside_cell = false;
   GuaranteeUse use;
   /// Job that gets the capacity of this one, while it is being stopped.
   JobHandle beneficiary = kNoJob;
@@ -63,7 +65,9 @@
   static constexpr core::TimePoint kNever = core::TimePoint::FromMilliseconds(
       std::numeric_limits<std::int64_t>::max());
 
-  TaskKind Kind() const { return {this->hard, this->lane}; }
+  TaskKind Kind() const {
+    return {this->hard, this->lane, this->shape.accelerators_per_member > 0};
+  }
   bool UsesCapacity() const {
     return this->phase == JobPhase::kGranted ||
            this->phase == JobPhase::kRunning;
--- a/modules/decide/scheduler/preemption.cc
+++ b/modules/decide/scheduler/preemption.cc
@@ -98,6 +98,28 @@
   }
 }
 
+void Preemption::MoveIfCheaper(const JobRecord& job,
+                               GuaranteeUse use,
+                               ReclaimChoice& best,
+                               core::TimePoint now) {
+  std::optional<std::vector<MemberPlace>> places = this->planner.CheapestPlaces(
+      this->state.cells.ShapeAt(use.shape), job.service, now);
+  if (!places) {
+    return;
+  }
+  const std::optional<ReclaimChoice> whole = this->planner.Choose(*places, now);
+  if (!whole || whole->cost >= best.cost) {
+    return;
+  }
+  const CellHandle cell = best.cell;
+  this->state.cells.MoveTo(cell, std::move(*places));
+  std::optional<ReclaimChoice> moved =
+      this->planner.Choose(this->state.cells.PlacesIn(cell, job.shape), now);
+  HD_ASSERT(moved.has_value());
+  best = std::move(*moved);
+  best.cell = cell;
+}
+
 bool Preemption::ReclaimCell(JobHandle handle,
                              GuaranteeUse use,
                              core::TimePoint now) {
@@ -124,6 +146,7 @@
   if (!best) {
     return false;
   }
+  this->MoveIfCheaper(job, use, *best, now);
   this->CancelHoldsAt(best->places);
   this->lifecycle.Hold(handle, best->places, use, best->cell);
   this->PreemptAll(*best, handle, now);
@@ -179,10 +202,13 @@
   job.lane = Lane::kLong;
   bool overfull = false;
   for (const MemberPlace& place : job.members) {
-    this->state.fleet.MoveToLongLane(place.worker);
+    const bool accelerators = job.shape.accelerators_per_member > 0;
+    this->state.fleet.MoveToLongLane(place.worker, accelerators);
     const WorkerRecord& worker = this->state.fleet.At(place.worker);
-    overfull = overfull ||
-               worker.long_slots > worker.shape.slots - worker.short_reserve;
+    const int most = worker.shape.slots - worker.short_reserve;
+    overfull = overfull || worker.long_slots > most ||
+               (!accelerators &&
+                worker.plain_long_slots > most - worker.accelerator_reserve);
   }
   if (!overfull || job.cell != kNoCell) {
     return;
--- a/modules/decide/scheduler/preemption.h
+++ b/modules/decide/scheduler/preemption.h
@@ -35,6 +35,11 @@
   void OnMaxRun(JobHandle job, core::TimePoint now);
 
  private:
+  /// Moves the chosen cell when its shape has a cheaper place elsewhere.
+  void MoveIfCheaper(const JobRecord& job,
+                     GuaranteeUse use,
+                     ReclaimChoice& best,
+                     core::TimePoint now);
   void CancelHoldsAt(const std::vector<MemberPlace>& places);
   void PreemptAll(const ReclaimChoice& choice,
                   JobHandle beneficiary,
--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -139,6 +139,13 @@
     this->lifecycle.GrantCell(handle, *use, *cell, now);
     return Attempt::kDone;
   }
+  // Room beside all cells costs nobody anything; the cell stays where it is.
+  std::optional<std::vector<MemberPlace>> beside =
+      this->FindInView(job, CapacityView::kHard, nullptr);
+  if (beside) {
+    this->lifecycle.GrantBeside(handle, *use, std::move(*beside), now);
+    return Attempt::kDone;
+  }
   return this->preemption.ReclaimCell(handle, *use, now) ? Attempt::kDone
                                                          : Attempt::kNoCapacity;
 }
@@ -176,11 +183,16 @@
   const bool may_borrow =
       job.stoppable && rules.lending &&
       (this->state.options.plans_accelerators || job.lane == Lane::kShort);
+  // Backfill into a reserved place is stopped when the gang can start, which
+  // pays only for work that loses little by it.
+  const bool may_backfill = job.checkpointable || job.lane == Lane::kShort;
+  const CapacityView borrowed =
+      may_backfill ? CapacityView::kSoft : CapacityView::kLent;
   while (true) {
     std::optional<std::vector<MemberPlace>> places =
         this->FindInView(job, CapacityView::kHard, excluded);
     if (!places && may_borrow) {
-      places = this->FindInView(job, CapacityView::kSoft, excluded);
+      places = this->FindInView(job, borrowed, excluded);
     }
     if (places || excluded == nullptr) {
       return places;
@@ -224,7 +236,8 @@
     return Attempt::kDone;
   }
   const JobRecord& job = this->state.jobs.At(handle);
-  const FailedSearch search{job.shape, job.service, job.stoppable, job.lane};
+  const FailedSearch search{job.shape, job.service, job.stoppable,
+                            job.checkpointable, job.lane};
   const bool known =
       std::find(this->failed_searches.begin(), this->failed_searches.end(),
                 search) != this->failed_searches.end();
--- a/modules/decide/scheduler/starter.h
+++ b/modules/decide/scheduler/starter.h
@@ -40,6 +40,7 @@
     model::GangShape shape;
     ServiceIndex service = 0;
     bool stoppable = false;
+    bool checkpointable = false;
     Lane lane = Lane::kShort;
     bool operator==(const FailedSearch&) const = default;
   };
