decide: faults are attributed to jobs by proven workers; reservations are bounded

A gang that met three bad workers in turn was refused as faulty, and the retry budget ran out because hour-long work seldom ends.

A failure now speaks against a job when other work ended well on that worker; the retry budget has a slow refill; reservations together keep at most a quarter of the fleet after the first. The replay honours retry times, and counts the wait of work until its last start.

--- a/bench/measure.cc
+++ b/bench/measure.cc
@@ -31,8 +31,12 @@
     }
     this->scheduler.ApplyCatalogue(workload.catalogue, start);
   }
-  bool Submit(const model::JobDescription& job, core::TimePoint now) {
-    return this->scheduler.Submit(job, now).has_value();
+  SubmitAnswer Submit(const model::JobDescription& job, core::TimePoint now) {
+    const auto submitted = this->scheduler.Submit(job, now);
+    if (submitted) {
+      return {};
+    }
+    return {false, submitted.error().retry_after.InMilliseconds()};
   }
   bool Cancel(const core::JobId& job, core::TimePoint now) {
     return this->scheduler.Cancel(job, now);
@@ -219,11 +223,12 @@
         results, "guarantee_misses", "jobs", Better::kLower,
         [](const ReplayResult& r) { return double(r.guarantee_misses); },
         Fixed(0));
-    rows.Print(results, "reclaim_p99", "ms", Better::kLower,
-               P99([](const ReplayResult& r) {
-                 return r.wait_ms[static_cast<std::size_t>(WorkKind::kUrgent)];
-               }),
-               Fixed(5700));
+    rows.Print(
+        results, "reclaim_p99", "ms", Better::kLower,
+        P99([](const ReplayResult& r) {
+          return r.first_start_ms[static_cast<std::size_t>(WorkKind::kUrgent)];
+        }),
+        Fixed(5700));
     rows.Print(results, "lost_work", "share", Better::kLower,
                [](const ReplayResult& r) {
                  return r.lost_ms / std::max(1.0, r.busy_ms + r.lost_ms);
--- a/bench/support/baseline.h
+++ b/bench/support/baseline.h
@@ -15,6 +15,13 @@
 
 namespace hemlockdoor::bench {
 
+/// Answer to a submission: whether the job was queued, and if not, when a new
+/// try may succeed (0: never).
+struct SubmitAnswer {
+  bool accepted = true;
+  std::int64_t retry_after_ms = 0;
+};
+
 enum class BaselineKind { kFirstCome, kStrictQuota, kShortestDeclared };
 
 /// Starts queued jobs in a fixed order wherever they fit, and never stops one.
@@ -52,7 +59,8 @@
     }
   }
 
-  bool Submit(const model::JobDescription& job, core::TimePoint /*now*/) {
+  SubmitAnswer Submit(const model::JobDescription& job,
+                      core::TimePoint /*now*/) {
     const std::int64_t key = this->kind == BaselineKind::kShortestDeclared
                                  ? job.declared_run.InMilliseconds()
                                  : 0;
@@ -63,7 +71,7 @@
     const Order order{key, this->sequence++};
     this->queues[row].emplace(order, job);
     this->places[job.id] = {row, order};
-    return true;
+    return {};
   }
 
   bool Cancel(const core::JobId& id, core::TimePoint /*now*/) {
--- a/bench/support/replay.h
+++ b/bench/support/replay.h
@@ -15,7 +15,11 @@
 /// What one replay measured.
 struct ReplayResult {
   std::array<std::vector<double>, kWorkKinds> completion_ms;
+  /// Time from submission to the end, without the job's own run time. Work
+  /// that is not done by the end of the replay counts with its wait so far, and
+  /// work that failed for good as waiting to the end.
   std::array<std::vector<double>, kWorkKinds> wait_ms;
+  std::array<std::vector<double>, kWorkKinds> first_start_ms;
   std::vector<double> fragmentation;
   double busy_ms = 0;       ///< Accelerator-milliseconds of work that counts.
   double lost_ms = 0;       ///< Accelerator-milliseconds lost by stops.
@@ -99,6 +103,7 @@
     int attempt = 0;
     int failures = 0;
     bool saves = false;
+    bool gave_up = false;
     std::vector<decide::Placement> members;
   };
   static constexpr std::int64_t kTickMs = 100;
@@ -167,7 +172,11 @@
       this->result.impossible += given.impossible ? 1 : 0;
     }
     job.state = JobState::kQueued;
-    if (!this->tested.Submit(given.description, this->Now())) {
+    const auto answer = this->tested.Submit(given.description, this->Now());
+    if (!answer.accepted && !first && answer.retry_after_ms > 0) {
+      this->Push(this->now_ms + answer.retry_after_ms, EventKind::kSubmit,
+                 index);
+    } else if (!answer.accepted) {
       job.state = JobState::kDone;
       this->result.refused_impossible += given.impossible ? 1 : 0;
     } else if (first && given.kind == WorkKind::kShort && !given.impossible &&
@@ -199,7 +208,7 @@
     ++job.attempt;
     if (job.first_start_ms < 0) {
       job.first_start_ms = this->now_ms;
-      this->result.wait_ms[Kind(index)].push_back(
+      this->result.first_start_ms[Kind(index)].push_back(
           static_cast<double>(this->now_ms - job.submitted_ms));
     }
     bool fails = false;
@@ -288,6 +297,7 @@
         failed ? std::optional(failed_on) : std::nullopt, this->Now());
     if (failed &&
         (!given.description.repeatable || ++job.failures > kMaxFailures)) {
+      job.gave_up = true;
       return;
     }
     if (!failed && job.saves) {
@@ -308,6 +318,8 @@
     const std::int64_t taken = this->now_ms - job.submitted_ms;
     this->result.completion_ms[Kind(index)].push_back(
         static_cast<double>(taken));
+    this->result.wait_ms[Kind(index)].push_back(
+        static_cast<double>(taken - given.run_ms));
     if (given.kind == WorkKind::kShort &&
         taken <= given.description.deadline->InMilliseconds()) {
       this->result.peak_in_time += this->InPeak(job.submitted_ms) ? 1 : 0;
@@ -357,19 +369,25 @@
     for (std::size_t i = 0; i < this->jobs.size(); ++i) {
       const JobProgress& job = this->jobs[i];
       const ReplayJob& given = this->workload.jobs[i];
-      if (job.state == JobState::kQueued && job.first_start_ms < 0 &&
+      const auto waited = static_cast<double>(this->now_ms - job.submitted_ms);
+      if ((job.state == JobState::kQueued || job.gave_up) &&
           !given.impossible) {
-        this->result.wait_ms[Kind(i)].push_back(
-            static_cast<double>(this->now_ms - job.submitted_ms));
+        this->result.wait_ms[Kind(i)].push_back(waited);
+      }
+      if (job.state == JobState::kQueued && job.first_start_ms < 0) {
+        this->result.first_start_ms[Kind(i)].push_back(waited);
       }
       if (job.state == JobState::kRunning) {
+        this->result.wait_ms[Kind(i)].push_back(
+            static_cast<double>(job.started_ms - job.submitted_ms));
         this->result.busy_ms +=
             static_cast<double>(this->now_ms - job.started_ms) *
             given.description.shape.TotalAccelerators();
       }
     }
     const auto& urgent =
-        this->result.wait_ms[static_cast<std::size_t>(WorkKind::kUrgent)];
+        this->result
+            .first_start_ms[static_cast<std::size_t>(WorkKind::kUrgent)];
     this->result.urgent_jobs = static_cast<int>(urgent.size());
     this->result.guarantee_misses = static_cast<int>(
         std::count_if(urgent.begin(), urgent.end(),
--- a/modules/decide/gang/backfill_reservation.cc
+++ b/modules/decide/gang/backfill_reservation.cc
@@ -14,6 +14,8 @@
 
 /// Workers looked at for one reservation, so that its cost is bounded.
 constexpr std::size_t kMaxWorkersSearched = 1024;
+/// One accelerator in this many may be reserved, but for the first gang.
+constexpr int kMostShareReserved = 4;
 
 }  // namespace
 
@@ -65,7 +67,30 @@
   }
 }
 
-std::optional<std::vector<MemberPlace>> BackfillReservations::PickEarliest(
+bool BackfillReservations::HasRoom(int accelerators) const {
+  if (this->reservations.empty()) {
+    return true;
+  }
+  int kept = accelerators;
+  for (const Reservation& reservation : this->reservations) {
+    for (const MemberPlace& place : reservation.members) {
+      kept += place.accelerators.Count();
+    }
+  }
+  return this->reservations.size() < this->max_count &&
+         kept <= this->fleet.TotalAccelerators() / kMostShareReserved;
+}
+
+core::TimePoint BackfillReservations::EarliestExpected() const {
+  core::TimePoint earliest = core::TimePoint::FromMilliseconds(
+      std::numeric_limits<std::int64_t>::max());
+  for (const Reservation& reservation : this->reservations) {
+    earliest = std::min(earliest, reservation.expected);
+  }
+  return earliest;
+}
+
+std::optional<BackfillReservations::Pick> BackfillReservations::PickEarliest(
     const model::GangShape& shape,
     std::vector<Option>& options) const {
   const auto members = static_cast<std::size_t>(shape.gang_size);
@@ -76,39 +101,31 @@
                    [](const Option& left, const Option& right) {
                      return left.ready < right.ready;
                    });
-  std::vector<MemberPlace> places;
+  Pick pick;
+  pick.ready = options[members - 1].ready;
   for (std::size_t i = 0; i < members; ++i) {
-    places.push_back(options[i].place);
+    pick.places.push_back(options[i].place);
   }
   // Members on one worker lie next to each other.
-  std::stable_sort(places.begin(), places.end(),
+  std::stable_sort(pick.places.begin(), pick.places.end(),
                    [](const MemberPlace& left, const MemberPlace& right) {
                      return left.worker < right.worker;
                    });
-  return places;
+  return pick;
 }
 
-std::optional<std::vector<MemberPlace>> BackfillReservations::PickInOneRack(
+std::optional<BackfillReservations::Pick> BackfillReservations::PickInOneRack(
     const model::GangShape& shape,
     const std::vector<Option>& options) const {
   std::map<std::uint32_t, std::vector<Option>> by_rack;
   for (const Option& option : options) {
     by_rack[this->fleet.At(option.place.worker).rack].push_back(option);
   }
-  std::optional<std::vector<MemberPlace>> best;
-  core::Duration earliest =
-      core::Duration::Milliseconds(std::numeric_limits<std::int64_t>::max());
+  std::optional<Pick> best;
   for (auto& [rack, in_rack] : by_rack) {
-    std::optional<std::vector<MemberPlace>> places =
-        this->PickEarliest(shape, in_rack);
-    if (!places) {
-      continue;
-    }
-    const core::Duration ready =
-        in_rack[static_cast<std::size_t>(shape.gang_size - 1)].ready;
-    if (ready < earliest) {
-      earliest = ready;
-      best = std::move(places);
+    std::optional<Pick> pick = this->PickEarliest(shape, in_rack);
+    if (pick && (!best || pick->ready < best->ready)) {
+      best = std::move(pick);
     }
   }
   return best;
@@ -129,17 +146,17 @@
   }
   this->next_worker = static_cast<WorkerIndex>(
       count == 0 ? 0 : (this->next_worker + searched) % count);
-  std::optional<std::vector<MemberPlace>> places =
-      request.shape.adjacency == Adjacency::kRack
-          ? this->PickInOneRack(request.shape, options)
-          : this->PickEarliest(request.shape, options);
-  if (!places) {
+  std::optional<Pick> pick = request.shape.adjacency == Adjacency::kRack
+                                 ? this->PickInOneRack(request.shape, options)
+                                 : this->PickEarliest(request.shape, options);
+  if (!pick) {
     return false;
   }
-  for (const MemberPlace& place : *places) {
+  for (const MemberPlace& place : pick->places) {
     this->fleet.Reserve(place);
   }
-  this->reservations.push_back({job, std::move(*places), now});
+  this->reservations.push_back(
+      {job, std::move(pick->places), now, now + pick->ready});
   return true;
 }
 
--- a/modules/decide/gang/backfill_reservation.h
+++ b/modules/decide/gang/backfill_reservation.h
@@ -14,6 +14,8 @@
   JobHandle job = kNoJob;
   std::vector<MemberPlace> members;
   core::TimePoint created;
+  /// Time at which the place is expected to be free.
+  core::TimePoint expected;
 };
 
 /// Keeps places for a few blocked gangs. Backfill into such a place is allowed
@@ -26,7 +28,11 @@
   BackfillReservations(Fleet& workers, std::size_t most)
       : fleet(workers), max_count(most) {}
 
-  bool HasRoom() const { return this->reservations.size() < this->max_count; }
+  /// True when one more place of a size may be kept. The first one may have any
+  /// size; all together keep a share of the fleet, since they lie partly idle.
+  bool HasRoom(int accelerators) const;
+  /// Earliest time at which a reserved place is expected to be free.
+  core::TimePoint EarliestExpected() const;
   /// Reserves the place that is expected to be free first. `remaining` tells
   /// the expected remaining run time of a running job. False when no set of
   /// workers has room, idle or not.
@@ -48,12 +54,14 @@
                   WorkerIndex worker,
                   const std::function<core::Duration(JobHandle)>& remaining,
                   std::vector<Option>& options) const;
-  std::optional<std::vector<MemberPlace>> PickEarliest(
-      const model::GangShape& shape,
-      std::vector<Option>& options) const;
-  std::optional<std::vector<MemberPlace>> PickInOneRack(
-      const model::GangShape& shape,
-      const std::vector<Option>& options) const;
+  struct Pick {
+    core::Duration ready;
+    std::vector<MemberPlace> places;
+  };
+  std::optional<Pick> PickEarliest(const model::GangShape& shape,
+                                   std::vector<Option>& options) const;
+  std::optional<Pick> PickInOneRack(const model::GangShape& shape,
+                                    const std::vector<Option>& options) const;
 
   Fleet& fleet;
   std::size_t max_count;
--- a/modules/decide/health/job_history.cc
+++ b/modules/decide/health/job_history.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::size_t kMaxRememberedJobs = 20'000;
+/// Distinct workers with good work that a job may fail on.
+constexpr std::ptrdiff_t kFailuresOnProvenWorkers = 3;
+/// Distinct workers of any kind that a job may fail on.
+constexpr std::size_t kFailuresOnAnyWorkers = 10;
 
 }  // namespace
 
@@ -45,6 +49,15 @@
   return past;
 }
 
+bool JobHistory::IsFaulty(const JobPast& past, const WorkerHealth& health) {
+  const auto proven = std::count_if(
+      past.failed_on.begin(), past.failed_on.end(), [&](WorkerIndex worker) {
+        return health.IsProven(worker, past.identity);
+      });
+  return proven >= kFailuresOnProvenWorkers ||
+         past.failed_on.size() >= kFailuresOnAnyWorkers;
+}
+
 void JobHistory::Forget(const core::JobId& job) {
   this->jobs.erase(job);
 }
--- a/modules/decide/health/job_history.h
+++ b/modules/decide/health/job_history.h
@@ -7,6 +7,7 @@
 
 #include "modules/core/core.h"
 #include "modules/decide/fleet/fleet.h"
+#include "modules/decide/health/worker_health.h"
 
 namespace hemlockdoor::decide {
 
@@ -29,6 +30,9 @@
   /// Adds a failure; one on a worker known already changes nothing.
   const JobPast& AddFailure(const core::JobId& job, WorkerIndex worker);
   const JobPast& AddPreemption(const core::JobId& job);
+  /// The failures speak against the job: it failed on several workers that run
+  /// other work well, or on very many workers.
+  static bool IsFaulty(const JobPast& past, const WorkerHealth& health);
   /// The job ended for good.
   void Forget(const core::JobId& job);
   std::size_t Count() const { return this->jobs.size(); }
--- a/modules/decide/health/worker_health.cc
+++ b/modules/decide/health/worker_health.cc
@@ -9,6 +9,8 @@
 
 /// Distinct jobs that must fail in a row. Two could be one bad caller.
 constexpr std::size_t kFailuresToQuarantine = 3;
+/// The same on a worker that never ended a job well.
+constexpr std::size_t kFailuresWithoutSuccess = 2;
 constexpr core::Duration kFirstTrialDelay = core::Duration::Seconds(5);
 constexpr int kMaxDoublings = 7;
 /// A trial job without an end does not keep the worker out for good.
@@ -64,13 +66,25 @@
 bool WorkerHealth::OnSuccess(WorkerIndex worker) {
   Health& health = this->At(worker);
   health.failed_jobs.clear();
+  health.succeeded = true;
   if (health.state == HealthState::kGood) {
     return false;
   }
   this->Readmit(worker);
+  this->At(worker).succeeded = true;
   return true;
 }
 
+bool WorkerHealth::IsProven(WorkerIndex worker, JobHandle job) const {
+  if (worker >= this->workers.size()) {
+    return false;
+  }
+  const Health& health = this->workers[worker];
+  return health.state == HealthState::kGood && health.succeeded &&
+         std::all_of(health.failed_jobs.begin(), health.failed_jobs.end(),
+                     [job](JobHandle failed) { return failed == job; });
+}
+
 bool WorkerHealth::OnFailure(WorkerIndex worker,
                              JobHandle job,
                              core::TimePoint now) {
@@ -87,7 +101,8 @@
       health.failed_jobs.end()) {
     health.failed_jobs.push_back(job);
   }
-  if (health.failed_jobs.size() < kFailuresToQuarantine) {
+  if (health.failed_jobs.size() <
+      (health.succeeded ? kFailuresToQuarantine : kFailuresWithoutSuccess)) {
     return false;
   }
   this->Quarantine(worker, now);
--- a/modules/decide/health/worker_health.h
+++ b/modules/decide/health/worker_health.h
@@ -38,6 +38,9 @@
   std::vector<WorkerIndex> TakeTrials(core::TimePoint now);
   /// A trial job was started here; no other until it ends.
   void OnTrialStarted(WorkerIndex worker, core::TimePoint now);
+  /// Other work ended well here lately, and none but this job failed: a failure
+  /// here speaks against the job.
+  bool IsProven(WorkerIndex worker, JobHandle job) const;
   core::TimePoint NextTrial(WorkerIndex worker) const;
   int FailureCount(WorkerIndex worker) const;
   const std::vector<WorkerIndex>& Quarantined() const {
@@ -48,6 +51,8 @@
   struct Health {
     HealthState state = HealthState::kGood;
     std::uint8_t failed_trials = 0;
+    /// Some job ended well here since the last quarantine.
+    bool succeeded = false;
     std::vector<JobHandle> failed_jobs;
     core::TimePoint next_trial;
   };
--- a/modules/decide/limits/retry_budget.cc
+++ b/modules/decide/limits/retry_budget.cc
@@ -9,27 +9,35 @@
 constexpr double kTokensForSuccess = 0.2;
 /// Enough for the failures before bad workers are quarantined.
 constexpr double kMaxTokens = 200;
+constexpr double kTokensPerSecond = 2;
+constexpr double kMillisecondsPerSecond = 1000;
 
 }  // namespace
 
-double& RetryBudget::TokensOf(ServiceIndex service) {
-  if (service >= this->tokens.size()) {
-    this->tokens.resize(service + 1, kMaxTokens);
+RetryBudget::Bucket& RetryBudget::At(ServiceIndex service) {
+  if (service >= this->buckets.size()) {
+    this->buckets.resize(service + 1, Bucket{kMaxTokens, {}});
   }
-  return this->tokens[service];
+  return this->buckets[service];
 }
 
 void RetryBudget::OnSuccess(ServiceIndex service) {
-  double& count = this->TokensOf(service);
-  count = std::min(kMaxTokens, count + kTokensForSuccess);
+  Bucket& bucket = this->At(service);
+  bucket.tokens = std::min(kMaxTokens, bucket.tokens + kTokensForSuccess);
 }
 
-bool RetryBudget::TryTake(ServiceIndex service) {
-  double& count = this->TokensOf(service);
-  if (count < 1) {
+bool RetryBudget::TryTake(ServiceIndex service, core::TimePoint now) {
+  Bucket& bucket = this->At(service);
+  const double seconds =
+      static_cast<double>((now - bucket.refilled).InMilliseconds()) /
+      kMillisecondsPerSecond;
+  bucket.refilled = now;
+  bucket.tokens =
+      std::min(kMaxTokens, bucket.tokens + seconds * kTokensPerSecond);
+  if (bucket.tokens < 1) {
     return false;
   }
-  count -= 1;
+  bucket.tokens -= 1;
   return true;
 }
 
--- a/modules/decide/limits/retry_budget.h
+++ b/modules/decide/limits/retry_budget.h
@@ -9,17 +9,22 @@
 
 /// A token bucket for each service: a good end adds a fraction of a token, and
 /// a retry of a failed job takes one. When most work fails, retries stop and do
-/// not multiply the load.
+/// not multiply the load. A slow refill lets long work, which seldom ends,
+/// retry too.
 class RetryBudget {
  public:
   void OnSuccess(ServiceIndex service);
   /// Takes a token; false when there is none.
-  bool TryTake(ServiceIndex service);
+  bool TryTake(ServiceIndex service, core::TimePoint now);
 
  private:
-  double& TokensOf(ServiceIndex service);
+  struct Bucket {
+    double tokens = 0;
+    core::TimePoint refilled;
+  };
+  Bucket& At(ServiceIndex service);
 
-  std::vector<double> tokens;
+  std::vector<Bucket> buckets;
 };
 
 }  // namespace hemlockdoor::decide
--- a/modules/decide/reclaim/reclaim_planner.cc
+++ b/modules/decide/reclaim/reclaim_planner.cc
@@ -25,8 +25,8 @@
   const double lost_ms =
       job.checkpointable ? std::min(run_ms, kCheckpointCostMs) : run_ms;
   const int size = std::max(job.shape.TotalAccelerators(), job.shape.gang_size);
-  // One second stands for the restart itself.
-  constexpr double kRestartCostMs = 1000;
+  // A stopped gang waits for a place again while what it leaves lies idle.
+  constexpr double kRestartCostMs = 30'000;
   return (lost_ms + kRestartCostMs) * size * (1.0 + job.preemptions);
 }
 
--- a/modules/decide/scheduler/intake.cc
+++ b/modules/decide/scheduler/intake.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-/// Distinct good workers that a job may fail on.
-constexpr int kFailuresToBeFaulty = 3;
 constexpr core::Duration kQueueFullRetry = core::Duration::Seconds(5);
 constexpr core::Duration kRetryBudgetRetry = core::Duration::Seconds(10);
 
@@ -44,24 +42,20 @@
   return std::nullopt;
 }
 
-Intake::Check Intake::CheckPast(const model::JobDescription& job) {
+Intake::Check Intake::CheckPast(const model::JobDescription& job,
+                                core::TimePoint now) {
   const JobPast* past = this->state.history.Find(job.id);
   if (past == nullptr || past->failed_on.empty()) {
     return std::nullopt;
   }
-  const auto good = std::count_if(
-      past->failed_on.begin(), past->failed_on.end(),
-      [this](WorkerIndex worker) {
-        return this->state.health.StateOf(worker) == HealthState::kGood;
-      });
-  if (good >= kFailuresToBeFaulty) {
+  if (JobHistory::IsFaulty(*past, this->state.health)) {
     return Refusal(job, RefusalKind::kFaulty,
-                   "it failed on " + std::to_string(good) +
-                       " workers that run other work well");
+                   "it failed on " + std::to_string(past->failed_on.size()) +
+                       " distinct workers, some of which run other work well");
   }
   if (this->state.Rules().retry_budget &&
       !this->state.retry_budget.TryTake(
-          this->state.fleet.ServiceOf(job.service))) {
+          this->state.fleet.ServiceOf(job.service), now)) {
     return Refusal(job, RefusalKind::kShed,
                    "too large a share of the service's work is retries",
                    kRetryBudgetRetry);
@@ -204,7 +198,7 @@
   Check refusal = this->CheckLimits(job, entry);
   refusal = refusal ? refusal : this->CheckFeasible(job, now);
   refusal = refusal ? refusal : this->CheckDeadline(job, entry);
-  refusal = refusal ? refusal : this->CheckPast(job);
+  refusal = refusal ? refusal : this->CheckPast(job, now);
   if (refusal) {
     return tl::unexpected<RefuseDecision>(std::move(*refusal));
   }
--- a/modules/decide/scheduler/intake.h
+++ b/modules/decide/scheduler/intake.h
@@ -23,7 +23,7 @@
   using Check = std::optional<RefuseDecision>;
 
   Check CheckShape(const model::JobDescription& job) const;
-  Check CheckPast(const model::JobDescription& job);
+  Check CheckPast(const model::JobDescription& job, core::TimePoint now);
   Check CheckLimits(const model::JobDescription& job,
                     const EntryState& entry) const;
   Check CheckFeasible(const model::JobDescription& job, core::TimePoint now);
--- a/modules/decide/scheduler/outcomes.cc
+++ b/modules/decide/scheduler/outcomes.cc
@@ -7,13 +7,6 @@
 
 using model::AcceleratorSet;
 
-namespace {
-
-/// Failures on distinct workers after which they are no fault of the workers.
-constexpr std::size_t kFailuresToBeFaulty = 3;
-
-}  // namespace
-
 void Outcomes::WakeAll() {
   this->state.capacity_changed = true;
   this->state.queue.WakeForCapacity(true);
@@ -176,7 +169,7 @@
   if (!this->state.Rules().quarantine) {
     return;
   }
-  if (past.failed_on.size() >= kFailuresToBeFaulty) {
+  if (JobHistory::IsFaulty(past, this->state.health)) {
     for (const WorkerIndex suspect : past.failed_on) {
       if (this->state.health.Forgive(suspect, past.identity)) {
         this->state.fleet.SetQuarantined(suspect, false);
--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -172,7 +172,8 @@
 }
 
 std::optional<std::vector<MemberPlace>> Starter::FindPlaces(
-    const JobRecord& job) {
+    const JobRecord& job,
+    core::TimePoint now) {
   const JobPast* past = this->state.history.Find(job.id);
   const bool has_failed = past != nullptr && !past->failed_on.empty();
   const std::vector<WorkerIndex>* excluded =
@@ -185,7 +186,9 @@
       (this->state.options.plans_accelerators || job.lane == Lane::kShort);
   // Backfill into a reserved place is stopped when the gang can start, which
   // pays only for work that loses little by it.
-  const bool may_backfill = job.checkpointable || job.lane == Lane::kShort;
+  const bool may_backfill =
+      job.checkpointable || job.lane == Lane::kShort ||
+      now + job.expected_run <= this->state.reservations.EarliestExpected();
   const CapacityView borrowed =
       may_backfill ? CapacityView::kSoft : CapacityView::kLent;
   while (true) {
@@ -242,7 +245,7 @@
       std::find(this->failed_searches.begin(), this->failed_searches.end(),
                 search) != this->failed_searches.end();
   if (!known) {
-    std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job);
+    std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job, now);
     if (places) {
       this->lifecycle.Grant(handle, std::move(*places), now);
       return Attempt::kDone;
@@ -350,7 +353,7 @@
   for (const MemberPlace& place : reservation.members) {
     this->state.fleet.Unreserve(place);
   }
-  std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job);
+  std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job, now);
   for (const MemberPlace& place : reservation.members) {
     this->state.fleet.Reserve(place);
   }
@@ -370,8 +373,7 @@
 }
 
 void Starter::MakeReservation(core::TimePoint now) {
-  if (!this->state.Rules().reservations || now < this->state.next_reservation ||
-      !this->state.reservations.HasRoom()) {
+  if (!this->state.Rules().reservations || now < this->state.next_reservation) {
     return;
   }
   this->state.next_reservation = now + kReservationPeriod;
@@ -385,6 +387,9 @@
       continue;
     }
     const JobRecord& job = this->state.jobs.At(bucket.first);
+    if (!this->state.reservations.HasRoom(job.shape.TotalAccelerators())) {
+      continue;
+    }
     const double claim =
         static_cast<double>((now - job.submitted).InMilliseconds() + 1) *
         job.shape.TotalAccelerators();
--- a/modules/decide/scheduler/starter.h
+++ b/modules/decide/scheduler/starter.h
@@ -50,7 +50,8 @@
   Attempt TryGuaranteed(JobHandle job, core::TimePoint now);
   Attempt TryOrdinary(JobHandle job, core::TimePoint now);
   bool TryTrial(JobHandle job, core::TimePoint now);
-  std::optional<std::vector<MemberPlace>> FindPlaces(const JobRecord& job);
+  std::optional<std::vector<MemberPlace>> FindPlaces(const JobRecord& job,
+                                                     core::TimePoint now);
   std::optional<std::vector<MemberPlace>> FindInView(
       const JobRecord& job,
       CapacityView view,
