--- a/modules/decide/decide.h
+++ b/modules/decide/decide.h
@@ -1,5 +1,6 @@
 // Umbrella header of the decide module: the pure decision code.
 #pragma once
 
+#include "modules/decide/plan/plan.h"            // IWYU pragma: export
 #include "modules/decide/scheduler/decisions.h"  // IWYU pragma: export
 #include "modules/decide/scheduler/scheduler.h"  // IWYU pragma: export
