decide: reserved places that guarantees took are given up; cells avoid them

Ruled out: counting jobs started in the same millisecond as the reservation as later ones; that dropped reservations for ever (found by the starvation test).

--- a/bench/support/replay.h
+++ b/bench/support/replay.h
@@ -17,7 +17,7 @@
   std::array<std::vector<double>, kWorkKinds> completion_ms;
   /// Time from submission to the end, without the job's own run time. Work
   /// that is not done by the end of the replay counts with its wait so far, and
-  /// work that failed for good as waiting to the end.
+  /// repeatable work that failed for good as waiting to the end.
   std::array<std::vector<double>, kWorkKinds> wait_ms;
   std::array<std::vector<double>, kWorkKinds> first_start_ms;
   std::vector<double> fragmentation;
@@ -297,7 +297,7 @@
         failed ? std::optional(failed_on) : std::nullopt, this->Now());
     if (failed &&
         (!given.description.repeatable || ++job.failures > kMaxFailures)) {
-      job.gave_up = true;
+      job.gave_up = given.description.repeatable;
       return;
     }
     if (!failed && job.saves) {
--- a/modules/decide/gang/backfill_reservation.cc
+++ b/modules/decide/gang/backfill_reservation.cc
@@ -14,6 +14,8 @@
 
 /// Workers looked at for one reservation, so that its cost is bounded.
 constexpr std::size_t kMaxWorkersSearched = 1024;
+/// Capacity that a guarantee may need is taken last.
+constexpr core::Duration kClaimPenalty = core::Duration::Seconds(300);
 /// One accelerator in this many may be reserved, but for the first gang.
 constexpr int kMostShareReserved = 4;
 
@@ -62,7 +64,11 @@
       return;
     }
     const bool ready = is_free && free_slots-- > 0;
-    options.push_back({ready ? core::Duration() : by_job, {index, taken}});
+    core::Duration expected = ready ? core::Duration() : by_job;
+    if (worker.claimed.Intersects(taken)) {
+      expected = expected + kClaimPenalty;
+    }
+    options.push_back({expected, {index, taken}});
     open = open.Without(taken);
   }
 }
--- a/modules/decide/guarantees/guarantee_cells.cc
+++ b/modules/decide/guarantees/guarantee_cells.cc
@@ -398,13 +398,27 @@
   this->Refresh();
   const Shape& shape = this->shapes[use.shape];
   const std::size_t searched = std::min(shape.clean.size(), kMaxCellsSearched);
+  std::optional<CellHandle> in_reserved_place;
   for (std::size_t i = 0; i < searched; ++i) {
     const CellHandle cell = shape.clean[shape.clean.size() - 1 - i];
-    if (this->OffersAll(this->cells[cell], service)) {
+    if (!this->OffersAll(this->cells[cell], service)) {
+      continue;
+    }
+    // A job in a reserved place would keep the gang waiting for its end.
+    if (!this->IsReserved(this->cells[cell])) {
       return cell;
     }
+    in_reserved_place = cell;
   }
-  return std::nullopt;
+  return in_reserved_place;
+}
+
+bool GuaranteeCells::IsReserved(const Cell& cell) const {
+  return std::any_of(cell.members.begin(), cell.members.end(),
+                     [this](const MemberPlace& place) {
+                       return this->fleet.At(place.worker)
+                           .reserved.Intersects(place.accelerators);
+                     });
 }
 
 std::optional<CellHandle> GuaranteeCells::Move(GuaranteeUse use,
--- a/modules/decide/guarantees/guarantee_cells.h
+++ b/modules/decide/guarantees/guarantee_cells.h
@@ -141,6 +141,7 @@
   std::vector<CellHandle>& ListOf(const Cell& cell);
   bool PlaceUnplaced();
   std::vector<ShapeHandle> LargestFirst() const;
+  bool IsReserved(const Cell& cell) const;
   bool OffersAll(const Cell& cell, ServiceIndex service) const;
 
   Fleet& fleet;
--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr core::Duration kReservationPeriod = core::Duration::Seconds(1);
+/// Time in which a job that can write a checkpoint leaves a reserved place.
+constexpr core::Duration kMoveTime = core::Duration::Seconds(60);
 /// A move must save at least this many times what it costs.
 constexpr double kCompactionGain = 2.0;
 
@@ -294,7 +296,7 @@
   core::Duration saved;
   for (const JobHandle victim : choice->victims) {
     const JobRecord& job = this->state.jobs.At(victim);
-    if (job.started >= reservation.created) {
+    if (job.started > reservation.created) {
       continue;
     }
     only_backfill = false;
@@ -309,7 +311,7 @@
   const JobRecord& gang = this->state.jobs.At(reservation.job);
   const double gain = static_cast<double>(saved.InMilliseconds()) *
                       gang.shape.TotalAccelerators();
-  const int free = this->state.fleet.FreeAccelerators(CapacityView::kHard);
+  const int free = this->state.fleet.FreeAccelerators(CapacityView::kLent);
   return can_move && gain > kCompactionGain * cost && free >= accelerators;
 }
 
@@ -321,6 +323,21 @@
         worker.held.Intersects(place.accelerators)) {
       return true;
     }
+    // Work within a guarantee has taken the place; its end may be far away.
+    const bool taken = std::any_of(
+        worker.jobs.begin(), worker.jobs.end(), [&](JobHandle other) {
+          const JobRecord& running = this->state.jobs.At(other);
+          return running.hard && running.started > reservation.created &&
+                 std::any_of(running.members.begin(), running.members.end(),
+                             [&place](const MemberPlace& member) {
+                               return member.worker == place.worker &&
+                                      member.accelerators.Intersects(
+                                          place.accelerators);
+                             });
+        });
+    if (taken) {
+      return true;
+    }
     if (job.stoppable) {
       continue;
     }
@@ -412,8 +429,11 @@
       chosen, request,
       [this, now](JobHandle other) {
         const JobRecord& running = this->state.jobs.At(other);
-        return std::max(core::Duration(),
-                        running.started + running.expected_run - now);
+        const core::Duration remaining = std::max(
+            core::Duration(), running.started + running.expected_run - now);
+        const bool can_move = this->state.Rules().compaction &&
+                              running.checkpointable && !running.hard;
+        return can_move ? std::min(remaining, kMoveTime) : remaining;
       },
       now);
 }
