--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -125,6 +125,18 @@
   return this->TryOrdinary(handle, now);
 }
 
+bool Starter::TryBeside(JobHandle handle,
+                        GuaranteeUse use,
+                        core::TimePoint now) {
+  std::optional<std::vector<MemberPlace>> places = this->FindInView(
+      this->state.jobs.At(handle), CapacityView::kHard, nullptr);
+  if (!places) {
+    return false;
+  }
+  this->lifecycle.GrantBeside(handle, use, std::move(*places), now);
+  return true;
+}
+
 Starter::Attempt Starter::TryGuaranteed(JobHandle handle, core::TimePoint now) {
   const JobRecord& job = this->state.jobs.At(handle);
   const std::optional<GuaranteeUse> use =
@@ -132,6 +144,12 @@
   if (!use) {
     return Attempt::kNoCapacity;
   }
+  // A job smaller than the guaranteed shape would break up a cell; room beside
+  // all cells costs nobody anything, and the cell stays whole where it is.
+  const bool smaller = !(job.shape == this->state.cells.ShapeAt(use->shape));
+  if (smaller && this->TryBeside(handle, *use, now)) {
+    return Attempt::kDone;
+  }
   std::optional<CellHandle> cell =
       this->state.cells.FindClean(*use, job.service);
   if (!cell) {
@@ -141,13 +159,6 @@
     this->lifecycle.GrantCell(handle, *use, *cell, now);
     return Attempt::kDone;
   }
-  // Room beside all cells costs nobody anything; the cell stays where it is.
-  std::optional<std::vector<MemberPlace>> beside =
-      this->FindInView(job, CapacityView::kHard, nullptr);
-  if (beside) {
-    this->lifecycle.GrantBeside(handle, *use, std::move(*beside), now);
-    return Attempt::kDone;
-  }
   return this->preemption.ReclaimCell(handle, *use, now) ? Attempt::kDone
                                                          : Attempt::kNoCapacity;
 }
--- a/modules/decide/scheduler/starter.h
+++ b/modules/decide/scheduler/starter.h
@@ -48,6 +48,7 @@
   Rank RankOf(BucketHandle bucket) const;
   Attempt TryFirst(BucketHandle bucket, core::TimePoint now);
   Attempt TryGuaranteed(JobHandle job, core::TimePoint now);
+  bool TryBeside(JobHandle job, GuaranteeUse use, core::TimePoint now);
   Attempt TryOrdinary(JobHandle job, core::TimePoint now);
   bool TryTrial(JobHandle job, core::TimePoint now);
   std::optional<std::vector<MemberPlace>> FindPlaces(const JobRecord& job,
