--- a/modules/decide/fleet/adjacency_test.cc
+++ b/modules/decide/fleet/adjacency_test.cc
@@ -20,10 +20,10 @@
     int longest;
   };
   const Case cases[] = {
-      {8, 0, 0xFF, 8},  {8, 4, 0xFF, 4},         {8, 4, 0x3C, 2},
-      {8, 0, 0x3C, 4},  {6, 4, 0x3F, 4},         {64, 0, ~0ULL, 64},
-      {8, 0, 0, 0},     {1, 0, 1, 1},            {8, 3, 0xC0, 2},
-      {0, 0, 0, 0},     {8, 0, 0b1011'0111, 3},
+      {8, 0, 0xFF, 8}, {8, 4, 0xFF, 4},        {8, 4, 0x3C, 2},
+      {8, 0, 0x3C, 4}, {6, 4, 0x3F, 4},        {64, 0, ~0ULL, 64},
+      {8, 0, 0, 0},    {1, 0, 1, 1},           {8, 3, 0xC0, 2},
+      {0, 0, 0, 0},    {8, 0, 0b1011'0111, 3},
   };
   for (const Case& row : cases) {
     const AcceleratorBlocks blocks(row.total, row.per_group);
@@ -68,8 +68,8 @@
   BOOST_TEST(!ShapeFitsInto({5, 2, Adjacency::kRack}, rack));
   BOOST_TEST(!ShapeFitsInto({4, 3, Adjacency::kRack}, rack));
   BOOST_TEST(!ShapeFitsInto({4, 0, Adjacency::kAny}, rack));
-  BOOST_TEST(!ShapeFitsInto({4, 2, Adjacency::kRack},
-                            {4, 2, Adjacency::kWorker}));
+  BOOST_TEST(
+      !ShapeFitsInto({4, 2, Adjacency::kRack}, {4, 2, Adjacency::kWorker}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
