Add etcd gateway and memory stores with a store stand-in

Cause: durable state needs a key-value adapter before entries can load the catalogue or record jobs, and tests need a store that fails on demand. HttpClient reported a connection lost after the request was sent as kUnavailable (nothing took effect), which is not known; it is kTimeout now, and kUnavailable only when connecting was refused before anything was sent. Ruled out: QHttpServer for the stand-in, since it cannot stream an answer that does not end; resending writes without a compare on a written key. Conclusion: lost answers of compare-and-swap writes are resolved by reading back; the rest end with kTimeout.

--- /dev/null
+++ b/modules/store/etcd/gateway_caller.cc
@@ -0,0 +1,172 @@
+#include "modules/store/etcd/gateway_caller.h"
+
+#include <QTimer>
+#include <utility>
+
+#include "modules/model/json/json_reader.h"
+#include "modules/store/etcd/etcd_codec.h"
+
+namespace hemlockdoor::store::etcd {
+
+namespace {
+
+/// A listing may hold many values of up to 1 MB each, in base64.
+constexpr model::JsonLimits kAnswerLimits = {.max_bytes = 64U * 1024U * 1024U,
+                                             .max_depth = 16,
+                                             .allow_comments = false};
+
+/// What an answer with a status other than 200 says about the call.
+core::Error ErrorFromStatus(const wire::HttpResponse& response) {
+  const std::string message = "store answered " +
+                              std::to_string(response.status) + ": " +
+                              DecodeErrorMessage(response.body);
+  switch (response.status) {
+    case wire::http_status::kTooManyRequests:
+      return {core::ErrorCode::kUnavailable, message, ""};
+    case wire::http_status::kNotFound:
+      return {core::ErrorCode::kNotFound, message, ""};
+    case wire::http_status::kUnauthorized:
+      return {core::ErrorCode::kUnauthorized, message, ""};
+    case wire::http_status::kForbidden:
+      return {core::ErrorCode::kForbidden, message, ""};
+    case wire::http_status::kBadRequest:
+      return {core::ErrorCode::kInvalidArgument, message, ""};
+    default:
+      // etcd answers 503 also for a proposal that timed out and may still be
+      // applied, so a 5xx status proves nothing about a write.
+      return {core::ErrorCode::kTimeout, message, ""};
+  }
+}
+
+bool IsTransient(core::ErrorCode code) {
+  return code == core::ErrorCode::kUnavailable ||
+         code == core::ErrorCode::kTimeout;
+}
+
+}  // namespace
+
+GatewayCaller::GatewayCaller(const EtcdOptions& caller_options)
+    : options(caller_options),
+      breaker(caller_options.failures_to_open,
+              Backoff(caller_options.first_backoff,
+                      caller_options.longest_backoff,
+                      caller_options.seed)),
+      next_seed(caller_options.seed) {}
+
+void GatewayCaller::Start(GatewayCall call, CallDone done) {
+  auto job = std::make_shared<Job>(
+      Job{std::move(call), std::move(done), this->options.max_attempts,
+          core::TimePoint(),
+          Backoff(this->options.first_backoff, this->options.longest_backoff,
+                  ++this->next_seed)});
+  this->Queue(std::move(job));
+}
+
+void GatewayCaller::Queue(JobPointer job) {
+  if (this->waiting.size() >= this->options.max_calls_waiting) {
+    this->EndLater(job, {core::ErrorCode::kUnavailable,
+                         "too many calls wait for the store", ""});
+    return;
+  }
+  job->wait_deadline = core::Clock::Now() + this->options.call_timeout;
+  this->waiting.push_back(std::move(job));
+  this->StartWaiting();
+}
+
+void GatewayCaller::StartWaiting() {
+  while (!this->waiting.empty() &&
+         this->in_progress < this->options.max_calls_in_progress) {
+    const JobPointer job = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    const core::TimePoint now = core::Clock::Now();
+    if (now > job->wait_deadline) {
+      this->EndLater(job, {core::ErrorCode::kUnavailable,
+                           "store is slow; call was not sent in time", ""});
+    } else if (!this->breaker.TryAcquire(now)) {
+      this->EndLater(job, {core::ErrorCode::kUnavailable,
+                           "store is down; call was not sent", ""});
+    } else {
+      this->Send(job);
+    }
+  }
+}
+
+void GatewayCaller::Send(const JobPointer& job) {
+  ++this->in_progress;
+  --job->attempts_left;
+  this->Count(job->call.kind);
+  wire::HttpCall http;
+  http.endpoint = this->options.endpoint;
+  http.method = wire::HttpMethod::kPost;
+  http.target = job->call.target;
+  http.body = job->call.body;
+  http.timeout = this->options.call_timeout;
+  http.single_send = job->call.kind == CallKind::kWrite;
+  this->client.Send(http, [this, job](auto response) {
+    this->OnResponse(job, std::move(response));
+  });
+}
+
+void GatewayCaller::OnResponse(const JobPointer& job,
+                               core::Expected<wire::HttpResponse> response) {
+  --this->in_progress;
+  const bool store_answered =
+      response && response->status < wire::http_status::kInternalError;
+  if (store_answered) {
+    this->breaker.OnSuccess();
+  } else {
+    this->breaker.OnFailure(core::Clock::Now());
+  }
+  if (!response) {
+    this->RetryOrEnd(job, response.error());
+  } else if (response->status != wire::http_status::kOk) {
+    this->RetryOrEnd(job, ErrorFromStatus(*response));
+  } else {
+    core::Expected<nlohmann::json> answer =
+        model::ParseJson(response->body, kAnswerLimits);
+    if (answer && job->call.is_valid(*answer)) {
+      job->done(std::move(answer));
+    } else {
+      // The call may have taken effect although its answer is unreadable.
+      this->RetryOrEnd(job, {core::ErrorCode::kTimeout,
+                             "store gave a malformed answer", ""});
+    }
+  }
+  this->StartWaiting();
+}
+
+void GatewayCaller::RetryOrEnd(const JobPointer& job, core::Error error) {
+  const bool repeatable = job->call.kind != CallKind::kWrite ||
+                          error.code == core::ErrorCode::kUnavailable;
+  if (IsTransient(error.code) && repeatable && job->attempts_left > 0) {
+    QTimer::singleShot(static_cast<int>(job->backoff.Next().InMilliseconds()),
+                       &this->context, [this, job] { this->Queue(job); });
+    return;
+  }
+  if (job->call.kind == CallKind::kRead && IsTransient(error.code)) {
+    error.code = core::ErrorCode::kUnavailable;
+  }
+  job->done(tl::unexpected<core::Error>(std::move(error)));
+}
+
+void GatewayCaller::EndLater(const JobPointer& job, core::Error error) {
+  QTimer::singleShot(0, &this->context, [job, failure = std::move(error)] {
+    job->done(tl::unexpected<core::Error>(failure));
+  });
+}
+
+void GatewayCaller::Count(CallKind kind) {
+  switch (kind) {
+    case CallKind::kRead:
+      ++this->counts.reads;
+      return;
+    case CallKind::kWrite:
+      ++this->counts.writes;
+      return;
+    case CallKind::kLease:
+      ++this->counts.lease_calls;
+      return;
+  }
+}
+
+}  // namespace hemlockdoor::store::etcd
--- /dev/null
+++ b/modules/store/etcd/gateway_watch.h
@@ -0,0 +1,52 @@
+// One watch on an etcd gateway that survives lost connections.
+#pragma once
+
+#include <QObject>
+#include <memory>
+#include <string>
+
+#include "modules/core/core.h"
+#include "modules/store/etcd/etcd_codec.h"
+#include "modules/store/etcd/etcd_gateway_store.h"
+#include "modules/store/retry/backoff.h"
+#include "modules/wire/client/http_stream.h"
+
+namespace hemlockdoor::store::etcd {
+
+/// Opens the watch again after a lost connection, from the version after the
+/// last one reported. The callback gets kStale, once and last, when changes
+/// are lost. The owner keeps it alive by a shared pointer and calls `Close`.
+class GatewayWatch : public std::enable_shared_from_this<GatewayWatch> {
+ public:
+  GatewayWatch(const EtcdOptions& watch_options,
+               std::string watched_prefix,
+               ModRevision from,
+               std::uint64_t seed,
+               std::uint64_t* opened_counter,
+               Callback<std::vector<WatchEvent>> events_callback);
+
+  void Open();
+  void Close();
+  bool IsClosed() const { return this->closed; }
+
+ private:
+  void OnData(const std::string& part);
+  void OnLine(const std::string& line);
+  void OnMessage(WatchMessage message);
+  void Deliver(std::vector<WatchEvent> events);
+  void Reopen();
+  void Lose(const std::string& reason);
+
+  EtcdOptions options;
+  std::string prefix;
+  ModRevision next;
+  Backoff backoff;
+  std::uint64_t* opened;
+  Callback<std::vector<WatchEvent>> on_events;
+  std::unique_ptr<wire::HttpStream> stream;
+  std::string buffer;
+  bool closed = false;
+  QObject context;
+};
+
+}  // namespace hemlockdoor::store::etcd
--- a/modules/store/store.h
+++ b/modules/store/store.h
@@ -2,4 +2,6 @@
 // key-value service.
 #pragma once
 
-#include "modules/store/port/key_value_store.h"  // IWYU pragma: export
+#include "modules/store/etcd/etcd_gateway_store.h"  // IWYU pragma: export
+#include "modules/store/memory/memory_store.h"      // IWYU pragma: export
+#include "modules/store/port/key_value_store.h"     // IWYU pragma: export
--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -11,6 +11,8 @@
 #include <cstring>
 #include <utility>
 
+#include "modules/wire/client/network_request.h"
+
 namespace hemlockdoor::wire {
 
 namespace {
@@ -51,6 +53,57 @@
   std::size_t offset = 0;
 };
 
+/// What is known of an exchange besides its reply.
+struct ExchangeState {
+  bool timed_out = false;
+  /// The whole request was put on the wire at least once.
+  bool sent = false;
+};
+
+/// Tells whether the peer provably never got the request.
+bool WasNeverSent(QNetworkReply::NetworkError error,
+                  const ExchangeState& exchange) {
+  const bool not_connected = error == QNetworkReply::ConnectionRefusedError ||
+                             error == QNetworkReply::HostNotFoundError;
+  // A refused connection proves nothing after an earlier send: Qt connects
+  // again when the peer closes the connection before it answers.
+  return not_connected && !exchange.sent;
+}
+
+core::Expected<HttpResponse> ToResponse(QNetworkReply* reply,
+                                        const ExchangeState& exchange) {
+  const QVariant status =
+      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
+  const QNetworkReply::NetworkError error = reply->error();
+  if (exchange.timed_out) {
+    return core::MakeError(core::ErrorCode::kTimeout, "no answer in time");
+  }
+  // Codes from 200 up describe HTTP statuses, which are responses here.
+  const bool transport_error = error != QNetworkReply::NoError &&
+                               error < QNetworkReply::ContentAccessDenied;
+  if (!status.isValid() || transport_error ||
+      error == QNetworkReply::ContentReSendError) {
+    return core::MakeError(WasNeverSent(error, exchange)
+                               ? core::ErrorCode::kUnavailable
+                               : core::ErrorCode::kTimeout,
+                           reply->errorString().toStdString());
+  }
+  HttpResponse response;
+  response.status = status.toInt();
+  response.body = reply->readAll().toStdString();
+  response.content_type = reply->header(QNetworkRequest::ContentTypeHeader)
+                              .toString()
+                              .toStdString();
+  for (const auto& [name, value] : reply->rawHeaderPairs()) {
+    response.headers.Add(name.toStdString(), value.toStdString());
+  }
+  return response;
+}
+
+}  // namespace
+
+namespace detail {
+
 QByteArray MethodName(HttpMethod method) {
   switch (method) {
     case HttpMethod::kGet:
@@ -86,34 +139,7 @@
   return request;
 }
 
-core::Expected<HttpResponse> ToResponse(QNetworkReply* reply, bool timed_out) {
-  const QVariant status =
-      reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
-  const QNetworkReply::NetworkError error = reply->error();
-  if (timed_out) {
-    return core::MakeError(core::ErrorCode::kTimeout, "no answer in time");
-  }
-  // Codes from 200 up describe HTTP statuses, which are responses here.
-  const bool transport_error = error != QNetworkReply::NoError &&
-                               error < QNetworkReply::ContentAccessDenied;
-  if (!status.isValid() || transport_error ||
-      error == QNetworkReply::ContentReSendError) {
-    return core::MakeError(core::ErrorCode::kUnavailable,
-                           reply->errorString().toStdString());
-  }
-  HttpResponse response;
-  response.status = status.toInt();
-  response.body = reply->readAll().toStdString();
-  response.content_type = reply->header(QNetworkRequest::ContentTypeHeader)
-                              .toString()
-                              .toStdString();
-  for (const auto& [name, value] : reply->rawHeaderPairs()) {
-    response.headers.Add(name.toStdString(), value.toStdString());
-  }
-  return response;
-}
-
-}  // namespace
+}  // namespace detail
 
 core::Expected<Endpoint> Endpoint::Parse(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -157,29 +183,32 @@
 
 void HttpClient::Send(const HttpCall& call, Done done) {
   Backend* owner = this->backend.get();
-  const QNetworkRequest request = ToNetworkRequest(call);
+  const QNetworkRequest request = detail::ToNetworkRequest(call);
   QNetworkReply* reply = nullptr;
   if (call.single_send) {
     auto* body = new SingleReadBody(call.body, owner);
-    reply = owner->manager.sendCustomRequest(request, MethodName(call.method),
-                                             body);
+    reply = owner->manager.sendCustomRequest(
+        request, detail::MethodName(call.method), body);
     body->setParent(reply);
   } else {
     reply = owner->manager.sendCustomRequest(
-        request, MethodName(call.method), QByteArray::fromStdString(call.body));
+        request, detail::MethodName(call.method),
+        QByteArray::fromStdString(call.body));
   }
   owner->bytes_moved += call.target.size() + call.body.size();
   auto* timer = new QTimer(reply);
   timer->setSingleShot(true);
-  auto timed_out = std::make_shared<bool>(false);
-  QObject::connect(timer, &QTimer::timeout, reply, [reply, timed_out] {
-    *timed_out = true;
+  auto exchange = std::make_shared<ExchangeState>();
+  QObject::connect(reply, &QNetworkReply::requestSent, owner,
+                   [exchange] { exchange->sent = true; });
+  QObject::connect(timer, &QTimer::timeout, reply, [reply, exchange] {
+    exchange->timed_out = true;
     reply->abort();
   });
   QObject::connect(reply, &QNetworkReply::finished, owner,
-                   [owner, reply, timed_out, callback = std::move(done)] {
+                   [owner, reply, exchange, callback = std::move(done)] {
                      core::Expected<HttpResponse> response =
-                         ToResponse(reply, *timed_out);
+                         ToResponse(reply, *exchange);
                      owner->bytes_moved += response ? response->body.size() : 0;
                      reply->deleteLater();
                      callback(std::move(response));
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -44,8 +44,10 @@
 /// client of its own.
 class HttpClient {
  public:
-  /// Receives the response, or kTimeout / kUnavailable. Any HTTP status is a
-  /// response, not an error.
+  /// Receives the response, or an error: kUnavailable when the request provably
+  /// never reached the peer (connection refused and nothing sent), kTimeout
+  /// when it may have (no answer in time, connection lost). Any HTTP status is
+  /// a response, not an error.
   using Done = std::function<void(core::Expected<HttpResponse>)>;
 
   HttpClient();
