--- a/modules/store/etcd/gateway_caller.cc
+++ b/modules/store/etcd/gateway_caller.cc
@@ -1,10 +1,10 @@
 #include "modules/store/etcd/gateway_caller.h"
 
-#include <QTimer>
 #include <utility>
 
 #include "modules/model/json/json_reader.h"
 #include "modules/store/etcd/etcd_codec.h"
+#include "modules/wire/loop/run_later.h"
 
 namespace hemlockdoor::store::etcd {
 
@@ -139,8 +139,8 @@
   const bool repeatable = job->call.kind != CallKind::kWrite ||
                           error.code == core::ErrorCode::kUnavailable;
   if (IsTransient(error.code) && repeatable && job->attempts_left > 0) {
-    QTimer::singleShot(static_cast<int>(job->backoff.Next().InMilliseconds()),
-                       &this->context, [this, job] { this->Queue(job); });
+    wire::RunLater(&this->context, job->backoff.Next(),
+                   [this, job] { this->Queue(job); });
     return;
   }
   if (job->call.kind == CallKind::kRead && IsTransient(error.code)) {
@@ -150,9 +150,10 @@
 }
 
 void GatewayCaller::EndLater(const JobPointer& job, core::Error error) {
-  QTimer::singleShot(0, &this->context, [job, failure = std::move(error)] {
-    job->done(tl::unexpected<core::Error>(failure));
-  });
+  wire::RunLater(&this->context, core::Duration(),
+                 [job, failure = std::move(error)] {
+                   job->done(tl::unexpected<core::Error>(failure));
+                 });
 }
 
 void GatewayCaller::Count(CallKind kind) {
--- a/modules/store/etcd/gateway_watch.cc
+++ b/modules/store/etcd/gateway_watch.cc
@@ -1,10 +1,10 @@
 #include "modules/store/etcd/gateway_watch.h"
 
-#include <QTimer>
 #include <algorithm>
 #include <utility>
 
 #include "modules/model/json/json_reader.h"
+#include "modules/wire/loop/run_later.h"
 
 namespace hemlockdoor::store::etcd {
 
@@ -56,12 +56,11 @@
     return;
   }
   this->stream.reset();
-  QTimer::singleShot(static_cast<int>(this->backoff.Next().InMilliseconds()),
-                     &this->context, [this] {
-                       if (!this->closed) {
-                         this->Open();
-                       }
-                     });
+  wire::RunLater(&this->context, this->backoff.Next(), [this] {
+    if (!this->closed) {
+      this->Open();
+    }
+  });
 }
 
 void GatewayWatch::Lose(const std::string& reason) {
--- a/modules/store/memory/memory_store.cc
+++ b/modules/store/memory/memory_store.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/wire/loop/run_later.h"
+
 namespace hemlockdoor::store {
 
 static_assert(KeyValueStore<MemoryStore>);
@@ -22,9 +24,8 @@
   this->pending.push_back(
       Pending{this->clock + this->faults.delay, std::move(run)});
   if (this->timer) {
-    QMetaObject::invokeMethod(
-        &this->context, [this] { this->Advance(core::Clock::Now()); },
-        Qt::QueuedConnection);
+    wire::RunLater(&this->context, this->faults.delay,
+                   [this] { this->Advance(core::Clock::Now()); });
   }
 }
 
--- a/modules/wire/wire.h
+++ b/modules/wire/wire.h
@@ -5,4 +5,5 @@
 #include "modules/wire/client/http_stream.h"  // IWYU pragma: export
 #include "modules/wire/http/http_message.h"   // IWYU pragma: export
 #include "modules/wire/loop/inbox.h"          // IWYU pragma: export
+#include "modules/wire/loop/run_later.h"      // IWYU pragma: export
 #include "modules/wire/server/http_server.h"  // IWYU pragma: export
--- a/standins/store/standin_server.cc
+++ b/standins/store/standin_server.cc
@@ -5,6 +5,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "modules/wire/loop/run_later.h"
+
 namespace hemlockdoor::standin {
 
 namespace {
@@ -95,9 +97,8 @@
     return;
   }
   this->Count(request.path);
-  QTimer::singleShot(this->faults.delay_ms, socket, [this, socket, request] {
-    this->ServeCall(socket, request);
-  });
+  wire::RunLater(socket, core::Duration::Milliseconds(this->faults.delay_ms),
+                 [this, socket, request] { this->ServeCall(socket, request); });
 }
 
 void StandinServer::ServeCall(QTcpSocket* socket, const Request& request) {
--- a/tests/store_contract_test.cc
+++ b/tests/store_contract_test.cc
@@ -1,7 +1,6 @@
 // One contract for all adapters of the key-value store, with faults.
 #include <QElapsedTimer>
 #include <QEventLoop>
-#include <QTimer>
 #include <boost/mpl/list.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -25,7 +24,8 @@
       return false;
     }
     QEventLoop loop;
-    QTimer::singleShot(2, &loop, &QEventLoop::quit);
+    wire::RunLater(&loop, core::Duration::Milliseconds(2),
+                   [&loop] { loop.quit(); });
     loop.exec();
   }
   return true;
