--- a/modules/settings/process/process_settings.h
+++ b/modules/settings/process/process_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/core/core.h"
