--- a/modules/settings/process/process_settings.h
+++ b/modules/settings/process/process_settings.h
@@ -44,6 +44,9 @@
   std::string address = "127.0.0.1";
   /// Port; 0: the kernel chooses.
   std::uint16_t port = 0;
+  /// "ADDRESS:PORT" told to peers, where it differs from `address` and `port`
+  /// (behind a forwarder); empty: the listening address.
+  std::string advertised_endpoint;
   /// When set, the process writes its port there after it listens.
   std::string port_file;
   /// Shared by all processes of one deployment.
