Add the command line and the frame that runs a role

Cause: the binary only printed its version. Ruled out: handlers on SIGTERM with a self-pipe; signalfd keeps the signals blocked, so a second one can neither kill the process nor interrupt a call. Conclusion: entry and agent are linked in roles.cc once their modules arrive. A wildcard listening address needs advertised_endpoint.

--- a/apps/hemlockdoor/main.cc
+++ b/apps/hemlockdoor/main.cc
@@ -1,6 +1,5 @@
-#include <cstdio>
+#include "modules/cli/cli.h"
 
-int main() {
-  std::puts("hemlockdoor " HEMLOCKDOOR_VERSION);
-  return 0;
+int main(int argument_count, char** arguments) {
+  return hemlockdoor::cli::Run(argument_count, arguments);
 }
--- /dev/null
+++ b/modules/cli/program/program.cc
@@ -0,0 +1,56 @@
+#include "modules/cli/program/program.h"
+
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <iostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "modules/cli/output/console.h"
+#include "modules/cli/program/command_line.h"
+#include "modules/cli/roles/roles.h"
+
+namespace hemlockdoor::cli {
+
+namespace {
+
+/// Runs one command; each overload is one kind.
+struct CommandRunner {
+  Console& console;
+
+  ExitCode operator()(const EntryCommand& command) const {
+    return RunEntry(this->console, command.settings_file);
+  }
+  ExitCode operator()(const AgentCommand& command) const {
+    return RunAgent(this->console, command.settings_file);
+  }
+  ExitCode operator()(const ShowTextCommand& command) const {
+    this->console.out << command.text << std::flush;
+    return ExitCode::kDone;
+  }
+  template <typename Other>
+  ExitCode operator()(const Other& /*command*/) const {
+    return ReportError(
+        this->console,
+        core::Error{core::ErrorCode::kUnavailable,
+                    "this build does not include the command", ""},
+        ExitCode::kFailed);
+  }
+};
+
+}  // namespace
+
+int Run(int argument_count, char** arguments) {
+  QCoreApplication application(argument_count, arguments);
+  Console console{std::cout, std::cerr, isatty(STDERR_FILENO) == 1};
+  std::vector<std::string> words(arguments + 1, arguments + argument_count);
+  const core::Expected<Command> command = ParseCommandLine(std::move(words));
+  const ExitCode code =
+      command ? std::visit(CommandRunner{console}, *command)
+              : ReportError(console, command.error(), ExitCode::kUsage);
+  return static_cast<int>(code);
+}
+
+}  // namespace hemlockdoor::cli
--- /dev/null
+++ b/modules/cli/roles/roles.cc
@@ -0,0 +1,36 @@
+#include "modules/cli/roles/roles.h"
+
+#include "modules/settings/settings.h"
+
+namespace hemlockdoor::cli {
+
+namespace {
+
+ExitCode ReportMissingRole(Console& console, const std::string& role) {
+  return ReportError(console,
+                     core::Error{core::ErrorCode::kUnavailable,
+                                 "this build does not include " + role, ""},
+                     ExitCode::kFailed);
+}
+
+}  // namespace
+
+ExitCode RunEntry(Console& console, const std::string& settings_file) {
+  const core::Expected<settings::EntrySettings> settings =
+      settings::LoadEntrySettings(settings_file);
+  if (!settings) {
+    return ReportError(console, settings.error(), ExitCode::kUsage);
+  }
+  return ReportMissingRole(console, "entry");
+}
+
+ExitCode RunAgent(Console& console, const std::string& settings_file) {
+  const core::Expected<settings::AgentSettings> settings =
+      settings::LoadAgentSettings(settings_file);
+  if (!settings) {
+    return ReportError(console, settings.error(), ExitCode::kUsage);
+  }
+  return ReportMissingRole(console, "agent");
+}
+
+}  // namespace hemlockdoor::cli
--- a/modules/settings/load/settings_loader.cc
+++ b/modules/settings/load/settings_loader.cc
@@ -230,11 +230,17 @@
   }
   common.data_centre = core::DataCentreId(ReadName(reader, "data_centre"));
   common.address = reader.OptionalString("address", common.address);
-  // Peers are told this address, so it must be one that they can reach.
-  if (!IsIpAddress(common.address) || common.address == "0.0.0.0" ||
-      common.address == "::") {
-    reader.Fail("address", "expected the IP address of one interface, got " +
-                               Quoted(common.address));
+  common.advertised_endpoint = ReadEndpoint(reader, "advertised_endpoint");
+  const bool is_wildcard =
+      common.address == "0.0.0.0" || common.address == "::";
+  if (!IsIpAddress(common.address)) {
+    reader.Fail("address",
+                "expected an IP address, got " + Quoted(common.address));
+  }
+  if (is_wildcard && common.advertised_endpoint.empty()) {
+    reader.Fail("address", Quoted(common.address) +
+                               " cannot be told to peers; set "
+                               "\"advertised_endpoint\" as well");
   }
   common.port = static_cast<std::uint16_t>(
       reader.OptionalInteger("port", 0, {0, kMaxPort}));
@@ -357,6 +363,7 @@
   document["data_centre"] = common.data_centre.Text();
   document["address"] = common.address;
   document["port"] = common.port;
+  document["advertised_endpoint"] = common.advertised_endpoint;
   document["port_file"] = common.port_file;
   document["internal_key"] = common.internal_key.IsEmpty() ? "" : "(hidden)";
   document["drain_timeout_ms"] = common.drain_timeout.InMilliseconds();
