Add the catalogue service and the token directory

Cause: entries need the catalogue in force, edits that survive lost answers, and a mapping from bearer tokens to organisations. Ruled out: trusting the watch alone, since a connection that died silently reports nothing (the head is polled each 5 s as well); taking over an older state of a store that came back, since accepted edits must not revert. Before: no service. Conclusion: the head's edit ids decide lost answers; an older store is reported and written back.

--- /dev/null
+++ b/modules/entry/auth/token_directory.h
@@ -0,0 +1,48 @@
+// Finds out who sends a request, by its bearer token.
+#pragma once
+
+#include <QByteArray>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "modules/core/core.h"
+#include "modules/model/model.h"
+
+namespace hemlockdoor::entry {
+
+/// Whom a token identifies.
+struct CallerIdentity {
+  /// Absent for a token that belongs to operators only.
+  std::optional<core::OrganisationId> organisation;
+  bool is_operator = false;
+};
+
+/// The token hashes of one catalogue.
+class TokenDirectory {
+ public:
+  /// An empty directory knows no token.
+  TokenDirectory() = default;
+  /// Takes the hashes of a checked catalogue.
+  static TokenDirectory FromCatalogue(const model::Catalogue& catalogue);
+
+  /// Whom the token identifies; kUnauthorized for an unknown token, and for one
+  /// that is listed for several organisations. The time does not depend on
+  /// which hash matches.
+  core::Expected<CallerIdentity> Identify(std::string_view token) const;
+
+ private:
+  struct Item {
+    QByteArray hash;
+    /// Index in `organisations`; nothing: the hash is an operator's.
+    std::optional<std::size_t> organisation;
+  };
+
+  void Add(const std::string& hash_in_hex,
+           std::optional<std::size_t> organisation);
+
+  std::vector<core::OrganisationId> organisations;
+  std::vector<Item> items;
+};
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/catalogue/catalogue_service.h
@@ -0,0 +1,592 @@
+// Keeps the catalogue of this process equal to the stored one, and edits it.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "modules/core/core.h"
+#include "modules/entry/catalogue/catalogue_layout.h"
+#include "modules/model/model.h"
+#include "modules/store/port/key_value_store.h"
+#include "modules/store/retry/backoff.h"
+
+namespace hemlockdoor::entry {
+
+/// Times and bounds of a catalogue service.
+struct CatalogueServiceOptions {
+  /// Starts the ids of this process's edits; unique to one run of one process.
+  std::string edit_id_prefix;
+  /// The head is read this often besides the watch, since a watch whose
+  /// connection died silently reports nothing. An edit is to be in force
+  /// everywhere within 10 s.
+  core::Duration head_poll_period = core::Duration::Seconds(5);
+  core::Duration first_retry = core::Duration::Milliseconds(100);
+  core::Duration longest_retry = core::Duration::Seconds(2);
+  /// An edit that is not decided after this time is answered kTimeout.
+  core::Duration edit_timeout = core::Duration::Seconds(10);
+  std::size_t max_waiting_edits = 32;
+  /// How long edits are refused while agents know a newer revision than the
+  /// store, so that a process that has that revision can write it back.
+  core::Duration write_back_grace = core::Duration::Seconds(30);
+  std::uint64_t seed = 1;
+};
+
+/// How the stored catalogue relates to the one in force.
+enum class CatalogueCondition {
+  kLoading,      ///< Nothing is in force yet.
+  kInForce,      ///< The stored catalogue is in force.
+  kStoreBehind,  ///< The store has gone back; the newer one stays in force and
+                 ///< is being written back.
+  kDiverged,     ///< The store has other content at the same revision.
+  kUnreadable,   ///< The stored catalogue is malformed; the last good one stays
+                 ///< in force.
+};
+
+/// State of a catalogue service, for readiness and metrics.
+struct CatalogueStatus {
+  CatalogueCondition condition = CatalogueCondition::kLoading;
+  bool store_reachable = false;
+  /// One line for people; empty when all is well.
+  std::string text;
+};
+
+/// Puts one entry; replaces the one of the same name.
+struct PutCatalogueEntry {
+  model::CatalogueEntry entry;
+};
+/// Deletes one entry; kNotFound when there is none.
+struct DeleteCatalogueEntry {
+  core::CatalogueEntryName name;
+};
+/// Replaces entries and operators; the revision of `catalogue` is ignored.
+struct ReplaceCatalogue {
+  model::Catalogue catalogue;
+};
+using CatalogueChange =
+    std::variant<PutCatalogueEntry, DeleteCatalogueEntry, ReplaceCatalogue>;
+
+/// The catalogue after a change; kNotFound or kInvalidArgument when the change
+/// does not apply to it.
+core::Expected<model::Catalogue> ChangedCatalogue(
+    const model::Catalogue& base,
+    const CatalogueChange& change);
+
+/// Loads, watches and edits the catalogue. Runs on the thread that owns the
+/// store; time passes in `Tick`. A catalogue in force is replaced only by one
+/// of a higher revision.
+template <store::KeyValueStore Store>
+class CatalogueService {
+ public:
+  using OnChange = std::function<void(const model::Catalogue&)>;
+  using Check = std::function<core::Expected<void>(const model::Catalogue&)>;
+  /// The new revision once it is durable; else kConflict (another edit was
+  /// first, or `expected` is not the current revision), kUnavailable (nothing
+  /// was written), kTimeout (the edit may have taken effect or still may), or
+  /// the error of a check.
+  using EditDone = std::function<void(core::Expected<core::CatalogueRevision>)>;
+
+  /// `on_change` runs for each catalogue that comes into force, the first one
+  /// included; `check` runs before each edit is written.
+  CatalogueService(Store& catalogue_store,
+                   CatalogueServiceOptions service_options,
+                   OnChange change_callback,
+                   Check edit_check)
+      : store(catalogue_store),
+        options(std::move(service_options)),
+        on_change(std::move(change_callback)),
+        check(std::move(edit_check)),
+        retry(this->options.first_retry,
+              this->options.longest_retry,
+              this->options.seed) {}
+
+  ~CatalogueService() { this->StopWatching(); }
+  CatalogueService(const CatalogueService&) = delete;
+  CatalogueService& operator=(const CatalogueService&) = delete;
+
+  /// Does what is due: loads, polls, retries, starts edits. Call at least each
+  /// 200 ms.
+  void Tick(core::TimePoint time_now) {
+    this->now = std::max(this->now, time_now);
+    this->EndOverdueEdits();
+    if (this->busy) {
+      return;
+    }
+    if (this->active && this->now >= this->edit_due) {
+      this->ListForEdit();
+    } else if (!this->active && this->now >= this->reload_due) {
+      this->Reload();
+    } else if (!this->active && this->now >= this->poll_due) {
+      this->PollHead();
+    }
+  }
+
+  /// Starts an edit of the catalogue that has revision `expected`.
+  void Edit(CatalogueChange change,
+            core::CatalogueRevision expected,
+            EditDone done) {
+    if (this->waiting.size() >= this->options.max_waiting_edits) {
+      done(core::MakeError(core::ErrorCode::kResourceExhausted,
+                           "too many catalogue edits wait; try again later"));
+      return;
+    }
+    PendingEdit edit;
+    edit.id =
+        this->options.edit_id_prefix + "-" + std::to_string(++this->last_edit);
+    edit.change = std::move(change);
+    edit.expected = expected;
+    edit.done = std::move(done);
+    edit.deadline = this->now + this->options.edit_timeout;
+    this->waiting.push_back(std::move(edit));
+    this->StartNextEdit();
+  }
+
+  /// Tells the highest revision that an agent or another entry reported.
+  void NoteRevisionSeen(core::CatalogueRevision revision) {
+    if (revision <= this->highest_seen) {
+      return;
+    }
+    this->highest_seen = revision;
+    if (this->IsBehindAgents()) {
+      this->behind_since = this->now;
+      this->reload_due = this->now;
+    }
+  }
+
+  /// The catalogue in force, or null before the first load.
+  const model::Catalogue* Current() const {
+    return this->current ? &*this->current : nullptr;
+  }
+  const CatalogueStatus& Status() const { return this->status; }
+
+ private:
+  struct PendingEdit {
+    std::string id;
+    CatalogueChange change;
+    core::CatalogueRevision expected;
+    EditDone done;
+    core::TimePoint deadline;
+    /// Set once the edit is sent.
+    std::optional<model::Catalogue> candidate;
+    CatalogueHead candidate_head;
+    store::Transaction transaction;
+    store::ModRevision base_mod_revision;
+    core::CatalogueRevision base_revision;
+  };
+
+  /// Wraps a callback so that it does not run after the service is destroyed.
+  template <typename T>
+  store::Callback<T> Guarded(store::Callback<T> callback) {
+    return [guard = std::weak_ptr<bool>(this->alive),
+            inner = std::move(callback)](core::Expected<T> outcome) {
+      if (!guard.expired()) {
+        inner(std::move(outcome));
+      }
+    };
+  }
+
+  void List(store::Callback<store::Listing> done) {
+    this->busy = true;
+    const std::uint64_t issued_at = this->applied_count;
+    this->store.List(kCataloguePrefix,
+                     this->Guarded<store::Listing>(
+                         [this, issued_at, callback = std::move(done)](
+                             core::Expected<store::Listing> listing) {
+                           this->busy = false;
+                           this->NoteReachable(listing.has_value());
+                           // A listing read before something newer was applied
+                           // must not be mistaken for a store that has gone
+                           // back.
+                           if (listing && issued_at != this->applied_count) {
+                             this->List(callback);
+                             return;
+                           }
+                           callback(std::move(listing));
+                         }));
+  }
+
+  void Reload() {
+    this->List([this](core::Expected<store::Listing> listing) {
+      if (!listing) {
+        this->reload_due = this->now + this->retry.Next();
+        return;
+      }
+      this->TakeListing(*listing);
+      this->StartNextEdit();
+    });
+  }
+
+  void TakeListing(const store::Listing& listing) {
+    this->retry.Reset();
+    this->reload_due = kNever;
+    this->poll_due = this->now + this->options.head_poll_period;
+    this->stored = StoredCatalogue::FromListing(listing);
+    if (!this->watch) {
+      this->StartWatching();
+    }
+    this->Assess();
+  }
+
+  void PollHead() {
+    this->busy = true;
+    this->poll_due = this->now + this->options.head_poll_period;
+    this->store.Get(
+        kCatalogueHeadKey,
+        this->Guarded<std::optional<store::KeyValue>>(
+            [this](core::Expected<std::optional<store::KeyValue>> head) {
+              this->busy = false;
+              this->NoteReachable(head.has_value());
+              const store::ModRevision seen =
+                  head && *head ? (*head)->mod_revision : store::ModRevision();
+              if (head && seen != this->stored.head_mod_revision) {
+                this->reload_due = this->now;
+              }
+              this->StartNextEdit();
+            }));
+  }
+
+  void StartWatching() {
+    this->watch = this->store.Watch(
+        kCataloguePrefix, this->stored.store_revision.Next(),
+        this->Guarded<std::vector<store::WatchEvent>>(
+            [this](core::Expected<std::vector<store::WatchEvent>> events) {
+              this->OnEvents(events);
+            }));
+  }
+
+  void StopWatching() {
+    if (this->watch) {
+      this->store.CancelWatch(*this->watch);
+      this->watch.reset();
+    }
+  }
+
+  void OnEvents(const core::Expected<std::vector<store::WatchEvent>>& events) {
+    if (!events) {
+      this->watch.reset();
+      this->reload_due = this->now + this->retry.Next();
+      return;
+    }
+    if (this->stored.Apply(*events)) {
+      this->Assess();
+    }
+  }
+
+  /// Compares the stored catalogue with the one in force and acts on it.
+  void Assess() {
+    const core::Expected<CatalogueHead> head = DecodeHead(this->stored);
+    if (!head) {
+      this->SetCondition(CatalogueCondition::kUnreadable,
+                         head.error().path + ": " + head.error().message);
+      return;
+    }
+    if (this->current && head->revision < this->current->revision) {
+      this->SetCondition(CatalogueCondition::kStoreBehind,
+                         "store has catalogue revision " +
+                             std::to_string(head->revision.Number()) +
+                             ", older than revision " +
+                             std::to_string(this->current->revision.Number()) +
+                             " in force, which is being written back");
+      this->WriteBack();
+      return;
+    }
+    if (this->current && head->revision == this->current->revision) {
+      const bool same = *head == this->current_head;
+      this->SetCondition(
+          same ? CatalogueCondition::kInForce : CatalogueCondition::kDiverged,
+          same ? ""
+               : "store has another catalogue at revision " +
+                     std::to_string(head->revision.Number()));
+      return;
+    }
+    core::Expected<model::Catalogue> catalogue =
+        DecodeCatalogue(this->stored, *head);
+    if (!catalogue) {
+      this->SetCondition(
+          CatalogueCondition::kUnreadable,
+          catalogue.error().path + ": " + catalogue.error().message);
+      return;
+    }
+    this->PutInForce(std::move(*catalogue), *head);
+  }
+
+  void PutInForce(model::Catalogue catalogue, const CatalogueHead& head) {
+    ++this->applied_count;
+    this->current = std::move(catalogue);
+    this->current_head = head;
+    this->SetCondition(CatalogueCondition::kInForce, "");
+    this->on_change(*this->current);
+  }
+
+  void WriteBack() {
+    if (this->busy) {
+      this->reload_due = this->now;
+      return;
+    }
+    const core::Expected<store::Transaction> transaction =
+        MakeCatalogueTransaction(this->stored, *this->current,
+                                 this->current_head);
+    if (!transaction) {
+      this->SetCondition(
+          CatalogueCondition::kStoreBehind,
+          "cannot write the newer catalogue back: " + transaction.error().path +
+              ": " + transaction.error().message);
+      return;
+    }
+    this->busy = true;
+    this->store.Commit(
+        *transaction,
+        this->Guarded<store::TransactionResult>(
+            [this](const core::Expected<store::TransactionResult>&) {
+              this->busy = false;
+              // Reading again shows the effect, whatever the answer was.
+              this->reload_due = this->now + this->retry.Next();
+            }));
+  }
+
+  void StartNextEdit() {
+    if (this->busy || this->active || this->waiting.empty()) {
+      return;
+    }
+    this->active = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    this->ListForEdit();
+  }
+
+  /// Reads the stored catalogue before an edit is sent, and again while its
+  /// outcome is in doubt.
+  void ListForEdit() {
+    this->edit_due = kNever;
+    this->List([this](core::Expected<store::Listing> listing) {
+      if (!listing) {
+        this->OnEditUnreadable(listing.error());
+        return;
+      }
+      this->TakeListing(*listing);
+      if (!this->active) {
+        this->StartNextEdit();
+      } else if (this->active->candidate && this->busy) {
+        // The older store is being written back first.
+        this->edit_due = this->now + this->retry.Next();
+      } else if (this->active->candidate) {
+        this->ResolveEdit();
+      } else {
+        this->PrepareEdit();
+      }
+    });
+  }
+
+  void OnEditUnreadable(const core::Error& error) {
+    if (!this->active) {
+      this->StartNextEdit();
+      return;
+    }
+    if (this->active->candidate) {
+      this->edit_due = this->now + this->retry.Next();
+      return;
+    }
+    this->EndEdit(core::MakeError(core::ErrorCode::kUnavailable,
+                                  "the store is unavailable; nothing was "
+                                  "changed: " +
+                                      error.message));
+  }
+
+  void PrepareEdit() {
+    PendingEdit& edit = *this->active;
+    if (this->status.condition != CatalogueCondition::kInForce) {
+      this->EndEdit(core::MakeError(
+          core::ErrorCode::kUnavailable,
+          "the catalogue cannot be edited now: " + this->status.text));
+      return;
+    }
+    if (this->IsBehindAgents() &&
+        this->now < this->behind_since + this->options.write_back_grace) {
+      this->EndEdit(core::MakeError(
+          core::ErrorCode::kUnavailable,
+          "agents know a newer catalogue than the store; try again later"));
+      return;
+    }
+    if (this->current->revision != edit.expected) {
+      this->EndEdit(core::MakeError(
+          core::ErrorCode::kConflict,
+          "the catalogue has revision " +
+              std::to_string(this->current->revision.Number()) + ", not " +
+              std::to_string(edit.expected.Number())));
+      return;
+    }
+    core::Expected<model::Catalogue> candidate = this->CheckedCandidate(edit);
+    if (!candidate) {
+      this->EndEdit(tl::unexpected<core::Error>(candidate.error()));
+      return;
+    }
+    candidate->revision =
+        std::max(this->current->revision, this->highest_seen).Next();
+    edit.candidate_head =
+        this->current_head.With({edit.id, candidate->revision});
+    edit.base_mod_revision = this->stored.head_mod_revision;
+    edit.base_revision = this->current->revision;
+    core::Expected<store::Transaction> transaction =
+        MakeCatalogueTransaction(this->stored, *candidate, edit.candidate_head);
+    if (!transaction) {
+      this->EndEdit(tl::unexpected<core::Error>(transaction.error()));
+      return;
+    }
+    edit.transaction = std::move(*transaction);
+    edit.candidate = std::move(*candidate);
+    this->SendEdit();
+  }
+
+  core::Expected<model::Catalogue> CheckedCandidate(const PendingEdit& edit) {
+    core::Expected<model::Catalogue> candidate =
+        ChangedCatalogue(*this->current, edit.change);
+    if (!candidate) {
+      return candidate;
+    }
+    if (core::Expected<void> checked = this->check(*candidate); !checked) {
+      return tl::unexpected<core::Error>(checked.error());
+    }
+    return candidate;
+  }
+
+  void SendEdit() {
+    this->busy = true;
+    this->store.Commit(
+        this->active->transaction,
+        this->Guarded<store::TransactionResult>(
+            [this](core::Expected<store::TransactionResult> result) {
+              this->busy = false;
+              this->NoteReachable(result.has_value());
+              if (this->active) {
+                this->OnEditAnswer(result);
+              } else {
+                this->reload_due = this->now;
+              }
+            }));
+  }
+
+  void OnEditAnswer(const core::Expected<store::TransactionResult>& result) {
+    if (!result && result.error().code == core::ErrorCode::kTimeout) {
+      this->edit_due = this->now + this->retry.Next();
+      return;
+    }
+    if (!result) {
+      this->EndEdit(tl::unexpected<core::Error>(result.error()));
+      return;
+    }
+    if (!result->succeeded) {
+      // An earlier attempt of this edit may be what changed the head.
+      this->edit_due = this->now;
+      return;
+    }
+    PendingEdit& edit = *this->active;
+    const core::CatalogueRevision revision = edit.candidate->revision;
+    if (revision > this->current->revision) {
+      this->stored.values = EncodeCatalogue(*edit.candidate);
+      this->stored.values[kCatalogueHeadKey] = EncodeHead(edit.candidate_head);
+      this->stored.head_mod_revision = result->revision;
+      this->stored.store_revision = result->revision;
+      this->PutInForce(std::move(*edit.candidate), edit.candidate_head);
+    }
+    this->EndEdit(revision);
+  }
+
+  /// Decides, by the edit ids in the head, whether a sent edit took effect.
+  void ResolveEdit() {
+    const PendingEdit& edit = *this->active;
+    const core::Expected<CatalogueHead> head = DecodeHead(this->stored);
+    if (!head) {
+      this->edit_due = this->now + this->retry.Next();
+      return;
+    }
+    if (const CatalogueEdit* made = head->FindEdit(edit.id)) {
+      this->EndEdit(made->revision);
+    } else if (this->stored.head_mod_revision == edit.base_mod_revision) {
+      // The compare on the head makes a second effect impossible.
+      this->SendEdit();
+    } else if (head->NamesAllEditsAfter(edit.base_revision)) {
+      this->EndEdit(core::MakeError(core::ErrorCode::kConflict,
+                                    "another edit was first"));
+    } else {
+      this->EndEdit(core::MakeError(
+          core::ErrorCode::kTimeout,
+          "it is not known whether the edit took effect; read the catalogue"));
+    }
+  }
+
+  void EndOverdueEdits() {
+    if (this->active && this->now >= this->active->deadline) {
+      const bool sent = this->active->candidate.has_value();
+      this->EndEdit(
+          sent ? core::MakeError(core::ErrorCode::kTimeout,
+                                 "the store gave no answer in time; the edit "
+                                 "may have taken effect; read the catalogue")
+               : core::MakeError(core::ErrorCode::kUnavailable,
+                                 "the store gave no answer in time; nothing "
+                                 "was changed"));
+    }
+    while (!this->waiting.empty() &&
+           this->now >= this->waiting.front().deadline) {
+      const EditDone done = std::move(this->waiting.front().done);
+      this->waiting.pop_front();
+      done(core::MakeError(core::ErrorCode::kUnavailable,
+                           "the edit was not started in time"));
+    }
+  }
+
+  void EndEdit(core::Expected<core::CatalogueRevision> outcome) {
+    const EditDone done = std::move(this->active->done);
+    this->active.reset();
+    this->edit_due = kNever;
+    done(std::move(outcome));
+    this->StartNextEdit();
+  }
+
+  bool IsBehindAgents() const {
+    return !this->current || this->highest_seen > this->current->revision;
+  }
+
+  void NoteReachable(bool reachable) {
+    this->status.store_reachable = reachable;
+  }
+
+  void SetCondition(CatalogueCondition condition, std::string text) {
+    this->status.condition = condition;
+    this->status.text = std::move(text);
+  }
+
+  static constexpr core::TimePoint kNever =
+      core::TimePoint::FromMilliseconds(INT64_MAX);
+
+  Store& store;
+  CatalogueServiceOptions options;
+  OnChange on_change;
+  Check check;
+  store::Backoff retry;
+  core::TimePoint now;
+  core::TimePoint reload_due;
+  core::TimePoint poll_due = kNever;
+  core::TimePoint edit_due = kNever;
+  /// A read or write is in progress; there is one at a time, besides the watch.
+  bool busy = false;
+  std::optional<store::WatchId> watch;
+  StoredCatalogue stored;
+  std::optional<model::Catalogue> current;
+  CatalogueHead current_head;
+  std::uint64_t applied_count = 0;
+  core::CatalogueRevision highest_seen;
+  core::TimePoint behind_since;
+  std::deque<PendingEdit> waiting;
+  std::optional<PendingEdit> active;
+  std::uint64_t last_edit = 0;
+  CatalogueStatus status;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace hemlockdoor::entry
--- a/modules/wire/wire.h
+++ b/modules/wire/wire.h
@@ -1,6 +1,7 @@
 // Umbrella header of the wire module: HTTP server, HTTP client and inboxes.
 #pragma once
 
+#include "modules/wire/auth/bearer.h"         // IWYU pragma: export
 #include "modules/wire/client/http_client.h"  // IWYU pragma: export
 #include "modules/wire/client/http_stream.h"  // IWYU pragma: export
 #include "modules/wire/http/http_message.h"   // IWYU pragma: export
