Bound and harden the HTTP server

Cause: QHttpServer buffers a request of any size whole, handles pipelined requests at once and has no time limits. The server now reads unbuffered sockets itself and parses with Boost.Beast. Ruled out: a gate in front of QHttpServer, which can count bytes and refuse but cannot delay reading, bound chunked bodies or keep pipelined answers in order.

--- a/modules/wire/http/http_message.h
+++ b/modules/wire/http/http_message.h
@@ -1,6 +1,7 @@
 // HTTP requests and responses as plain values, free of Qt types.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,6 +43,9 @@
   std::string body;
   /// Address of the peer, for received requests.
   std::string remote_address;
+  /// Holds the body's share of the server's byte budget; keep it as long as
+  /// the body is kept, so that all bodies together stay bounded.
+  std::shared_ptr<const void> body_share;
 };
 
 /// A response to be sent, or one received.
--- /dev/null
+++ b/modules/wire/server/byte_budget.h
@@ -0,0 +1,41 @@
+// Bound on the bytes that many requests hold together.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+
+namespace hemlockdoor::wire {
+
+/// A share of a byte budget; the bytes are free again when the last copy is
+/// destroyed, on any thread. Null: no share.
+using ByteShare = std::shared_ptr<const void>;
+
+/// Hands out shares of a fixed number of bytes. Shares may outlive the budget.
+class ByteBudget {
+ public:
+  explicit ByteBudget(std::size_t limit_bytes)
+      : limit(limit_bytes),
+        used(std::make_shared<std::atomic<std::size_t>>(0)) {}
+
+  /// A share of `bytes`, or null when so much is not free.
+  ByteShare TryAcquire(std::size_t bytes) {
+    std::size_t before = this->used->load();
+    do {
+      if (bytes > this->limit || before > this->limit - bytes) {
+        return nullptr;
+      }
+    } while (!this->used->compare_exchange_weak(before, before + bytes));
+    return {this->used.get(),
+            [counter = this->used, bytes](const void*) { *counter -= bytes; }};
+  }
+
+  std::size_t UsedBytes() const { return this->used->load(); }
+  std::size_t LimitBytes() const { return this->limit; }
+
+ private:
+  std::size_t limit;
+  std::shared_ptr<std::atomic<std::size_t>> used;
+};
+
+}  // namespace hemlockdoor::wire
--- /dev/null
+++ b/modules/wire/server/http_connection.cc
@@ -0,0 +1,469 @@
+#include "modules/wire/server/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <QHostAddress>
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+#include "modules/wire/loop/run_later.h"
+
+namespace hemlockdoor::wire::detail {
+
+namespace {
+
+/// Small, because each waiting connection keeps that much of what it read.
+constexpr std::size_t kReadBytes = 4U * 1024U;
+/// Larger responses are written apart from their head, without a copy.
+constexpr std::size_t kMaxJoinedBytes = 16U * 1024U;
+constexpr std::size_t kDiscardBytes = 64U * 1024U;
+constexpr std::size_t kWriteBytes = 256U * 1024U;
+/// How long a refused client may go on sending before the connection is cut.
+/// Closing at once would reset it, and it could lose the answer.
+constexpr core::Duration kLingerTime = core::Duration::Seconds(2);
+constexpr core::Duration kBodyGraceTime = core::Duration::Seconds(5);
+constexpr std::int64_t kMinBodyBytesPerSecond = 256 * 1024;
+/// Requests served in a row before other connections get their turn.
+constexpr int kMaxRequestsPerTurn = 16;
+
+bool IsSafeField(const HttpHeader& field) {
+  return (field.name + field.value).find_first_of("\r\n") == std::string::npos;
+}
+
+std::string EncodeHead(const HttpResponse& response, bool keeps_alive) {
+  std::string head = "HTTP/1.1 " + std::to_string(response.status) + " ";
+  const auto reason =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
+          static_cast<unsigned>(response.status)));
+  head.append(reason.data(), reason.size());
+  head += "\r\n";
+  const auto add = [&head](const std::string& name, const std::string& value) {
+    head += name + ": " + value + "\r\n";
+  };
+  if (response.status != http_status::kNoContent) {
+    add("Content-Type", response.content_type);
+    add("Content-Length", std::to_string(response.body.size()));
+  }
+  for (const HttpHeader& field : response.headers.All()) {
+    if (IsSafeField(field)) {
+      add(field.name, field.value);
+    }
+  }
+  if (!keeps_alive) {
+    add("Connection", "close");
+  }
+  head += "\r\n";
+  return head;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(std::shared_ptr<ServerContext> server_context,
+                               SocketPointer connected_socket)
+    : context(std::move(server_context)),
+      socket(std::move(connected_socket)),
+      peer_address(this->socket->peerAddress().toString().toStdString()) {}
+
+void HttpConnection::SetDeadline(core::Duration length) {
+  this->deadline = core::Clock::Now() + length;
+}
+
+void HttpConnection::Start() {
+  const std::weak_ptr<HttpConnection> weak = this->weak_from_this();
+  const auto forward = [weak](void (HttpConnection::*slot)()) {
+    return [weak, slot] {
+      if (const auto self = weak.lock()) {
+        (self.get()->*slot)();
+      }
+    };
+  };
+  QTcpSocket* source = this->socket.get();
+  QObject::connect(source, &QTcpSocket::readyRead, source,
+                   forward(&HttpConnection::OnReadable));
+  QObject::connect(source, &QTcpSocket::bytesWritten, source,
+                   forward(&HttpConnection::WriteMore));
+  QObject::connect(source, &QTcpSocket::disconnected, source,
+                   forward(&HttpConnection::Close));
+  this->BeginNextRequest();
+}
+
+void HttpConnection::BeginNextRequest() {
+  this->phase = Phase::kReadingHead;
+  this->parser.reset();
+  this->request = HttpRequest();
+  this->request_begun = !this->input.empty();
+  this->SetDeadline(this->context->limits.idle_timeout);
+}
+
+void HttpConnection::OnReadable() {
+  if (this->phase == Phase::kLingering) {
+    this->Discard();
+    return;
+  }
+  this->Process();
+}
+
+void HttpConnection::Process() {
+  if (this->processing) {
+    return;
+  }
+  const std::shared_ptr<HttpConnection> self = this->shared_from_this();
+  this->processing = true;
+  const std::uint64_t turn_end = this->served + kMaxRequestsPerTurn;
+  while (this->served < turn_end && this->Step()) {
+  }
+  this->processing = false;
+  if (this->phase != Phase::kClosed && this->served >= turn_end) {
+    RunLater(this->socket.get(), core::Duration(), [self] { self->Process(); });
+  }
+}
+
+bool HttpConnection::Step() {
+  switch (this->phase) {
+    case Phase::kReadingHead:
+      return this->StepHead();
+    case Phase::kReadingBody:
+      return this->parser->IsChunked() ? this->StepChunkedBody()
+                                       : this->StepKnownBody();
+    case Phase::kHandling:
+      // Reading on shows that the peer has gone; a pipelined request waits in
+      // the kernel once the input is full.
+      return this->input.size() < kReadBytes && this->ReadMore(kReadBytes);
+    case Phase::kWaitingForShare:
+    case Phase::kWriting:
+    case Phase::kLingering:
+    case Phase::kClosed:
+      break;
+  }
+  return false;
+}
+
+/// Appends to the input; false when nothing came. A peer that ended its side
+/// is taken as gone.
+bool HttpConnection::ReadMore(std::size_t max_bytes) {
+  const std::size_t before = this->input.size();
+  this->input.resize(before + max_bytes);
+  const qint64 count = this->socket->read(this->input.data() + before,
+                                          static_cast<qint64>(max_bytes));
+  this->input.resize(before +
+                     static_cast<std::size_t>(std::max<qint64>(count, 0)));
+  if (count < 0) {
+    this->Close();
+  }
+  return count > 0;
+}
+
+bool HttpConnection::StepHead() {
+  if (this->input.empty() && !this->ReadMore(kReadBytes)) {
+    this->input.shrink_to_fit();
+    return false;
+  }
+  if (!this->request_begun) {
+    this->request_begun = true;
+    this->SetDeadline(this->context->limits.idle_timeout);
+  }
+  if (!this->parser) {
+    this->parser =
+        std::make_unique<RequestParser>(this->context->limits.max_header_bytes,
+                                        this->context->limits.max_body_bytes);
+  }
+  const std::size_t used = this->parser->Put(this->input);
+  this->input.erase(0, used);
+  if (this->parser->Refusal()) {
+    this->Refuse(*this->parser->Refusal());
+    return false;
+  }
+  if (this->parser->IsHeaderDone()) {
+    this->BeginBody();
+    return true;
+  }
+  return this->ReadMore(kReadBytes);
+}
+
+void HttpConnection::BeginBody() {
+  this->request = this->parser->TakeHead();
+  this->request.remote_address = this->peer_address;
+  this->request_keeps_alive = this->parser->KeepsAlive();
+  if (this->parser->IsComplete()) {
+    this->Dispatch();
+    return;
+  }
+  // A chunked body starts with the share of a small one.
+  this->AdmitBody(this->parser->IsChunked()
+                      ? this->context->limits.small_body_bytes
+                      : this->parser->ContentLength());
+}
+
+bool HttpConnection::AcquireShare(std::size_t bytes) {
+  const bool is_small = bytes <= this->context->limits.small_body_bytes;
+  ByteBudget& budget =
+      is_small ? this->context->small_bytes : this->context->request_bytes;
+  ByteShare share = budget.TryAcquire(bytes);
+  if (share) {
+    this->request.body_share = std::move(share);
+  }
+  return this->request.body_share != nullptr;
+}
+
+void HttpConnection::AdmitBody(std::size_t bytes) {
+  this->wanted_share = bytes;
+  this->request.body_share.reset();
+  if (this->AcquireShare(bytes)) {
+    this->StartReadingBody();
+    return;
+  }
+  this->phase = Phase::kWaitingForShare;
+  this->SetDeadline(this->context->limits.body_wait_timeout);
+  this->context->on_wait(this->shared_from_this());
+}
+
+bool HttpConnection::TryAdmitBody() {
+  if (this->phase != Phase::kWaitingForShare) {
+    return true;
+  }
+  if (!this->AcquireShare(this->wanted_share)) {
+    return false;
+  }
+  this->StartReadingBody();
+  this->Process();
+  return true;
+}
+
+void HttpConnection::StartReadingBody() {
+  const bool starts = this->phase == Phase::kReadingHead ||
+                      (this->phase == Phase::kWaitingForShare &&
+                       this->parser->ChunkedBytes() == 0);
+  this->phase = Phase::kReadingBody;
+  this->body_bytes = this->parser->ContentLength();
+  const auto time_for_bytes = core::Duration::Seconds(
+      static_cast<std::int64_t>(this->wanted_share) / kMinBodyBytesPerSecond);
+  this->SetDeadline(std::min(this->context->limits.idle_timeout,
+                             kBodyGraceTime + time_for_bytes));
+  if (this->parser->IsChunked()) {
+    this->parser->ReserveChunked(this->wanted_share);
+  } else {
+    this->request.body.reserve(this->body_bytes);
+  }
+  if (starts && this->parser->ExpectsContinue()) {
+    this->socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+bool HttpConnection::StepKnownBody() {
+  std::string& body = this->request.body;
+  const std::size_t offset = body.size();
+  const std::size_t missing = this->body_bytes - offset;
+  if (!this->input.empty()) {
+    const std::size_t count = std::min(missing, this->input.size());
+    body.append(this->input, 0, count);
+    this->input.erase(0, count);
+  } else {
+    // Straight into the body: the bytes are copied once, by the kernel.
+    const std::size_t wanted = std::min(missing, kWriteBytes);
+    body.resize(offset + wanted);
+    const qint64 count =
+        this->socket->read(body.data() + offset, static_cast<qint64>(wanted));
+    body.resize(offset + static_cast<std::size_t>(std::max<qint64>(count, 0)));
+    if (count < 0) {
+      this->Close();
+    }
+    if (count <= 0) {
+      return false;
+    }
+  }
+  if (body.size() == this->body_bytes) {
+    this->Dispatch();
+  }
+  return true;
+}
+
+bool HttpConnection::StepChunkedBody() {
+  const std::size_t used = this->parser->Put(this->input);
+  this->input.erase(0, used);
+  if (this->parser->Refusal()) {
+    this->Refuse(*this->parser->Refusal());
+    return false;
+  }
+  if (this->parser->IsComplete()) {
+    this->request.body = this->parser->TakeChunkedBody();
+    this->Dispatch();
+    return true;
+  }
+  const bool outgrows_share =
+      this->parser->ChunkedBytes() + kReadBytes > this->wanted_share;
+  if (outgrows_share &&
+      this->wanted_share < this->context->limits.max_body_bytes) {
+    this->AdmitBody(this->context->limits.max_body_bytes);
+    return true;
+  }
+  return used > 0 || this->ReadMore(kReadBytes);
+}
+
+void HttpConnection::Dispatch() {
+  this->phase = Phase::kHandling;
+  this->parser.reset();
+  ++this->request_number;
+  this->context->on_request(std::move(this->request), this->shared_from_this());
+  this->request = HttpRequest();
+}
+
+bool HttpConnection::Awaits(std::uint64_t number) const {
+  return this->phase == Phase::kHandling && this->request_number == number;
+}
+
+bool HttpConnection::TryAnswer(HttpResponse& response) {
+  const bool is_small =
+      response.body.size() <= this->context->limits.small_body_bytes;
+  ByteBudget& budget =
+      is_small ? this->context->small_bytes : this->context->response_bytes;
+  ByteShare share = budget.TryAcquire(response.body.size());
+  if (!share) {
+    return false;
+  }
+  this->output_share = std::move(share);
+  this->Send(std::move(response),
+             this->request_keeps_alive && !this->context->draining);
+  return true;
+}
+
+void HttpConnection::Refuse(const RequestRefusal& refusal) {
+  HttpResponse response =
+      MakeProblem(refusal.status, refusal.type, refusal.detail);
+  if (refusal.status == http_status::kUnavailable) {
+    response.headers.Add("Retry-After", "1");
+  }
+  if (refusal.status == http_status::kMethodNotAllowed) {
+    response.headers.Add("Allow", "GET, PUT, POST, DELETE");
+  }
+  this->Send(std::move(response), false);
+}
+
+void HttpConnection::Send(HttpResponse response, bool keeps_connection) {
+  this->phase = Phase::kWriting;
+  this->request = HttpRequest();
+  this->keeps_alive = keeps_connection;
+  this->output_head = EncodeHead(response, keeps_connection);
+  this->output_body = std::move(response.body);
+  this->output_offset = 0;
+  if (response.status == http_status::kNoContent) {
+    this->output_body.clear();
+  }
+  if (this->output_body.size() < kMaxJoinedBytes) {
+    this->output_head += this->output_body;
+    this->output_body.clear();
+  }
+  this->socket->write(this->output_head.data(),
+                      static_cast<qint64>(this->output_head.size()));
+  this->WriteMore();
+}
+
+void HttpConnection::WriteMore() {
+  if (this->phase != Phase::kWriting) {
+    return;
+  }
+  this->SetDeadline(this->context->limits.idle_timeout);
+  while (this->socket->bytesToWrite() == 0) {
+    if (this->socket->state() != QAbstractSocket::ConnectedState) {
+      this->Close();
+      return;
+    }
+    if (this->output_offset == this->output_body.size()) {
+      this->FinishResponse();
+      return;
+    }
+    const std::size_t count =
+        std::min(kWriteBytes, this->output_body.size() - this->output_offset);
+    this->socket->write(this->output_body.data() + this->output_offset,
+                        static_cast<qint64>(count));
+    this->output_offset += count;
+  }
+}
+
+void HttpConnection::FinishResponse() {
+  ++this->served;
+  this->output_body = std::string();
+  this->output_head.clear();
+  this->output_share.reset();
+  if (!this->keeps_alive) {
+    this->phase = Phase::kLingering;
+    this->SetDeadline(kLingerTime);
+    ::shutdown(static_cast<int>(this->socket->socketDescriptor()), SHUT_WR);
+    this->Discard();
+  } else {
+    this->BeginNextRequest();
+    if (this->context->draining && this->input.empty()) {
+      this->Close();
+    }
+  }
+  this->context->on_bytes_freed();
+  // Inside Process its loop goes on; it would otherwise recurse once for each
+  // pipelined request.
+  this->Process();
+}
+
+void HttpConnection::Discard() {
+  char ignored[kDiscardBytes];
+  qint64 count = 0;
+  do {
+    count = this->socket->read(ignored, sizeof(ignored));
+  } while (count > 0);
+  if (count < 0) {
+    this->Close();
+  }
+}
+
+void HttpConnection::CheckDeadline(core::TimePoint now) {
+  if (now < this->deadline) {
+    return;
+  }
+  switch (this->phase) {
+    case Phase::kReadingHead:
+      if (!this->request_begun && this->served > 0) {
+        this->Close();
+        return;
+      }
+      [[fallthrough]];
+    case Phase::kReadingBody:
+      this->Refuse({http_status::kRequestTimeout, "request-timeout",
+                    "the request did not arrive in time"});
+      return;
+    case Phase::kWaitingForShare:
+      this->Refuse({http_status::kUnavailable, "busy",
+                    "too many large requests; try again later"});
+      return;
+    case Phase::kWriting:
+    case Phase::kLingering:
+      this->Close();
+      return;
+    case Phase::kHandling:
+    case Phase::kClosed:
+      return;
+  }
+}
+
+void HttpConnection::CloseIfIdle() {
+  if (this->phase == Phase::kReadingHead && !this->request_begun) {
+    this->Close();
+  }
+}
+
+void HttpConnection::Abort() {
+  this->phase = Phase::kClosed;
+  this->socket->disconnect();
+  this->socket->abort();
+}
+
+void HttpConnection::Close() {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  const std::shared_ptr<HttpConnection> self = this->shared_from_this();
+  this->Abort();
+  this->request = HttpRequest();
+  this->output_body = std::string();
+  this->output_share.reset();
+  this->context->on_closed(self);
+}
+
+}  // namespace hemlockdoor::wire::detail
--- a/modules/wire/server/http_server.cc
+++ b/modules/wire/server/http_server.cc
@@ -1,157 +1,245 @@
 #include "modules/wire/server/http_server.h"
 
-#include <QAbstractHttpServer>
-#include <QHttpServerRequest>
-#include <QHttpServerResponder>
-#include <QPointer>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QHostAddress>
 #include <QTcpServer>
-#include <QTcpSocket>
+#include <QTimer>
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
 #include <utility>
 
+#include "modules/wire/loop/run_later.h"
+#include "modules/wire/server/http_connection.h"
+
 namespace hemlockdoor::wire {
 
 namespace {
 
-HttpMethod ToMethod(QHttpServerRequest::Method method) {
-  switch (method) {
-    case QHttpServerRequest::Method::Get:
-      return HttpMethod::kGet;
-    case QHttpServerRequest::Method::Put:
-      return HttpMethod::kPut;
-    case QHttpServerRequest::Method::Post:
-      return HttpMethod::kPost;
-    case QHttpServerRequest::Method::Delete:
-      return HttpMethod::kDelete;
-    default:
-      return HttpMethod::kOther;
-  }
-}
+using detail::HttpConnection;
+using detail::ServerContext;
+using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
-HttpRequest ToRequest(const QHttpServerRequest& source) {
-  HttpRequest request;
-  request.method = ToMethod(source.method());
-  request.path = source.url().path().toStdString();
-  request.query = source.url().query().toStdString();
-  for (const auto& [name, value] : source.headers()) {
-    request.headers.Add(name.toStdString(), value.toStdString());
-  }
-  request.body = source.body().toStdString();
-  request.remote_address = source.remoteAddress().toString().toStdString();
-  return request;
-}
-
-/// Accepts connections within the limits. Counts the unread bytes of each
-/// socket before the HTTP server sees them, since that server takes a body of
-/// any size whole.
-class LimitedTcpServer : public QTcpServer {
- public:
-  explicit LimitedTcpServer(HttpServerLimits server_limits)
-      : limits(server_limits) {}
+constexpr int kListenBacklog = 512;
+/// Connections above the limits that get their 503 in full; others are closed.
+constexpr std::size_t kMaxRefusing = 64;
+constexpr int kAdmitPeriodMilliseconds = 5;
+constexpr std::int64_t kMinSweepMilliseconds = 10;
+constexpr std::int64_t kMaxSweepMilliseconds = 500;
+constexpr std::int64_t kSweepsPerTimeout = 10;
+/// Delay before accepting again after the process ran out of descriptors.
+constexpr core::Duration kAcceptRetry = core::Duration::Milliseconds(100);
 
- protected:
-  void incomingConnection(qintptr descriptor) override {
-    auto* socket = new QTcpSocket(this);
-    if (!socket->setSocketDescriptor(descriptor)) {
-      delete socket;
-      return;
-    }
-    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    const std::size_t max_request_bytes =
-        this->limits.max_body_bytes + this->limits.max_header_bytes;
-    QObject::connect(socket, &QTcpSocket::readyRead, socket,
-                     [socket, max_request_bytes] {
-                       RefuseWhenTooLarge(socket, max_request_bytes);
-                     });
-    QObject::connect(socket, &QTcpSocket::disconnected, socket,
-                     &QObject::deleteLater);
-    this->addPendingConnection(socket);
-    Q_EMIT this->newConnection();
-  }
-
- private:
-  static void RefuseWhenTooLarge(QTcpSocket* socket, std::size_t max_bytes) {
-    if (static_cast<std::size_t>(socket->bytesAvailable()) <= max_bytes) {
-      return;
-    }
-    socket->disconnect(SIGNAL(readyRead()));
-    socket->write(
-        "HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\n"
-        "Connection: close\r\n\r\n");
-    socket->disconnectFromHost();
-  }
-
-  HttpServerLimits limits;
-};
+std::shared_ptr<ServerContext> MakeContext(const HttpServerLimits& limits) {
+  return std::make_shared<ServerContext>(ServerContext{
+      limits, ByteBudget(limits.max_small_bytes),
+      ByteBudget(std::max(limits.max_request_bytes, limits.max_body_bytes)),
+      ByteBudget(std::max(limits.max_response_bytes, limits.max_body_bytes))});
+}
 
 }  // namespace
 
 struct HttpResponder::State {
-  QPointer<QTcpSocket> socket;
-  QHttpServerResponder responder;
-  bool answered = false;
+  std::weak_ptr<HttpConnection> connection;
+  std::uint64_t request_number = 0;
 };
 
 HttpResponder::HttpResponder(std::shared_ptr<State> shared_state)
     : state(std::move(shared_state)) {}
 
 bool HttpResponder::IsOpen() const {
-  return !this->state->answered && !this->state->socket.isNull() &&
-         this->state->socket->state() == QAbstractSocket::ConnectedState;
+  const ConnectionPointer connection = this->state->connection.lock();
+  return connection && connection->Awaits(this->state->request_number);
+}
+
+bool HttpResponder::TryRespond(HttpResponse& response) const {
+  const ConnectionPointer connection = this->state->connection.lock();
+  if (!connection || !connection->Awaits(this->state->request_number)) {
+    return true;
+  }
+  return connection->TryAnswer(response);
 }
 
-void HttpResponder::Respond(const HttpResponse& response) const {
-  if (!this->IsOpen()) {
+void HttpResponder::Respond(HttpResponse response) const {
+  if (this->TryRespond(response)) {
     return;
   }
-  this->state->answered = true;
-  QHttpServerResponder& out = this->state->responder;
-  out.writeStatusLine(
-      static_cast<QHttpServerResponder::StatusCode>(response.status));
-  out.writeHeader("Content-Type",
-                  QByteArray::fromStdString(response.content_type));
-  out.writeHeader("Content-Length",
-                  QByteArray::number(qulonglong{response.body.size()}));
-  for (const HttpHeader& field : response.headers.All()) {
-    out.writeHeader(QByteArray::fromStdString(field.name),
-                    QByteArray::fromStdString(field.value));
+  if (const ConnectionPointer connection = this->state->connection.lock()) {
+    connection->Refuse({http_status::kUnavailable, "busy",
+                        "the response is large and too many others are being "
+                        "sent; ask again later"});
   }
-  out.writeBody(response.body.data(),
-                static_cast<qint64>(response.body.size()));
 }
 
-class HttpServer::Backend : public QAbstractHttpServer {
+class HttpServer::Backend : public QTcpServer {
  public:
-  Backend(HttpServerLimits limits, Handler request_handler)
-      : listener(limits), handler(std::move(request_handler)) {}
+  Backend(const HttpServerLimits& limits, Handler request_handler)
+      : context(MakeContext(limits)), handler(std::move(request_handler)) {
+    this->context->on_request = [this](HttpRequest request,
+                                       const ConnectionPointer& connection) {
+      this->OnRequest(std::move(request), connection);
+    };
+    this->context->on_wait = [this](const ConnectionPointer& connection) {
+      this->waiting.push_back(connection);
+      if (!this->admit_timer.isActive()) {
+        this->admit_timer.start(kAdmitPeriodMilliseconds);
+      }
+    };
+    this->context->on_bytes_freed = [this] { this->AdmitWaiting(); };
+    this->context->on_closed = [this](const ConnectionPointer& connection) {
+      this->OnClosed(connection);
+    };
+    QObject::connect(&this->admit_timer, &QTimer::timeout, this,
+                     [this] { this->AdmitWaiting(); });
+    QObject::connect(&this->sweep_timer, &QTimer::timeout, this,
+                     [this] { this->Sweep(); });
+    QObject::connect(this, &QTcpServer::acceptError, this, [this] {
+      RunLater(this, kAcceptRetry, [this] { this->resumeAccepting(); });
+    });
+    const core::Duration shortest =
+        std::min(limits.idle_timeout, limits.body_wait_timeout);
+    this->sweep_timer.start(static_cast<int>(
+        std::clamp(shortest.InMilliseconds() / kSweepsPerTimeout,
+                   kMinSweepMilliseconds, kMaxSweepMilliseconds)));
+  }
+
+  ~Backend() override {
+    this->close();
+    for (const ConnectionPointer& connection : this->connections) {
+      connection->Abort();
+    }
+    for (const ConnectionPointer& connection : this->refusing) {
+      connection->Abort();
+    }
+  }
 
-  LimitedTcpServer listener;
+  Backend(const Backend&) = delete;
+  Backend& operator=(const Backend&) = delete;
 
-  bool BindTo(const QHostAddress& address, std::uint16_t port) {
-    if (!this->listener.listen(address, port)) {
-      return false;
+  void Drain(std::function<void()> done) {
+    this->close();
+    this->context->draining = true;
+    this->on_drained = std::move(done);
+    const std::vector<ConnectionPointer> open(this->connections.begin(),
+                                              this->connections.end());
+    for (const ConnectionPointer& connection : open) {
+      connection->CloseIfIdle();
     }
-    this->bind(&this->listener);
-    // bind() makes the server object the owner; the listener is a member.
-    this->listener.setParent(nullptr);
-    return true;
+    this->EndDrainIfEmpty();
   }
 
+  std::size_t ConnectionCount() const { return this->connections.size(); }
+
  protected:
-  bool handleRequest(const QHttpServerRequest& request,
-                     QTcpSocket* socket) override {
+  void incomingConnection(qintptr descriptor) override {
+    const bool over_total =
+        this->connections.size() >= this->context->limits.max_connections;
+    if (over_total && this->refusing.size() >= kMaxRefusing) {
+      ::close(static_cast<int>(descriptor));
+      return;
+    }
+    detail::SocketPointer socket(new QTcpSocket);
+    if (!socket->setSocketDescriptor(
+            descriptor, QAbstractSocket::ConnectedState,
+            QIODevice::ReadWrite | QIODevice::Unbuffered)) {
+      ::close(static_cast<int>(descriptor));
+      return;
+    }
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    const auto connection =
+        std::make_shared<HttpConnection>(this->context, std::move(socket));
+    const std::size_t of_client =
+        this->connections_of[connection->PeerAddress()];
+    if (over_total ||
+        of_client >= this->context->limits.max_connections_per_client) {
+      this->RefuseConnection(connection);
+      return;
+    }
+    ++this->connections_of[connection->PeerAddress()];
+    this->connections.insert(connection);
+    connection->Start();
+  }
+
+ private:
+  void RefuseConnection(const ConnectionPointer& connection) {
+    if (this->refusing.size() >= kMaxRefusing) {
+      connection->Abort();
+      return;
+    }
+    this->refusing.insert(connection);
+    connection->Start();
+    connection->Refuse({http_status::kUnavailable, "too-many-connections",
+                        "this server has too many connections; try again "
+                        "later"});
+  }
+
+  void OnRequest(HttpRequest request, const ConnectionPointer& connection) {
     auto state = std::make_shared<HttpResponder::State>(
-        HttpResponder::State{socket, makeResponder(request, socket)});
-    this->handler(ToRequest(request), HttpResponder(std::move(state)));
-    return true;
+        HttpResponder::State{connection, connection->RequestNumber()});
+    this->handler(std::move(request), HttpResponder(std::move(state)));
   }
 
-  void missingHandler(const QHttpServerRequest& /*request*/,
-                      QTcpSocket* socket) override {
-    socket->disconnectFromHost();
+  void OnClosed(const ConnectionPointer& connection) {
+    if (this->connections.erase(connection) > 0) {
+      const auto count = this->connections_of.find(connection->PeerAddress());
+      if (--count->second == 0) {
+        this->connections_of.erase(count);
+      }
+    }
+    this->refusing.erase(connection);
+    this->EndDrainIfEmpty();
   }
 
- private:
+  void EndDrainIfEmpty() {
+    if (!this->on_drained || !this->connections.empty()) {
+      return;
+    }
+    RunLater(this, core::Duration(),
+             [done = std::exchange(this->on_drained, nullptr)] { done(); });
+  }
+
+  /// Lets bodies in, in order of arrival, while their shares are free.
+  void AdmitWaiting() {
+    if (this->admitting) {
+      return;
+    }
+    this->admitting = true;
+    while (!this->waiting.empty()) {
+      const ConnectionPointer first = this->waiting.front().lock();
+      if (first && !first->TryAdmitBody()) {
+        break;
+      }
+      this->waiting.pop_front();
+    }
+    this->admitting = false;
+    if (this->waiting.empty()) {
+      this->admit_timer.stop();
+    }
+  }
+
+  void Sweep() {
+    const core::TimePoint now = core::Clock::Now();
+    std::vector<ConnectionPointer> all(this->connections.begin(),
+                                       this->connections.end());
+    all.insert(all.end(), this->refusing.begin(), this->refusing.end());
+    for (const ConnectionPointer& connection : all) {
+      connection->CheckDeadline(now);
+    }
+  }
+
+  std::shared_ptr<ServerContext> context;
   Handler handler;
+  std::set<ConnectionPointer> connections;
+  std::set<ConnectionPointer> refusing;
+  std::map<std::string, std::size_t> connections_of;
+  std::deque<std::weak_ptr<HttpConnection>> waiting;
+  bool admitting = false;
+  std::function<void()> on_drained;
+  QTimer admit_timer;
+  QTimer sweep_timer;
 };
 
 HttpServer::HttpServer(std::unique_ptr<Backend> server_backend)
@@ -165,27 +253,31 @@
     HttpServerLimits limits,
     Handler handler) {
   auto backend = std::make_unique<Backend>(limits, std::move(handler));
+  backend->setListenBacklogSize(kListenBacklog);
   const QHostAddress host(QString::fromStdString(address));
-  if (!backend->BindTo(host, port)) {
+  if (!backend->listen(host, port)) {
     return core::MakeError(core::ErrorCode::kUnavailable,
                            "cannot listen on " + address + ":" +
                                std::to_string(port) + ": " +
-                               backend->listener.errorString().toStdString());
+                               backend->errorString().toStdString());
   }
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(backend)));
 }
 
 std::uint16_t HttpServer::Port() const {
-  return this->backend->listener.serverPort();
+  return this->backend->serverPort();
 }
 
 void HttpServer::StopListening() {
-  this->backend->listener.close();
+  this->backend->close();
+}
+
+void HttpServer::Drain(std::function<void()> done) {
+  this->backend->Drain(std::move(done));
 }
 
 std::size_t HttpServer::ConnectionCount() const {
-  return static_cast<std::size_t>(
-      this->backend->listener.findChildren<QTcpSocket*>().size());
+  return this->backend->ConnectionCount();
 }
 
 }  // namespace hemlockdoor::wire
--- a/modules/wire/wire.h
+++ b/modules/wire/wire.h
@@ -7,4 +7,5 @@
 #include "modules/wire/http/http_message.h"   // IWYU pragma: export
 #include "modules/wire/loop/inbox.h"          // IWYU pragma: export
 #include "modules/wire/loop/run_later.h"      // IWYU pragma: export
+#include "modules/wire/server/byte_budget.h"  // IWYU pragma: export
 #include "modules/wire/server/http_server.h"  // IWYU pragma: export
