Serve HTTP from raw sockets, and test resident memory

Cause: QTcpSocket made from a descriptor buffers all that arrives even in unbuffered mode, and assigning an empty std::string keeps the old capacity. Both were found by http_memory_test. Ruled out: setReadBufferSize, which keeps a 16 KB ring chunk for each connection; heap fragmentation.

--- a/modules/wire/server/http_connection.cc
+++ b/modules/wire/server/http_connection.cc
@@ -1,8 +1,5 @@
 #include "modules/wire/server/http_connection.h"
 
-#include <sys/socket.h>
-
-#include <QHostAddress>
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <utility>
@@ -18,7 +15,7 @@
 /// Larger responses are written apart from their head, without a copy.
 constexpr std::size_t kMaxJoinedBytes = 16U * 1024U;
 constexpr std::size_t kDiscardBytes = 64U * 1024U;
-constexpr std::size_t kWriteBytes = 256U * 1024U;
+constexpr std::size_t kTransferBytes = 256U * 1024U;
 /// How long a refused client may go on sending before the connection is cut.
 /// Closing at once would reset it, and it could lose the answer.
 constexpr core::Duration kLingerTime = core::Duration::Seconds(2);
@@ -27,6 +24,14 @@
 /// Requests served in a row before other connections get their turn.
 constexpr int kMaxRequestsPerTurn = 16;
 
+/// Empties a value and frees its memory. Assigning an empty string instead
+/// would keep the old string's capacity (libstdc++).
+template <typename T>
+void Free(T& value) {
+  T empty;
+  std::swap(value, empty);
+}
+
 bool IsSafeField(const HttpHeader& field) {
   return (field.name + field.value).find_first_of("\r\n") == std::string::npos;
 }
@@ -60,10 +65,10 @@
 }  // namespace
 
 HttpConnection::HttpConnection(std::shared_ptr<ServerContext> server_context,
-                               SocketPointer connected_socket)
+                               int connected_descriptor)
     : context(std::move(server_context)),
-      socket(std::move(connected_socket)),
-      peer_address(this->socket->peerAddress().toString().toStdString()) {}
+      socket(connected_descriptor),
+      peer_address(this->socket.PeerAddress()) {}
 
 void HttpConnection::SetDeadline(core::Duration length) {
   this->deadline = core::Clock::Now() + length;
@@ -78,20 +83,15 @@
       }
     };
   };
-  QTcpSocket* source = this->socket.get();
-  QObject::connect(source, &QTcpSocket::readyRead, source,
-                   forward(&HttpConnection::OnReadable));
-  QObject::connect(source, &QTcpSocket::bytesWritten, source,
-                   forward(&HttpConnection::WriteMore));
-  QObject::connect(source, &QTcpSocket::disconnected, source,
-                   forward(&HttpConnection::Close));
+  this->socket.Start(forward(&HttpConnection::OnReadable),
+                     forward(&HttpConnection::WriteMore));
   this->BeginNextRequest();
 }
 
 void HttpConnection::BeginNextRequest() {
   this->phase = Phase::kReadingHead;
   this->parser.reset();
-  this->request = HttpRequest();
+  Free(this->request);
   this->request_begun = !this->input.empty();
   this->SetDeadline(this->context->limits.idle_timeout);
 }
@@ -115,7 +115,8 @@
   }
   this->processing = false;
   if (this->phase != Phase::kClosed && this->served >= turn_end) {
-    RunLater(this->socket.get(), core::Duration(), [self] { self->Process(); });
+    RunLater(this->socket.Context(), core::Duration(),
+             [self] { self->Process(); });
   }
 }
 
@@ -144,14 +145,13 @@
 bool HttpConnection::ReadMore(std::size_t max_bytes) {
   const std::size_t before = this->input.size();
   this->input.resize(before + max_bytes);
-  const qint64 count = this->socket->read(this->input.data() + before,
-                                          static_cast<qint64>(max_bytes));
-  this->input.resize(before +
-                     static_cast<std::size_t>(std::max<qint64>(count, 0)));
-  if (count < 0) {
+  const ConnectedSocket::Transfer got =
+      this->socket.Read(this->input.data() + before, max_bytes);
+  this->input.resize(before + got.bytes);
+  if (got.closed) {
     this->Close();
   }
-  return count > 0;
+  return got.bytes > 0;
 }
 
 bool HttpConnection::StepHead() {
@@ -246,7 +246,8 @@
     this->request.body.reserve(this->body_bytes);
   }
   if (starts && this->parser->ExpectsContinue()) {
-    this->socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    this->socket.Write(kContinue.data(), kContinue.size());
   }
 }
 
@@ -260,15 +261,15 @@
     this->input.erase(0, count);
   } else {
     // Straight into the body: the bytes are copied once, by the kernel.
-    const std::size_t wanted = std::min(missing, kWriteBytes);
+    const std::size_t wanted = std::min(missing, kTransferBytes);
     body.resize(offset + wanted);
-    const qint64 count =
-        this->socket->read(body.data() + offset, static_cast<qint64>(wanted));
-    body.resize(offset + static_cast<std::size_t>(std::max<qint64>(count, 0)));
-    if (count < 0) {
+    const ConnectedSocket::Transfer got =
+        this->socket.Read(body.data() + offset, wanted);
+    body.resize(offset + got.bytes);
+    if (got.closed) {
       this->Close();
     }
-    if (count <= 0) {
+    if (got.bytes == 0) {
       return false;
     }
   }
@@ -305,7 +306,7 @@
   this->parser.reset();
   ++this->request_number;
   this->context->on_request(std::move(this->request), this->shared_from_this());
-  this->request = HttpRequest();
+  Free(this->request);
 }
 
 bool HttpConnection::Awaits(std::uint64_t number) const {
@@ -341,11 +342,12 @@
 
 void HttpConnection::Send(HttpResponse response, bool keeps_connection) {
   this->phase = Phase::kWriting;
-  this->request = HttpRequest();
+  Free(this->request);
   this->keeps_alive = keeps_connection;
   this->output_head = EncodeHead(response, keeps_connection);
   this->output_body = std::move(response.body);
-  this->output_offset = 0;
+  this->head_offset = 0;
+  this->body_offset = 0;
   if (response.status == http_status::kNoContent) {
     this->output_body.clear();
   }
@@ -353,42 +355,48 @@
     this->output_head += this->output_body;
     this->output_body.clear();
   }
-  this->socket->write(this->output_head.data(),
-                      static_cast<qint64>(this->output_head.size()));
   this->WriteMore();
 }
 
+/// Writes the rest of `text`; false when the kernel takes no more now, or the
+/// connection is closed.
+bool HttpConnection::WriteAll(const std::string& text, std::size_t& offset) {
+  while (offset < text.size()) {
+    const std::size_t count = std::min(kTransferBytes, text.size() - offset);
+    const ConnectedSocket::Transfer put =
+        this->socket.Write(text.data() + offset, count);
+    offset += put.bytes;
+    if (put.closed) {
+      this->Close();
+      return false;
+    }
+    if (put.bytes < count) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void HttpConnection::WriteMore() {
   if (this->phase != Phase::kWriting) {
     return;
   }
   this->SetDeadline(this->context->limits.idle_timeout);
-  while (this->socket->bytesToWrite() == 0) {
-    if (this->socket->state() != QAbstractSocket::ConnectedState) {
-      this->Close();
-      return;
-    }
-    if (this->output_offset == this->output_body.size()) {
-      this->FinishResponse();
-      return;
-    }
-    const std::size_t count =
-        std::min(kWriteBytes, this->output_body.size() - this->output_offset);
-    this->socket->write(this->output_body.data() + this->output_offset,
-                        static_cast<qint64>(count));
-    this->output_offset += count;
+  if (this->WriteAll(this->output_head, this->head_offset) &&
+      this->WriteAll(this->output_body, this->body_offset)) {
+    this->FinishResponse();
   }
 }
 
 void HttpConnection::FinishResponse() {
   ++this->served;
-  this->output_body = std::string();
+  Free(this->output_body);
   this->output_head.clear();
   this->output_share.reset();
   if (!this->keeps_alive) {
     this->phase = Phase::kLingering;
     this->SetDeadline(kLingerTime);
-    ::shutdown(static_cast<int>(this->socket->socketDescriptor()), SHUT_WR);
+    this->socket.ShutDownWriting();
     this->Discard();
   } else {
     this->BeginNextRequest();
@@ -404,11 +412,11 @@
 
 void HttpConnection::Discard() {
   char ignored[kDiscardBytes];
-  qint64 count = 0;
+  ConnectedSocket::Transfer got;
   do {
-    count = this->socket->read(ignored, sizeof(ignored));
-  } while (count > 0);
-  if (count < 0) {
+    got = this->socket.Read(ignored, sizeof(ignored));
+  } while (got.bytes > 0);
+  if (got.closed) {
     this->Close();
   }
 }
@@ -450,8 +458,7 @@
 
 void HttpConnection::Abort() {
   this->phase = Phase::kClosed;
-  this->socket->disconnect();
-  this->socket->abort();
+  this->socket.Close();
 }
 
 void HttpConnection::Close() {
@@ -460,8 +467,8 @@
   }
   const std::shared_ptr<HttpConnection> self = this->shared_from_this();
   this->Abort();
-  this->request = HttpRequest();
-  this->output_body = std::string();
+  Free(this->request);
+  Free(this->output_body);
   this->output_share.reset();
   this->context->on_closed(self);
 }
--- a/modules/wire/server/http_connection.h
+++ b/modules/wire/server/http_connection.h
@@ -1,7 +1,6 @@
 // One connection of the HTTP server.
 #pragma once
 
-#include <QTcpSocket>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +10,7 @@
 #include "modules/core/core.h"
 #include "modules/wire/http/http_message.h"
 #include "modules/wire/server/byte_budget.h"
+#include "modules/wire/server/connected_socket.h"
 #include "modules/wire/server/http_server.h"
 #include "modules/wire/server/request_parser.h"
 
@@ -38,19 +38,13 @@
   std::function<void(const std::shared_ptr<HttpConnection>&)> on_closed;
 };
 
-/// A socket may end its connection inside one of its own signals.
-struct DeleteLater {
-  void operator()(QObject* object) const { object->deleteLater(); }
-};
-using SocketPointer = std::unique_ptr<QTcpSocket, DeleteLater>;
-
 /// Reads requests, one at a time and in order, and writes their responses.
-/// The socket is unbuffered: what is not read stays in the kernel, so that a
-/// client which must wait is slowed down by TCP.
+/// What is not read stays in the kernel, so that a client which must wait is
+/// slowed down by TCP.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
   HttpConnection(std::shared_ptr<ServerContext> server_context,
-                 SocketPointer connected_socket);
+                 int connected_descriptor);
 
   /// Starts reading.
   void Start();
@@ -65,6 +59,7 @@
   /// Closes at once, without the callbacks.
   void Abort();
 
+  /// IP address of the client.
   const std::string& PeerAddress() const { return this->peer_address; }
   /// Number of the request that is with the handler; changes when answered.
   std::uint64_t RequestNumber() const { return this->request_number; }
@@ -101,18 +96,18 @@
   void BeginNextRequest();
   void Send(HttpResponse response, bool keeps_alive);
   void WriteMore();
+  bool WriteAll(const std::string& text, std::size_t& offset);
   void FinishResponse();
   void Discard();
   void Close();
   void SetDeadline(core::Duration length);
 
   std::shared_ptr<ServerContext> context;
-  SocketPointer socket;
+  ConnectedSocket socket;
   std::string peer_address;
   Phase phase = Phase::kReadingHead;
   core::TimePoint deadline;
   bool processing = false;
-  bool end_of_input = false;
   bool request_begun = false;
   std::uint64_t served = 0;
 
@@ -125,8 +120,9 @@
   std::uint64_t request_number = 0;
 
   std::string output_head;
+  std::size_t head_offset = 0;
   std::string output_body;
-  std::size_t output_offset = 0;
+  std::size_t body_offset = 0;
   ByteShare output_share;
   bool keeps_alive = true;
 };
--- a/modules/wire/server/http_server.cc
+++ b/modules/wire/server/http_server.cc
@@ -1,6 +1,5 @@
 #include "modules/wire/server/http_server.h"
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <QHostAddress>
@@ -141,16 +140,8 @@
       ::close(static_cast<int>(descriptor));
       return;
     }
-    detail::SocketPointer socket(new QTcpSocket);
-    if (!socket->setSocketDescriptor(
-            descriptor, QAbstractSocket::ConnectedState,
-            QIODevice::ReadWrite | QIODevice::Unbuffered)) {
-      ::close(static_cast<int>(descriptor));
-      return;
-    }
-    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    const auto connection =
-        std::make_shared<HttpConnection>(this->context, std::move(socket));
+    const auto connection = std::make_shared<HttpConnection>(
+        this->context, static_cast<int>(descriptor));
     const std::size_t of_client =
         this->connections_of[connection->PeerAddress()];
     if (over_total ||
--- a/tests/http_memory_test.cc
+++ b/tests/http_memory_test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/model/model.h"
 #include "modules/wire/wire.h"
 
 namespace hemlockdoor::wire {
@@ -42,6 +43,9 @@
   auto held = std::make_shared<HttpRequest>(std::move(request));
   RunLater(qApp, core::Duration::Milliseconds(20), [held, responder] {
     HttpResponse response;
+    if (held->path == "/json" && !model::ParseJson(held->body)) {
+      response.status = http_status::kBadRequest;
+    }
     response.body = held->path == "/echo" ? std::move(held->body)
                                           : std::to_string(held->body.size());
     responder.Respond(std::move(response));
@@ -168,6 +172,27 @@
   BOOST_TEST(server.Kilobytes("VmHWM") < kMaxResidentKilobytes);
 }
 
+// Guards against a stack overflow on deeply nested input.
+BOOST_AUTO_TEST_CASE(DeeplyNestedBodyIsRefused) {
+  const ServerProcess server;
+  BOOST_REQUIRE(server.port != 0);
+  HttpClient client;
+  for (const char* part : {"[", "{\"a\":"}) {
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", server.port};
+    call.method = HttpMethod::kPost;
+    call.target = "/json";
+    for (int depth = 0; depth < 300'000; ++depth) {
+      call.body += part;
+    }
+    std::optional<core::Expected<HttpResponse>> answer;
+    client.Send(call, [&](auto response) { answer = std::move(response); });
+    BOOST_TEST(RunUntil([&] { return answer.has_value(); }));
+    BOOST_REQUIRE(answer->has_value());
+    BOOST_TEST((*answer)->status == http_status::kBadRequest);
+  }
+}
+
 // Guards against memory that grows with idle connections, unfinished headers
 // and bodies that never end, and against a server that they keep busy.
 BOOST_AUTO_TEST_CASE(IdleAndSlowConnectionsStayWithinTheBudget) {
