--- /dev/null
+++ b/modules/entry/api/answers.h
@@ -0,0 +1,46 @@
+// Responses to callers and operators, built from values.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "modules/core/core.h"
+#include "modules/decide/decide.h"
+#include "modules/entry/core/job_table.h"
+#include "modules/model/model.h"
+#include "modules/wire/http/http_message.h"
+
+namespace hemlockdoor::entry {
+
+/// An RFC 9457 problem as this entry sends it.
+struct Problem {
+  int status = 0;
+  /// Last part of the problem type.
+  std::string type;
+  /// What happened and what the caller may do next.
+  std::string detail;
+  /// Sent as `Retry-After`, rounded up to seconds; zero: not sent, but for 429
+  /// and 503, which always carry at least one second.
+  core::Duration retry_after;
+  /// The outcome of the job, when this response states one.
+  std::optional<model::JobOutcome> outcome;
+  core::JobId job;
+};
+
+wire::HttpResponse MakeProblemResponse(const Problem& problem);
+
+/// The JSON document of a job: one `outcome` or one `state`. The result is
+/// included when `with_result` is set.
+nlohmann::json JobToDocument(const Job& job, bool with_result);
+
+/// The response to a caller that waits for a job, or asks for it.
+/// `accepted`: the request submitted the job (202 while it has not ended).
+wire::HttpResponse MakeJobResponse(const Job& job, bool accepted);
+
+/// A response with a JSON document.
+wire::HttpResponse MakeJsonResponse(int status, const nlohmann::json& document);
+
+/// The status, type and advice for a job that the scheduler refused.
+Problem ProblemOfRefusal(const decide::RefuseDecision& refusal);
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/api/request_router.cc
@@ -0,0 +1,343 @@
+#include "modules/entry/api/request_router.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "modules/entry/api/answers.h"
+#include "modules/entry/core/job_id.h"
+#include "modules/model/model.h"
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+namespace status = wire::http_status;
+using wire::HttpMethod;
+
+constexpr std::size_t kMaxKeyBytes = 256;
+constexpr std::size_t kMaxTraceBytes = 128;
+
+/// The parts of a path between slashes, without the empty first one.
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  std::size_t from = 1;
+  while (from <= path.size()) {
+    const std::size_t to = std::min(path.find('/', from), path.size());
+    parts.push_back(path.substr(from, to - from));
+    from = to + 1;
+  }
+  return parts;
+}
+
+std::string BearerToken(const wire::HttpRequest& request) {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string field =
+      request.headers.Find("Authorization").value_or(std::string());
+  return field.starts_with(kScheme) ? field.substr(kScheme.size())
+                                    : std::string();
+}
+
+std::string QueryValue(const std::string& query, const std::string& name) {
+  std::size_t from = 0;
+  while (from < query.size()) {
+    const std::size_t to = std::min(query.find('&', from), query.size());
+    const std::string part = query.substr(from, to - from);
+    if (part.starts_with(name + "=")) {
+      return part.substr(name.size() + 1);
+    }
+    from = to + 1;
+  }
+  return {};
+}
+
+wire::HttpResponse Refusal(int code, std::string type, std::string detail) {
+  return MakeProblemResponse(
+      {code, std::move(type), std::move(detail), {}, std::nullopt, {}});
+}
+
+wire::HttpResponse NoRoute(const wire::HttpRequest& request) {
+  return Refusal(status::kNotFound, "no-route",
+                 "There is nothing at " + request.path + ".");
+}
+
+wire::HttpResponse WrongMethod() {
+  return Refusal(status::kMethodNotAllowed, "method-not-allowed",
+                 "This path does not take this method.");
+}
+
+wire::HttpResponse Unauthorized() {
+  wire::HttpResponse response =
+      Refusal(status::kUnauthorized, "unauthorized",
+              "Send a valid token as \"Authorization: Bearer TOKEN\".");
+  response.headers.Add("WWW-Authenticate", "Bearer");
+  return response;
+}
+
+wire::HttpResponse BadBody(const core::Error& error) {
+  const int code = error.code == core::ErrorCode::kTooLarge
+                       ? status::kPayloadTooLarge
+                       : status::kBadRequest;
+  std::string place = error.path.empty() ? "" : error.path + ": ";
+  wire::HttpResponse response = MakeProblemResponse(
+      {code,
+       "invalid-request",
+       place + error.message + ". Correct the request and send it again.",
+       {},
+       std::nullopt,
+       {}});
+  return response;
+}
+
+/// Reads the `Prefer` field (RFC 7240): the time to wait, zero for
+/// `respond-async`, nothing when it has neither.
+std::optional<core::Duration> ReadPrefer(const wire::HttpRequest& request) {
+  const std::string prefer =
+      request.headers.Find("Prefer").value_or(std::string());
+  constexpr std::string_view kWait = "wait=";
+  const std::size_t place = prefer.find(kWait);
+  if (place != std::string::npos) {
+    int seconds = 0;
+    const char* first = prefer.data() + place + kWait.size();
+    const std::from_chars_result read =
+        std::from_chars(first, prefer.data() + prefer.size(), seconds);
+    if (read.ec == std::errc() && seconds >= 0) {
+      return core::Duration::Seconds(seconds);
+    }
+  }
+  if (prefer.find("respond-async") != std::string::npos) {
+    return core::Duration();
+  }
+  return std::nullopt;
+}
+
+Routed RouteSubmit(const wire::HttpRequest& request,
+                   RequestId id,
+                   const core::OrganisationId& organisation) {
+  const core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  if (!doc) {
+    return BadBody(doc.error());
+  }
+  core::Expected<model::JobSubmission> submission =
+      model::JobSubmissionFromJson(*doc);
+  if (!submission) {
+    return BadBody(submission.error());
+  }
+  SubmitJob event;
+  event.request = id;
+  event.organisation = organisation;
+  event.description = std::move(submission->description);
+  event.payload =
+      std::make_shared<const std::string>(std::move(submission->payload));
+  event.idempotency_key = request.headers.Find("Idempotency-Key");
+  const bool bad_key =
+      event.idempotency_key && (event.idempotency_key->empty() ||
+                                event.idempotency_key->size() > kMaxKeyBytes);
+  if (bad_key) {
+    return Refusal(status::kBadRequest, "invalid-idempotency-key",
+                   "The Idempotency-Key must have 1 to 256 bytes.");
+  }
+  event.body_hash = HashText(request.body);
+  event.wait = ReadPrefer(request);
+  event.traceparent =
+      request.headers.Find("traceparent").value_or(std::string());
+  if (event.traceparent.size() > kMaxTraceBytes) {
+    event.traceparent.clear();
+  }
+  return event;
+}
+
+Routed RouteJobs(const wire::HttpRequest& request,
+                 RequestId id,
+                 const std::vector<std::string>& parts,
+                 const RoutingState& state) {
+  const std::optional<core::OrganisationId> organisation =
+      state.tokens.OrganisationOf(BearerToken(request));
+  if (!organisation) {
+    return Unauthorized();
+  }
+  if (parts.size() == 2) {
+    if (request.method == HttpMethod::kPost) {
+      return RouteSubmit(request, id, *organisation);
+    }
+    if (request.method == HttpMethod::kGet) {
+      return ListJobs{id, *organisation};
+    }
+    return WrongMethod();
+  }
+  const core::JobId job(parts.at(2));
+  const bool result = parts.size() == 4 && parts.at(3) == "result";
+  if (parts.size() > 3 && !result) {
+    return NoRoute(request);
+  }
+  if (request.method == HttpMethod::kGet) {
+    return QueryJob{id, *organisation, job,
+                    result ? JobQueryKind::kResult : JobQueryKind::kStatus,
+                    false};
+  }
+  if (request.method == HttpMethod::kDelete && !result) {
+    return CancelJob{id, *organisation, job, false};
+  }
+  return WrongMethod();
+}
+
+Routed RouteOperator(const wire::HttpRequest& request,
+                     RequestId id,
+                     const std::vector<std::string>& parts,
+                     const RoutingState& state) {
+  if (!state.tokens.IsOperator(BearerToken(request))) {
+    const bool is_caller =
+        state.tokens.OrganisationOf(BearerToken(request)).has_value();
+    return is_caller ? Refusal(status::kForbidden, "forbidden",
+                               "This path needs an operator's token.")
+                     : Unauthorized();
+  }
+  const bool is_get = request.method == HttpMethod::kGet;
+  const bool is_post = request.method == HttpMethod::kPost;
+  const std::string& topic = parts.at(1);
+  if (parts.size() == 4 && topic == "workers" && parts.at(3) == "drain") {
+    return is_post ? Routed(DrainWorker{id, core::AgentId(parts.at(2))})
+                   : Routed(WrongMethod());
+  }
+  if (parts.size() != 2) {
+    return NoRoute(request);
+  }
+  if (topic == "drain") {
+    return is_post ? Routed(DrainRequested{id}) : Routed(WrongMethod());
+  }
+  std::optional<OperatorQueryKind> kind;
+  if (topic == "workers") {
+    kind = OperatorQueryKind::kWorkers;
+  } else if (topic == "reservations") {
+    kind = OperatorQueryKind::kReservations;
+  } else if (topic == "quarantine") {
+    kind = OperatorQueryKind::kQuarantine;
+  }
+  if (!kind) {
+    return NoRoute(request);
+  }
+  return is_get ? Routed(OperatorQuery{id, *kind}) : Routed(WrongMethod());
+}
+
+Routed RouteHandover(const wire::HttpRequest& request, RequestId id) {
+  core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  if (!doc) {
+    return BadBody(doc.error());
+  }
+  model::JsonReader reader(*doc, "$");
+  JobHandedOver event;
+  event.request = id;
+  if (const nlohmann::json* job = reader.Raw("job")) {
+    core::Expected<model::JobDescription> read =
+        model::JobDescriptionFromJson(*job, "$.job");
+    if (!read) {
+      return BadBody(read.error());
+    }
+    event.description = std::move(*read);
+  } else {
+    reader.Fail("job", "required field is missing");
+  }
+  event.payload = std::make_shared<const std::string>(
+      reader.RequiredString("payload", model::kMaxPayloadBytes));
+  event.reply_to = reader.RequiredString("reply_to");
+  event.body_hash = reader.OptionalString("body_hash");
+  event.record_revision =
+      store::ModRevision(reader.RequiredCounter("record_revision"));
+  event.payload_stored = reader.OptionalBool("payload_stored", false);
+  event.traceparent = reader.OptionalString("traceparent");
+  if (const core::Expected<void> finished = reader.FinishLenient(); !finished) {
+    return BadBody(finished.error());
+  }
+  return event;
+}
+
+Routed RoutePeerJob(const wire::HttpRequest& request,
+                    RequestId id,
+                    const std::vector<std::string>& parts) {
+  const core::OrganisationId organisation(
+      QueryValue(request.query, "organisation"));
+  const core::JobId job(parts.at(3));
+  if (request.method == HttpMethod::kDelete) {
+    return CancelJob{id, organisation, job, true};
+  }
+  const bool result = parts.size() == 5 && parts.at(4) == "result";
+  return QueryJob{id, organisation, job,
+                  result ? JobQueryKind::kResult : JobQueryKind::kStatus, true};
+}
+
+Routed RouteInternal(const wire::HttpRequest& request,
+                     RequestId id,
+                     const std::vector<std::string>& parts,
+                     const RoutingState& state) {
+  const bool trusted =
+      !state.internal_key.empty() &&
+      EqualsInConstantTime(BearerToken(request), state.internal_key);
+  if (!trusted) {
+    return Unauthorized();
+  }
+  if (parts.size() >= 4 && parts.at(2) == "jobs") {
+    return RoutePeerJob(request, id, parts);
+  }
+  if (parts.size() != 3) {
+    return NoRoute(request);
+  }
+  if (request.method != HttpMethod::kPost) {
+    return WrongMethod();
+  }
+  if (parts.at(2) == "announce") {
+    core::Expected<model::Announcement> read =
+        model::FromText<&model::AnnouncementFromJson>(request.body);
+    return read ? Routed(AgentAnnounced{id, std::move(*read)})
+                : Routed(BadBody(read.error()));
+  }
+  if (parts.at(2) == "result") {
+    core::Expected<model::ResultNotice> read =
+        model::FromText<&model::ResultNoticeFromJson>(request.body);
+    return read ? Routed(ResultDelivered{id, std::move(*read)})
+                : Routed(BadBody(read.error()));
+  }
+  if (parts.at(2) == "queued") {
+    return RouteHandover(request, id);
+  }
+  return NoRoute(request);
+}
+
+Routed RouteHealth(const std::string& path, const RoutingState& state) {
+  if (path == "/livez") {
+    return MakeJsonResponse(status::kOk, {{"live", true}});
+  }
+  if (state.draining) {
+    return Refusal(status::kUnavailable, "draining",
+                   "This entry is stopping; use another one.");
+  }
+  if (!state.has_catalogue) {
+    return Refusal(status::kUnavailable, "no-catalogue",
+                   "No catalogue is loaded yet.");
+  }
+  return MakeJsonResponse(status::kOk, {{"ready", true}});
+}
+
+}  // namespace
+
+Routed RouteRequest(const wire::HttpRequest& request,
+                    RequestId id,
+                    const RoutingState& state) {
+  if (request.path == "/livez" || request.path == "/readyz") {
+    return request.method == HttpMethod::kGet ? RouteHealth(request.path, state)
+                                              : Routed(WrongMethod());
+  }
+  const std::vector<std::string> parts = SplitPath(request.path);
+  if (parts.size() >= 2 && parts.at(0) == "v1" && parts.at(1) == "jobs") {
+    return RouteJobs(request, id, parts, state);
+  }
+  if (parts.size() >= 2 && parts.at(0) == "v1") {
+    return RouteOperator(request, id, parts, state);
+  }
+  if (parts.size() >= 3 && parts.at(0) == "internal" && parts.at(1) == "v1") {
+    return RouteInternal(request, id, parts, state);
+  }
+  return NoRoute(request);
+}
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/api/request_router.h
@@ -0,0 +1,32 @@
+// Turns HTTP requests into events of the state machine.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "modules/core/core.h"
+#include "modules/entry/api/token_table.h"
+#include "modules/entry/core/events.h"
+#include "modules/wire/http/http_message.h"
+
+namespace hemlockdoor::entry {
+
+/// What a request needs besides itself; a snapshot that threads may share.
+struct RoutingState {
+  std::string internal_key;
+  TokenTable tokens;
+  bool has_catalogue = false;
+  bool draining = false;
+};
+
+/// An event for the state machine, or the answer at once.
+using Routed = std::variant<Event, wire::HttpResponse>;
+
+/// Routes, authenticates and reads one request. Has no effects; safe from any
+/// thread.
+Routed RouteRequest(const wire::HttpRequest& request,
+                    RequestId id,
+                    const RoutingState& state);
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/attempt_runner.cc
@@ -0,0 +1,965 @@
+#include "modules/entry/core/attempt_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/entry/core/caller_service.h"
+#include "modules/entry/core/gang_coordinator.h"
+#include "modules/entry/core/ownership_service.h"
+#include "modules/entry/core/record_keeper.h"
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+namespace status = wire::http_status;
+
+/// Time that must be left of the start window when a start is first sent.
+constexpr core::Duration kMinStartWindow = core::Duration::Milliseconds(1000);
+/// Delay before a start request without an answer is sent again.
+constexpr core::Duration kResendDelay = core::Duration::Milliseconds(100);
+/// Delay of a job that was refused more than `kQuickRefusals` times.
+constexpr core::Duration kRefusalDelay = core::Duration::Milliseconds(500);
+/// A task that its agent has not announced for so long may have ended unseen.
+constexpr core::Duration kUnannouncedTime = core::Duration::Milliseconds(3000);
+
+const model::RunningTask* FindTask(const KnownAgent& agent,
+                                   const core::JobId& job,
+                                   core::AttemptNumber attempt) {
+  for (const model::RunningTask& task : agent.last.running) {
+    if (task.job == job && task.attempt == attempt) {
+      return &task;
+    }
+  }
+  return nullptr;
+}
+
+bool IsGang(const Job& job) {
+  return job.description.shape.gang_size > 1;
+}
+
+}  // namespace
+
+std::optional<model::GrantReply> ReadGrantReply(
+    const wire::HttpResponse& response) {
+  core::Expected<model::GrantReply> reply =
+      model::FromText<&model::GrantReplyFromJson>(response.body);
+  if (!reply) {
+    return std::nullopt;
+  }
+  return std::move(*reply);
+}
+
+bool IsRefusedUnseen(int status_code) {
+  switch (status_code) {
+    case status::kBadRequest:
+    case status::kUnauthorized:
+    case status::kForbidden:
+    case status::kNotFound:
+    case status::kMethodNotAllowed:
+    case status::kPayloadTooLarge:
+    case status::kTooManyRequests:
+    case status::kHeadersTooLarge:
+    case status::kUnavailable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void AttemptRunner::Enqueue(Job& job) {
+  if (job.cancel_requested) {
+    this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
+    return;
+  }
+  const tl::expected<void, decide::RefuseDecision> submitted =
+      this->context.scheduler.Submit(job.description, this->context.now);
+  if (submitted) {
+    job.phase = JobPhase::kQueued;
+    job.in_scheduler = true;
+    this->context.plan_needed = true;
+    return;
+  }
+  const decide::RefuseDecision& refusal = submitted.error();
+  const bool settling =
+      this->context.now - this->context.started_at < kSettleTime;
+  if (refusal.kind == decide::RefusalKind::kNeverRunnable && settling) {
+    this->Requeue(job, kAskPeriod);
+  } else if (job.may_have_run) {
+    this->End(job, model::JobOutcome::kFailed,
+              job.last_error.empty() ? refusal.reason : job.last_error);
+  } else {
+    this->Refuse(job, ProblemOfRefusal(refusal));
+  }
+}
+
+void AttemptRunner::Plan() {
+  this->context.plan_needed = false;
+  if (this->context.ownership.IsOwner() &&
+      !this->context.ownership.MayPlan(this->context.now)) {
+    return;
+  }
+  for (const decide::Decision& decision :
+       this->context.scheduler.Plan(this->context.now)) {
+    if (const auto* start = std::get_if<decide::StartDecision>(&decision)) {
+      this->Start(*start);
+    } else if (const auto* preempt =
+                   std::get_if<decide::PreemptDecision>(&decision)) {
+      this->Preempt(*preempt);
+    } else if (const auto* refuse =
+                   std::get_if<decide::RefuseDecision>(&decision)) {
+      Job* job = this->context.jobs.Find(refuse->job);
+      if (job == nullptr || job->phase == JobPhase::kEnded) {
+        continue;
+      }
+      job->in_scheduler = false;
+      if (job->may_have_run) {
+        this->End(*job, model::JobOutcome::kFailed,
+                  job->last_error.empty() ? refuse->reason : job->last_error);
+      } else {
+        this->Refuse(*job, ProblemOfRefusal(*refuse));
+      }
+    }
+  }
+}
+
+void AttemptRunner::Start(const decide::StartDecision& decision) {
+  Job* job = this->context.jobs.Find(decision.job);
+  if (job == nullptr || job->phase != JobPhase::kQueued) {
+    this->context.scheduler.OnEnded(decision.job, model::JobOutcome::kCancelled,
+                                    std::nullopt, this->context.now);
+    return;
+  }
+  if (!this->BuildAttempt(*job, decision)) {
+    return;
+  }
+  if (!job->payload) {
+    this->context.records->LoadPayload(*job);
+    return;
+  }
+  this->ContinueStart(*job);
+}
+
+bool AttemptRunner::BuildAttempt(Job& job,
+                                 const decide::StartDecision& decision) {
+  Attempt attempt;
+  attempt.number = job.last_attempt.Next();
+  for (const decide::Placement& placement : decision.members) {
+    const KnownAgent* agent = this->context.agents.Find(placement.agent);
+    if (!this->context.agents.MayPlaceOn(placement.agent, this->context.now)) {
+      this->context.scheduler.OnStartRefused(
+          job.description.id, placement.agent, this->context.now);
+      return false;
+    }
+    AttemptMember member;
+    member.place = {placement.agent, agent->last.incarnation,
+                    agent->last.endpoint, placement.accelerators};
+    member.start_not_after =
+        this->context.agents.EstimateClock(placement.agent, this->context.now) +
+        kStartWindow;
+    member.no_start_after = this->context.now + kStartWindow;
+    attempt.members.push_back(std::move(member));
+  }
+  job.last_attempt = attempt.number;
+  job.attempt = std::move(attempt);
+  if (job.last_attempt.Number() == 1) {
+    this->context.retries.OnFirstAttempt();
+  }
+  return true;
+}
+
+void AttemptRunner::ContinueStart(Job& job) {
+  const bool record_first = !IsGang(job) || !job.description.repeatable;
+  if (job.recorded && record_first) {
+    this->context.records->RecordAttempt(job, [this](const core::JobId& id) {
+      Job* current = this->context.jobs.Find(id);
+      if (current == nullptr) {
+        return;
+      }
+      if (IsGang(*current)) {
+        this->context.gangs->Reserve(*current);
+      } else {
+        this->SendRun(id);
+      }
+    });
+  } else if (IsGang(job)) {
+    this->context.gangs->Reserve(job);
+  } else {
+    this->SendRun(job.description.id);
+  }
+}
+
+nlohmann::json AttemptRunner::StartDocument(const Job& job, int member) const {
+  const Attempt& attempt = *job.attempt;
+  const AttemptMember& target = attempt.members.at(member);
+  model::ReservationRequest request;
+  request.reservation =
+      core::ReservationId(job.description.id.Text() + "." +
+                          std::to_string(attempt.number.Number()));
+  request.incarnation = target.place.incarnation;
+  request.epoch = this->context.ownership.Epoch();
+  request.revision = this->context.Revision();
+  request.job = job.description;
+  request.attempt = attempt.number;
+  request.start_not_after = target.start_not_after;
+  request.member = member;
+  for (const AttemptMember& each : attempt.members) {
+    request.members.push_back(each.place);
+  }
+  request.reply_to = this->context.options.endpoint;
+  request.traceparent = job.traceparent;
+  return model::ToJson(request);
+}
+
+std::string AttemptRunner::ReferenceText(const Job& job,
+                                         const AttemptMember& member) {
+  model::AttemptReference reference;
+  reference.job = job.description.id;
+  reference.attempt = job.attempt->number;
+  reference.incarnation = member.place.incarnation;
+  reference.start_not_after = member.start_not_after;
+  return model::DumpJson(model::ToJson(reference));
+}
+
+void AttemptRunner::SendRun(const core::JobId& id) {
+  Job* job = this->context.jobs.Find(id);
+  if (job == nullptr || !job->attempt) {
+    return;
+  }
+  AttemptMember& member = job->attempt->members.front();
+  if (member.sends == 0) {
+    if (job->cancel_requested) {
+      this->End(*job, model::JobOutcome::kCancelled, "cancelled by request");
+      return;
+    }
+    const KnownAgent* agent = this->context.agents.Find(member.place.agent);
+    const bool in_time =
+        this->context.now + kMinStartWindow < member.no_start_after;
+    const bool may_place = this->context.agents.MayPlaceOn(member.place.agent,
+                                                           this->context.now) &&
+                           agent->last.incarnation == member.place.incarnation;
+    const bool owned =
+        this->context.ownership.IsOwner() || !NeedsOwner(job->description);
+    if (!in_time || !may_place || !owned) {
+      this->OnNeverStarted(
+          *job, {member.place.agent, "the chosen worker is not available"});
+      return;
+    }
+  }
+  job->phase = JobPhase::kStarting;
+  job->attempt->start_sent = true;
+  job->resume_at = {};
+  ++member.sends;
+  member.in_doubt = true;
+  const core::AttemptNumber number = job->attempt->number;
+  this->context.SendWork(
+      {member.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/run"},
+      this->StartDocument(*job, 0), job->payload,
+      [this, id, number](const core::Expected<wire::HttpResponse>& answer) {
+        this->OnRunAnswer(id, number, answer);
+      });
+}
+
+bool AttemptRunner::IsCurrent(const Job* job,
+                              core::AttemptNumber number,
+                              JobPhase phase) {
+  return job != nullptr && job->phase == phase && job->attempt &&
+         job->attempt->number == number;
+}
+
+void AttemptRunner::OnRunAnswer(
+    const core::JobId& id,
+    core::AttemptNumber number,
+    const core::Expected<wire::HttpResponse>& answer) {
+  Job* job = this->context.jobs.Find(id);
+  if (!IsCurrent(job, number, JobPhase::kStarting)) {
+    return;
+  }
+  AttemptMember& member = job->attempt->members.front();
+  const bool first_send = member.sends == 1;
+  if (!answer) {
+    const bool never_sent =
+        answer.error().code == core::ErrorCode::kResourceExhausted ||
+        answer.error().code == core::ErrorCode::kUnavailable;
+    if (never_sent && first_send) {
+      if (answer.error().code == core::ErrorCode::kUnavailable) {
+        this->context.agents.CountFailure(member.place.agent,
+                                          this->context.now);
+      }
+      this->OnNeverStarted(*job, {member.place.agent, answer.error().message});
+      return;
+    }
+    this->context.agents.CountFailure(member.place.agent, this->context.now);
+    this->OnRunInDoubt(*job);
+    return;
+  }
+  this->context.agents.CountSuccess(member.place.agent);
+  if (const std::optional<model::GrantReply> reply = ReadGrantReply(*answer)) {
+    if (reply->granted) {
+      this->OnStarted(*job);
+    } else {
+      this->OnRefusal(*job, *reply);
+    }
+  } else if (IsRefusedUnseen(answer->status) && first_send) {
+    this->OnNeverStarted(
+        *job, {member.place.agent,
+               "the agent answered " + std::to_string(answer->status)});
+  } else {
+    this->OnRunInDoubt(*job);
+  }
+}
+
+void AttemptRunner::OnRunInDoubt(Job& job) {
+  const AttemptMember& member = job.attempt->members.front();
+  const KnownAgent* agent = this->context.agents.Find(member.place.agent);
+  const bool same =
+      agent != nullptr && agent->last.incarnation == member.place.incarnation;
+  if (same && member.sends < kMaxSends &&
+      this->context.now < member.no_start_after) {
+    job.resume_at = this->context.now + kResendDelay * member.sends;
+    return;
+  }
+  this->Resolve(job);
+}
+
+void AttemptRunner::OnRefusal(Job& job, const model::GrantReply& reply) {
+  const AttemptMember& member = job.attempt->members.front();
+  const model::RefusalReason reason =
+      reply.refusal.value_or(model::RefusalReason::kNotReady);
+  this->context.seen_revision =
+      std::max(this->context.seen_revision, reply.revision);
+  this->context.owners->OnEpochSeen(reply.epoch);
+  // A refusal speaks for earlier copies of the request only when none was
+  // sent, or when the agent's clock is past the latest start. An answer of
+  // another incarnation does not speak for the one that may have started it.
+  const bool speaks_for_all =
+      member.sends == 1 || reason == model::RefusalReason::kExpired;
+  if (!reply.may_have_started && speaks_for_all) {
+    this->OnNeverStarted(
+        job, {member.place.agent,
+              "refused: " + std::string(model::RefusalReasonName(reason))});
+  } else {
+    this->Resolve(job);
+  }
+}
+
+void AttemptRunner::OnNeverStarted(Job& job, const NeverStarted& cause) {
+  if (job.deadline_passed) {
+    this->Refuse(job, ProblemOfRefusal({job.description.id,
+                                        decide::RefusalKind::kDeadline,
+                                        "its deadline passed before it started",
+                                        {}}));
+    return;
+  }
+  if (job.cancel_requested) {
+    this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
+    return;
+  }
+  ++job.refusals;
+  job.attempt.reset();
+  this->context.Log(
+      observe::LogLevel::kInfo,
+      "start refused by agent " + cause.agent.Text() + ": " + cause.reason,
+      &job);
+  if (job.in_scheduler) {
+    this->context.scheduler.OnStartRefused(job.description.id, cause.agent,
+                                           this->context.now);
+  }
+  this->context.plan_needed = true;
+  job.phase = JobPhase::kQueued;
+  const bool owned =
+      this->context.ownership.IsOwner() || !NeedsOwner(job.description);
+  if (!owned) {
+    this->RemoveFromScheduler(job, model::JobOutcome::kNotRun, std::nullopt);
+    this->context.owners->Dispatch(job);
+    return;
+  }
+  const bool may_retry = this->context.retries.TryTake();
+  if (!job.recorded && (!may_retry || job.refusals >= kMaxRefusals)) {
+    this->Refuse(job, {status::kUnavailable, "workers-refuse",
+                       "The job was not run: " + cause.reason +
+                           ". Retry after the time in Retry-After.",
+                       core::Duration::Seconds(1), model::JobOutcome::kNotRun,
+                       job.description.id});
+    return;
+  }
+  if (!job.in_scheduler) {
+    this->Requeue(job, {});
+  } else if (!may_retry || job.refusals > kQuickRefusals) {
+    this->RemoveFromScheduler(job, model::JobOutcome::kNotRun, std::nullopt);
+    this->Requeue(job, kRefusalDelay);
+  }
+}
+
+void AttemptRunner::OnStarted(Job& job) {
+  Attempt& attempt = *job.attempt;
+  for (AttemptMember& member : attempt.members) {
+    member.in_doubt = false;
+  }
+  attempt.lost_since.reset();
+  attempt.questions = 0;
+  attempt.started_at = this->context.now;
+  job.may_have_run = true;
+  job.phase = JobPhase::kRunning;
+  if (job.in_scheduler) {
+    this->context.scheduler.OnStarted(job.description.id, this->context.now);
+  }
+  if (!job.description.repeatable) {
+    this->context.jobs.DropPayload(job);
+  }
+}
+
+void AttemptRunner::Resolve(Job& job) {
+  if (job.phase != JobPhase::kResolving) {
+    job.phase = JobPhase::kResolving;
+    job.attempt->questions = 0;
+    job.ask_again_at = this->context.now;
+  }
+}
+
+void AttemptRunner::Ask(Job& job) {
+  job.ask_again_at = this->context.now + kAskPeriod;
+  const AttemptMember& lead = job.attempt->members.front();
+  const KnownAgent* agent = this->context.agents.Find(lead.place.agent);
+  if (agent == nullptr) {
+    this->OnAgentLost(job);
+    return;
+  }
+  if (agent->last.incarnation != lead.place.incarnation) {
+    this->OnAgentLost(job);
+    return;
+  }
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.attempt->number;
+  const auto done = [this, id,
+                     number](const core::Expected<wire::HttpResponse>& answer) {
+    Job* current = this->context.jobs.Find(id);
+    if (!IsCurrent(current, number, JobPhase::kResolving)) {
+      return;
+    }
+    const core::AgentId asked = current->attempt->members.front().place.agent;
+    if (answer) {
+      this->context.agents.CountSuccess(asked);
+      this->OnTaskAnswer(*current, *answer);
+    } else {
+      this->context.agents.CountFailure(asked, this->context.now);
+    }
+  };
+  if (IsGang(job)) {
+    this->context.Call(
+        {lead.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/gang/ask"},
+        ReferenceText(job, lead), done);
+  } else {
+    this->context.Call({lead.place.endpoint, wire::HttpMethod::kGet,
+                        "/internal/v1/tasks/" + id.Text()},
+                       {}, done);
+  }
+}
+
+void AttemptRunner::OnTaskAnswer(Job& job, const wire::HttpResponse& response) {
+  if (const std::optional<model::ResultNotice> end = ReadTaskEnd(response)) {
+    this->TakeNotice(job, *end);
+    return;
+  }
+  if (const std::optional<model::GrantReply> reply = ReadGrantReply(response)) {
+    if (reply->granted || reply->may_have_started) {
+      this->OnStarted(job);
+      return;
+    }
+  }
+  const AttemptMember& lead = job.attempt->members.front();
+  const KnownAgent* agent = this->context.agents.Find(lead.place.agent);
+  if (agent != nullptr &&
+      FindTask(*agent, job.description.id, job.attempt->number) != nullptr) {
+    this->OnStarted(job);
+    return;
+  }
+  // The agent does not know the attempt. Only after the latest start is it
+  // certain that no copy of the request can still start it.
+  if (this->context.now > lead.no_start_after) {
+    this->SendTombstone(job);
+  }
+}
+
+void AttemptRunner::SendTombstone(Job& job) {
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.attempt->number;
+  const AttemptMember& lead = job.attempt->members.front();
+  this->context.Call(
+      {lead.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/cancel"},
+      ReferenceText(job, lead),
+      [this, id, number](const core::Expected<wire::HttpResponse>& answer) {
+        Job* current = this->context.jobs.Find(id);
+        if (!answer || !IsCurrent(current, number, JobPhase::kResolving)) {
+          return;
+        }
+        this->OnCancelAnswer(*current, 0, *answer);
+      });
+}
+
+void AttemptRunner::OnAgentLost(Job& job) {
+  Attempt& attempt = *job.attempt;
+  if (!attempt.lost_since) {
+    attempt.lost_since = this->context.now;
+    this->context.Log(observe::LogLevel::kWarn,
+                      "agent " + attempt.members.front().place.agent.Text() +
+                          " is gone; the end of its attempt is not known",
+                      &job);
+  }
+  job.may_have_run = true;
+  const core::AgentId agent = attempt.members.front().place.agent;
+  if (job.description.repeatable && !job.cancel_requested) {
+    job.last_error = "the worker was lost while the job ran";
+    this->RetryElsewhere(job, agent);
+    return;
+  }
+  if (this->context.now - *attempt.lost_since >= kUnknownAfter) {
+    attempt.fault = agent;
+    this->End(job, model::JobOutcome::kUnknown,
+              "the worker was lost after the job was sent to it; whether the "
+              "job ended is not known");
+  }
+}
+
+void AttemptRunner::RetryElsewhere(Job& job,
+                                   const std::optional<core::AgentId>& fault) {
+  const bool exhausted =
+      job.last_attempt.Number() >= static_cast<std::uint64_t>(kMaxAttempts);
+  if (exhausted || job.deadline_passed || !this->context.retries.TryTake()) {
+    job.attempt->fault = fault;
+    this->End(job, model::JobOutcome::kFailed, job.last_error);
+    return;
+  }
+  this->RemoveFromScheduler(job, model::JobOutcome::kFailed, fault);
+  job.attempt.reset();
+  this->Requeue(job, kResendDelay);
+}
+
+void AttemptRunner::Requeue(Job& job, core::Duration delay) {
+  job.attempt.reset();
+  job.preempting = false;
+  job.phase = JobPhase::kDelayed;
+  job.resume_at = this->context.now + delay;
+}
+
+void AttemptRunner::RemoveFromScheduler(
+    Job& job,
+    model::JobOutcome outcome,
+    const std::optional<core::AgentId>& fault) {
+  if (!job.in_scheduler) {
+    return;
+  }
+  job.in_scheduler = false;
+  if (!this->context.scheduler.Cancel(job.description.id, this->context.now)) {
+    this->context.scheduler.OnEnded(job.description.id, outcome, fault,
+                                    this->context.now);
+  }
+  this->context.plan_needed = true;
+}
+
+void AttemptRunner::Refuse(Job& job, const Problem& problem) {
+  job.problem_status = problem.status;
+  job.problem_type = problem.type;
+  job.retry_after = problem.retry_after;
+  this->End(job, model::JobOutcome::kNotRun, problem.detail);
+}
+
+void AttemptRunner::End(Job& job,
+                        model::JobOutcome outcome,
+                        std::string error) {
+  HD_ASSERT(job.phase != JobPhase::kEnded);
+  std::optional<core::AgentId> fault;
+  if (job.attempt) {
+    fault = job.attempt->fault;
+    job.ended_attempt = job.attempt->number;
+  }
+  this->RemoveFromScheduler(job, outcome, fault);
+  job.outcome = outcome;
+  job.error = std::move(error);
+  if (job.recorded) {
+    job.phase = JobPhase::kRecordingEnd;
+    this->context.records->RecordEnd(job);
+  } else {
+    this->Finalize(job);
+  }
+}
+
+void AttemptRunner::Finalize(Job& job) {
+  this->context.jobs.MarkEnded(job, this->context.now);
+  this->context.jobs.DropPayload(job);
+  const bool delivered = !job.waiters.empty();
+  this->context.callers->AnswerWaiters(job);
+  if (!job.reply_to.empty()) {
+    this->context.owners->PushEnd(job);
+  }
+  if (delivered || job.recorded) {
+    this->Acknowledge(job);
+  }
+}
+
+void AttemptRunner::Forget(const core::JobId& id) {
+  if (Job* job = this->context.jobs.Find(id)) {
+    this->Acknowledge(*job);
+    this->context.jobs.Remove(id);
+  }
+}
+
+void AttemptRunner::Acknowledge(Job& job) {
+  if (!job.result_endpoint.empty()) {
+    return;
+  }
+  for (const AttemptMember& member : job.unacknowledged) {
+    model::AttemptReference reference;
+    reference.job = job.description.id;
+    reference.attempt = job.ended_attempt;
+    reference.incarnation = member.place.incarnation;
+    reference.start_not_after = member.start_not_after;
+    this->context.Call(
+        {member.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/ack"},
+        model::DumpJson(model::ToJson(reference)),
+        [](const core::Expected<wire::HttpResponse>&) {});
+  }
+  job.unacknowledged.clear();
+}
+
+void AttemptRunner::OnResult(RequestId request,
+                             const model::ResultNotice& notice) {
+  Job* job = this->context.jobs.Find(notice.job);
+  if (job == nullptr) {
+    this->context.AnswerProblem(
+        request, {status::kNotFound, "unknown-job",
+                  "This entry does not hold the job; keep the result."});
+    return;
+  }
+  wire::HttpResponse response;
+  response.status = status::kOk;
+  response.body = "{}";
+  if (job->phase == JobPhase::kFollowing) {
+    this->context.owners->OnFollowedEnd(*job, notice);
+    this->context.Answer(request, std::move(response));
+    return;
+  }
+  const bool ended = job->phase == JobPhase::kEnded;
+  if (!ended && notice.outcome == model::JobOutcome::kDone &&
+      notice.body.size() + this->context.jobs.HeldBytes() >
+          this->context.options.limits.max_bytes) {
+    this->context.AnswerProblem(
+        request, {status::kUnavailable, "no-room",
+                  "Too many results are held; deliver it again later."});
+    return;
+  }
+  const bool recording = job->phase == JobPhase::kRecordingEnd;
+  if (recording || (!ended && this->TakeNotice(*job, notice) &&
+                    job->phase != JobPhase::kEnded)) {
+    // The agent keeps the result until `ack`: the end is not recorded yet.
+    response.status = status::kAccepted;
+  }
+  this->context.Answer(request, std::move(response));
+}
+
+bool AttemptRunner::TakeNotice(Job& job, const model::ResultNotice& notice) {
+  if (!job.attempt || job.attempt->number != notice.attempt ||
+      job.phase == JobPhase::kEnded || job.phase == JobPhase::kRecordingEnd ||
+      notice.member >= static_cast<int>(job.attempt->members.size())) {
+    return false;
+  }
+  AttemptMember& member = job.attempt->members.at(notice.member);
+  if (member.place.agent != notice.agent) {
+    return false;
+  }
+  if (member.ended) {
+    return true;
+  }
+  if (notice.outcome == model::JobOutcome::kNotRun) {
+    this->OnNeverStarted(job, {notice.agent, notice.body});
+    return true;
+  }
+  job.may_have_run = true;
+  member.ended = true;
+  job.unacknowledged.push_back(member);
+  switch (notice.outcome) {
+    case model::JobOutcome::kDone:
+      break;
+    case model::JobOutcome::kCancelled:
+      this->OnMemberCancelled(job, notice);
+      return true;
+    default:
+      this->OnMemberFailed(job, notice);
+      return true;
+  }
+  if (notice.member == 0) {
+    job.attempt->result = notice.body;
+  }
+  const bool all_ended =
+      std::all_of(job.attempt->members.begin(), job.attempt->members.end(),
+                  [](const AttemptMember& each) { return each.ended; });
+  if (all_ended) {
+    auto result =
+        std::make_shared<const std::string>(std::move(job.attempt->result));
+    if (!this->context.jobs.AttachResult(job, std::move(result))) {
+      job.result_endpoint = job.attempt->members.front().place.endpoint;
+    }
+    this->End(job, model::JobOutcome::kDone, {});
+  }
+  return true;
+}
+
+void AttemptRunner::OnMemberFailed(Job& job,
+                                   const model::ResultNotice& notice) {
+  job.last_error = notice.body;
+  job.attempt->fault = notice.agent;
+  if (job.cancel_requested && notice.outcome == model::JobOutcome::kFailed) {
+    this->End(job, model::JobOutcome::kFailed, notice.body);
+  } else if (job.description.repeatable && !job.cancel_requested) {
+    this->RetryElsewhere(job, notice.agent);
+  } else {
+    this->End(job, notice.outcome, notice.body);
+  }
+}
+
+void AttemptRunner::OnMemberCancelled(Job& job,
+                                      const model::ResultNotice& notice) {
+  if (job.deadline_passed) {
+    this->End(job, model::JobOutcome::kFailed,
+              "stopped because its deadline had passed");
+  } else if (job.cancel_requested) {
+    this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
+  } else if (job.description.repeatable) {
+    // Stopped by a preemption or by the worker's own decision: runs again.
+    this->RemoveFromScheduler(job, model::JobOutcome::kCancelled, std::nullopt);
+    this->Requeue(job, kResendDelay);
+  } else {
+    job.last_error = notice.body;
+    this->End(job, model::JobOutcome::kFailed,
+              "stopped by the worker before its end");
+  }
+}
+
+void AttemptRunner::Cancel(Job& job) {
+  if (job.phase == JobPhase::kEnded || job.phase == JobPhase::kRecordingEnd) {
+    return;
+  }
+  job.cancel_requested = true;
+  switch (job.phase) {
+    case JobPhase::kDelayed:
+    case JobPhase::kQueued:
+    case JobPhase::kLoadingPayload:
+      this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
+      return;
+    case JobPhase::kReserving:
+      this->context.gangs->Release(job);
+      return;
+    case JobPhase::kStarting:
+    case JobPhase::kRunning:
+    case JobPhase::kResolving:
+      this->SendCancels(job);
+      return;
+    default:
+      // The step in progress looks at the flag when it ends.
+      return;
+  }
+}
+
+void AttemptRunner::SendCancels(Job& job) {
+  job.cancel_again_at = this->context.now + kAskPeriod;
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.attempt->number;
+  for (std::size_t i = 0; i < job.attempt->members.size(); ++i) {
+    const AttemptMember& member = job.attempt->members.at(i);
+    if (member.ended) {
+      continue;
+    }
+    this->context.Call(
+        {member.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/cancel"},
+        ReferenceText(job, member),
+        [this, id, number,
+         i](const core::Expected<wire::HttpResponse>& answer) {
+          Job* current = this->context.jobs.Find(id);
+          if (!answer || current == nullptr || !current->attempt ||
+              current->attempt->number != number ||
+              current->phase == JobPhase::kEnded ||
+              current->phase == JobPhase::kRecordingEnd) {
+            return;
+          }
+          this->OnCancelAnswer(*current, i, *answer);
+        });
+  }
+}
+
+void AttemptRunner::OnCancelAnswer(Job& job,
+                                   std::size_t member,
+                                   const wire::HttpResponse& response) {
+  const std::optional<model::GrantReply> reply = ReadGrantReply(response);
+  if (!reply) {
+    return;
+  }
+  const AttemptMember& asked = job.attempt->members.at(member);
+  // Another incarnation cannot speak for the one that was told to start.
+  const bool certain =
+      !reply->may_have_started && reply->incarnation == asked.place.incarnation;
+  if (!certain || asked.ended) {
+    return;
+  }
+  // The lead of a gang speaks for all members, since none starts before it has
+  // committed.
+  if (member == 0) {
+    this->OnNeverStarted(job,
+                         {asked.place.agent, "cancelled before it started"});
+  }
+}
+
+void AttemptRunner::Preempt(const decide::PreemptDecision& decision) {
+  Job* job = this->context.jobs.Find(decision.job);
+  if (job == nullptr || !job->attempt || job->phase != JobPhase::kRunning) {
+    return;
+  }
+  std::string mode = "stop";
+  if (decision.mode == decide::PreemptMode::kCheckpoint) {
+    mode = "checkpoint";
+  } else if (decision.mode == decide::PreemptMode::kThrottle) {
+    mode = "throttle";
+  }
+  job->preempting = decision.mode != decide::PreemptMode::kThrottle;
+  this->context.Log(
+      observe::LogLevel::kInfo,
+      "preempting (" + mode + ") for job " + decision.beneficiary.Text(), job);
+  for (const AttemptMember& member : job->attempt->members) {
+    model::AttemptReference reference;
+    reference.job = job->description.id;
+    reference.attempt = job->attempt->number;
+    reference.incarnation = member.place.incarnation;
+    nlohmann::json doc = model::ToJson(reference);
+    doc["mode"] = mode;
+    doc["grace_ms"] = decision.grace.InMilliseconds();
+    this->context.Call({member.place.endpoint, wire::HttpMethod::kPost,
+                        "/internal/v1/preempt"},
+                       model::DumpJson(doc),
+                       [](const core::Expected<wire::HttpResponse>&) {});
+  }
+}
+
+void AttemptRunner::OnAnnouncement(const model::Announcement& announcement) {
+  for (const model::RunningTask& task : announcement.running) {
+    Job* job = this->context.jobs.Find(task.job);
+    if (job == nullptr || !job->attempt ||
+        job->attempt->number != task.attempt ||
+        task.member >= static_cast<int>(job->attempt->members.size())) {
+      continue;
+    }
+    AttemptMember& member = job->attempt->members.at(task.member);
+    if (member.place.agent != announcement.agent) {
+      continue;
+    }
+    // A restarted agent adopts the tasks that its upstream still runs.
+    member.place.incarnation = announcement.incarnation;
+    member.place.endpoint = announcement.endpoint;
+    if (task.member == 0 && (job->phase == JobPhase::kResolving ||
+                             job->phase == JobPhase::kStarting)) {
+      this->OnStarted(*job);
+    }
+  }
+}
+
+void AttemptRunner::Adopt(Job& job) {
+  job.phase = JobPhase::kResolving;
+  job.attempt->start_sent = true;
+  job.ask_again_at = this->context.now;
+  for (AttemptMember& member : job.attempt->members) {
+    member.no_start_after = this->context.now + kStartWindow;
+  }
+  this->context.owners->AdoptIntoScheduler(job);
+  const AttemptMember& lead = job.attempt->members.front();
+  const KnownAgent* agent = this->context.agents.Find(lead.place.agent);
+  if (agent != nullptr &&
+      FindTask(*agent, job.description.id, job.attempt->number) != nullptr) {
+    this->OnStarted(job);
+  }
+}
+
+void AttemptRunner::OnTick() {
+  for (const core::JobId& id : this->context.jobs.OpenIds()) {
+    Job* job = this->context.jobs.Find(id);
+    if (job != nullptr && job->phase != JobPhase::kEnded) {
+      this->TickJob(*job);
+    }
+  }
+}
+
+void AttemptRunner::CheckDeadline(Job& job) {
+  if (!job.deadline || this->context.now < *job.deadline ||
+      job.deadline_passed) {
+    return;
+  }
+  switch (job.phase) {
+    case JobPhase::kDelayed:
+    case JobPhase::kQueued:
+    case JobPhase::kLoadingPayload:
+      job.deadline_passed = true;
+      if (job.may_have_run) {
+        this->End(job, model::JobOutcome::kFailed,
+                  "its deadline passed before an attempt succeeded");
+      } else {
+        this->Refuse(
+            job, ProblemOfRefusal({job.description.id,
+                                   decide::RefusalKind::kDeadline,
+                                   "its deadline passed while it was queued",
+                                   {}}));
+      }
+      return;
+    case JobPhase::kRunning:
+      job.deadline_passed = true;
+      this->Cancel(job);
+      return;
+    default:
+      return;
+  }
+}
+
+void AttemptRunner::TickJob(Job& job) {
+  this->CheckDeadline(job);
+  const core::TimePoint now = this->context.now;
+  switch (job.phase) {
+    case JobPhase::kDelayed:
+      if (now >= job.resume_at && !(this->context.draining && job.recorded)) {
+        this->context.owners->Dispatch(job);
+      }
+      return;
+    case JobPhase::kStarting:
+      if (!IsGang(job) && job.resume_at != core::TimePoint() &&
+          now >= job.resume_at) {
+        this->SendRun(job.description.id);
+      }
+      break;
+    case JobPhase::kRunning: {
+      const AttemptMember& lead = job.attempt->members.front();
+      const KnownAgent* agent = this->context.agents.Find(lead.place.agent);
+      const bool gone =
+          agent == nullptr || agent->last.incarnation != lead.place.incarnation;
+      const bool unannounced =
+          !gone && !lead.ended &&
+          now - job.attempt->started_at >= kUnannouncedTime &&
+          FindTask(*agent, job.description.id, job.attempt->number) == nullptr;
+      if (gone || unannounced) {
+        this->Resolve(job);
+      }
+      break;
+    }
+    case JobPhase::kResolving:
+      if (now >= job.ask_again_at) {
+        this->Ask(job);
+      }
+      break;
+    default:
+      break;
+  }
+  const bool cancelling =
+      job.cancel_requested &&
+      (job.phase == JobPhase::kStarting || job.phase == JobPhase::kRunning ||
+       job.phase == JobPhase::kResolving);
+  if (cancelling && now >= job.cancel_again_at) {
+    this->SendCancels(job);
+  }
+  this->context.gangs->OnTick(job);
+}
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/caller_service.h
@@ -0,0 +1,75 @@
+// Requests of callers, of other entries on their behalf, and of operators.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "modules/core/core.h"
+#include "modules/entry/core/entry_context.h"
+#include "modules/entry/core/record_keeper.h"
+
+namespace hemlockdoor::entry {
+
+/// Answers the caller API. Every request is answered exactly once.
+class CallerService {
+ public:
+  explicit CallerService(EntryContext& shared) : context(shared) {}
+
+  void OnSubmit(const SubmitJob& event);
+  void OnQuery(const QueryJob& event);
+  void OnList(const ListJobs& event);
+  void OnCancel(const CancelJob& event);
+  void OnRequesterGone(const RequesterGone& event);
+  void OnHandedOver(const JobHandedOver& event);
+  void OnOperatorQuery(const OperatorQuery& event);
+  void OnDrainWorker(const DrainWorker& event);
+
+  /// Answers all that wait for a job that has ended.
+  void AnswerWaiters(Job& job);
+  /// Answers waiters without an outcome, for example when a job stays in the
+  /// store while this entry stops.
+  void AnswerWaiters(Job& job, const wire::HttpResponse& response);
+  /// Answers the waiters of a job whose time is over.
+  void AnswerDue(const core::JobId& id);
+  /// Answers all waiters whose time is over.
+  void OnTick();
+
+ private:
+  /// A search for a job that this entry does not hold.
+  struct Search {
+    QueryJob query;
+    std::size_t next_peer = 0;
+  };
+
+  bool RefuseSubmission(const SubmitJob& event);
+  void AddWaiter(Job& job, const SubmitJob& event);
+  void JoinJob(Job& job, const SubmitJob& event);
+  core::JobId NewJobId(const SubmitJob& event);
+  void CancelFollowed(Job& job);
+  void AcknowledgeFetched(const model::ResultNotice& notice,
+                          const std::string& endpoint);
+  void AnswerEnd(const QueryJob& query, const model::ResultNotice& notice);
+  void AnswerQuery(const Job& job, const QueryJob& query);
+  void SearchAgents(const QueryJob& query);
+  void SearchStore(const QueryJob& query);
+  void SearchPeers(const std::shared_ptr<Search>& search);
+  void CancelElsewhere(const CancelJob& event, std::size_t next_peer);
+  void FetchResult(const QueryJob& query, const std::string& endpoint);
+  void AnswerNotFound(RequestId request);
+  wire::HttpResponse WorkersDocument() const;
+  wire::HttpResponse ReservationsDocument() const;
+  wire::HttpResponse QuarantineDocument() const;
+
+  EntryContext& context;
+  std::uint64_t submissions = 0;
+  /// Requests that wait, by request, for the removal of closed connections.
+  std::map<RequestId, core::JobId> waiting;
+};
+
+/// Reads what `GET /internal/v1/tasks/JOB` answered as the end of an attempt;
+/// nothing while the task runs or when the answer is not one.
+std::optional<model::ResultNotice> ReadTaskEnd(
+    const wire::HttpResponse& response);
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/job_table.cc
@@ -0,0 +1,115 @@
+#include "modules/entry/core/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdoor::entry {
+
+core::Expected<Job*> JobTable::Add(Job job) {
+  if (this->jobs.contains(job.description.id)) {
+    return core::MakeError(core::ErrorCode::kConflict, "job id is in use");
+  }
+  if (this->OpenCount() >= this->limits.max_open) {
+    return core::MakeError(core::ErrorCode::kResourceExhausted,
+                           "the job table is full");
+  }
+  job.payload_bytes = job.payload ? job.payload->size() : 0;
+  if (!this->bytes.TryTake(job.payload_bytes)) {
+    return core::MakeError(core::ErrorCode::kResourceExhausted,
+                           "the byte budget for payloads is used up");
+  }
+  const core::JobId id = job.description.id;
+  return &this->jobs.emplace(id, std::move(job)).first->second;
+}
+
+Job* JobTable::Find(const core::JobId& id) {
+  const auto place = this->jobs.find(id);
+  return place == this->jobs.end() ? nullptr : &place->second;
+}
+
+bool JobTable::AttachPayload(Job& job, SharedBody payload) {
+  this->DropPayload(job);
+  if (!this->bytes.TryTake(payload->size())) {
+    return false;
+  }
+  job.payload_bytes = payload->size();
+  job.payload = std::move(payload);
+  return true;
+}
+
+bool JobTable::AttachResult(Job& job, SharedBody result) {
+  this->DropResult(job);
+  if (!this->bytes.TryTake(result->size())) {
+    return false;
+  }
+  job.result_bytes = result->size();
+  job.result = std::move(result);
+  return true;
+}
+
+void JobTable::DropPayload(Job& job) {
+  this->bytes.Release(job.payload_bytes);
+  job.payload_bytes = 0;
+  job.payload.reset();
+}
+
+void JobTable::DropResult(Job& job) {
+  this->bytes.Release(job.result_bytes);
+  job.result_bytes = 0;
+  job.result.reset();
+}
+
+void JobTable::MarkEnded(Job& job, core::TimePoint now) {
+  HD_ASSERT(job.phase != JobPhase::kEnded);
+  job.phase = JobPhase::kEnded;
+  job.ended_at = now;
+  ++this->ended;
+}
+
+void JobTable::Remove(const core::JobId& id) {
+  Job* job = this->Find(id);
+  if (job == nullptr) {
+    return;
+  }
+  this->DropPayload(*job);
+  this->DropResult(*job);
+  if (job->phase == JobPhase::kEnded) {
+    --this->ended;
+  }
+  this->jobs.erase(id);
+}
+
+std::vector<core::JobId> JobTable::OpenIds() const {
+  std::vector<core::JobId> ids;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.phase != JobPhase::kEnded) {
+      ids.push_back(id);
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+std::vector<core::JobId> JobTable::Removable(core::TimePoint limit) const {
+  std::vector<const Job*> closed;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.phase == JobPhase::kEnded) {
+      closed.push_back(&job);
+    }
+  }
+  std::sort(closed.begin(), closed.end(), [](const Job* a, const Job* b) {
+    return a->ended_at < b->ended_at;
+  });
+  const std::size_t excess = closed.size() > this->limits.max_ended
+                                 ? closed.size() - this->limits.max_ended
+                                 : 0;
+  std::vector<core::JobId> ids;
+  for (std::size_t i = 0; i < closed.size(); ++i) {
+    if (i < excess || closed[i]->ended_at < limit) {
+      ids.push_back(closed[i]->description.id);
+    }
+  }
+  return ids;
+}
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/ownership_service.cc
@@ -0,0 +1,533 @@
+#include "modules/entry/core/ownership_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/entry/core/attempt_runner.h"
+#include "modules/entry/core/caller_service.h"
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+namespace status = wire::http_status;
+
+/// Unanswered questions after which the entry that holds a job counts as gone.
+constexpr int kMaxFollowFailures = 3;
+
+std::string PeerJobTarget(const Job& job) {
+  return "/internal/v1/jobs/" + job.description.id.Text() +
+         "?organisation=" + job.description.organisation.Text();
+}
+
+}  // namespace
+
+bool NeedsOwner(const model::JobDescription& job) {
+  return job.shape.accelerators_per_member > 0 || job.shape.gang_size > 1 ||
+         job.declared_run >= kLongRun;
+}
+
+bool NeedsRecord(const model::JobDescription& job) {
+  return !job.repeatable || job.shape.gang_size > 1 ||
+         job.declared_run >= kLongRun;
+}
+
+void OwnershipService::Dispatch(Job& job) {
+  if (job.cancel_requested) {
+    this->context.attempts->End(job, model::JobOutcome::kCancelled,
+                                "cancelled by request");
+    return;
+  }
+  if (!NeedsOwner(job.description) || this->context.ownership.IsOwner()) {
+    this->context.attempts->Enqueue(job);
+    return;
+  }
+  const std::optional<PlanningOwner>& owner = this->context.ownership.Owner();
+  this->Follow(job, owner ? owner->endpoint : std::string());
+  this->SendHandover(job);
+}
+
+void OwnershipService::Follow(Job& job, const std::string& endpoint) {
+  job.phase = JobPhase::kFollowing;
+  job.attempt.reset();
+  job.followed = endpoint;
+  job.follow_failures = 0;
+  job.follow_call_open = false;
+  job.ask_again_at = this->context.now + kFollowPeriod;
+}
+
+void OwnershipService::SendHandover(Job& job) {
+  if (job.followed.empty() || !job.payload) {
+    return;
+  }
+  nlohmann::json doc;
+  doc["job"] = model::JobDescriptionToJson(job.description);
+  doc["reply_to"] = this->context.options.endpoint;
+  doc["record_revision"] = std::to_string(
+      job.record.revision.value_or(store::ModRevision()).Number());
+  doc["payload_stored"] = job.payload_stored;
+  doc["body_hash"] = job.body_hash;
+  doc["traceparent"] = job.traceparent;
+  if (job.deadline) {
+    // The time left, since the clocks of two entries cannot be compared.
+    const core::Duration left = *job.deadline - this->context.now;
+    doc["job"]["deadline_ms"] =
+        std::max<std::int64_t>(left.InMilliseconds(), 1);
+  }
+  job.follow_call_open = true;
+  const core::JobId id = job.description.id;
+  this->context.SendWork(
+      {job.followed, wire::HttpMethod::kPost, "/internal/v1/queued"},
+      std::move(doc), job.payload,
+      [this, id](const core::Expected<wire::HttpResponse>& answer) {
+        Job* current = this->context.jobs.Find(id);
+        if (current == nullptr || current->phase != JobPhase::kFollowing) {
+          return;
+        }
+        current->follow_call_open = false;
+        current->ask_again_at = this->context.now + kFollowPeriod;
+        if (!answer) {
+          // It may have been taken; the owner treats a repetition as the same.
+          current->handover_in_doubt = true;
+          return;
+        }
+        if (answer->status == status::kAccepted) {
+          current->handed_over = true;
+        } else if (answer->status == status::kConflict) {
+          current->followed.clear();
+        }
+      });
+}
+
+void OwnershipService::PollFollowed(Job& job) {
+  job.ask_again_at = this->context.now + kFollowPeriod;
+  const std::optional<PlanningOwner>& owner = this->context.ownership.Owner();
+  const bool by_owner = NeedsOwner(job.description);
+  if (by_owner && this->context.ownership.IsOwner()) {
+    this->OnFollowedLost(job);
+    return;
+  }
+  if (by_owner && owner && owner->endpoint != job.followed) {
+    job.followed = owner->endpoint;
+    job.handed_over = false;
+    job.follow_failures = 0;
+  }
+  if (job.followed.empty()) {
+    if (!by_owner) {
+      this->OnFollowedLost(job);
+    }
+    return;
+  }
+  if (by_owner && !job.handed_over && job.payload) {
+    this->SendHandover(job);
+    return;
+  }
+  job.follow_call_open = true;
+  const core::JobId id = job.description.id;
+  this->context.Call(
+      {job.followed, wire::HttpMethod::kGet, PeerJobTarget(job)}, {},
+      [this, id](const core::Expected<wire::HttpResponse>& answer) {
+        Job* current = this->context.jobs.Find(id);
+        if (current == nullptr || current->phase != JobPhase::kFollowing) {
+          return;
+        }
+        current->follow_call_open = false;
+        if (answer && answer->status != status::kNotFound) {
+          current->follow_failures = 0;
+          this->OnFollowAnswer(*current, *answer);
+          return;
+        }
+        current->handed_over = false;
+        if (++current->follow_failures >= kMaxFollowFailures) {
+          current->follow_failures = 0;
+          this->OnFollowedLost(*current);
+        }
+      });
+}
+
+void OwnershipService::OnFollowAnswer(Job& job,
+                                      const wire::HttpResponse& response) {
+  const core::Expected<nlohmann::json> doc = model::ParseJson(response.body);
+  if (!doc || !doc->is_object()) {
+    return;
+  }
+  if (doc->value("state", "") == "running") {
+    job.may_have_run = true;
+  }
+  const std::optional<model::JobOutcome> outcome =
+      model::JobOutcomeFromName(doc->value("outcome", ""));
+  if (!outcome) {
+    return;
+  }
+  model::ResultNotice notice;
+  notice.job = job.description.id;
+  notice.outcome = *outcome;
+  notice.body = *outcome == model::JobOutcome::kDone
+                    ? doc->value("result", "")
+                    : doc->value("error", doc->value("detail", ""));
+  this->OnFollowedEnd(job, notice);
+}
+
+void OwnershipService::OnFollowedEnd(Job& job,
+                                     const model::ResultNotice& notice) {
+  if (notice.outcome == model::JobOutcome::kDone) {
+    auto result = std::make_shared<const std::string>(notice.body);
+    if (!this->context.jobs.AttachResult(job, std::move(result))) {
+      // Asked again when there is room.
+      return;
+    }
+  } else {
+    job.error = notice.body;
+  }
+  job.outcome = notice.outcome;
+  job.ended_attempt = notice.attempt;
+  if (notice.outcome == model::JobOutcome::kNotRun) {
+    job.problem_status = status::kUnavailable;
+    job.problem_type = "not-run";
+    job.retry_after = core::Duration::Seconds(1);
+  }
+  this->context.attempts->Finalize(job);
+}
+
+void OwnershipService::OnFollowedLost(Job& job) {
+  if (!job.recorded) {
+    // Work without a record is repeatable: it starts again here, or is handed
+    // over again to the next owner.
+    if (this->context.ownership.IsOwner() || !NeedsOwner(job.description)) {
+      this->context.attempts->Requeue(job, {});
+    }
+    return;
+  }
+  const core::JobId id = job.description.id;
+  job.follow_call_open = true;
+  this->context.records->Lookup(id, [this, id](const auto& found) {
+    Job* current = this->context.jobs.Find(id);
+    if (current == nullptr || current->phase != JobPhase::kFollowing) {
+      return;
+    }
+    current->follow_call_open = false;
+    if (!found || !*found) {
+      return;
+    }
+    if ((*found)->ended) {
+      this->context.records->FinishFromRecord(*current, (*found)->record);
+    } else if (this->context.ownership.IsOwner()) {
+      this->AdoptRecord(**found);
+    } else {
+      const std::string& holder = (*found)->record.holder;
+      current->record.revision = (*found)->revision;
+      if (!holder.empty()) {
+        current->followed = holder;
+      }
+    }
+  });
+}
+
+void OwnershipService::PushEnd(Job& job) {
+  model::ResultNotice notice;
+  notice.agent = core::AgentId(this->context.options.id.Text());
+  notice.job = job.description.id;
+  notice.attempt = job.ended_attempt;
+  notice.outcome = job.outcome.value_or(model::JobOutcome::kUnknown);
+  notice.body = job.error;
+  // When this is lost the other entry asks, each `kFollowPeriod`.
+  nlohmann::json doc = model::ToJson(notice);
+  doc.erase("body");
+  SharedBody body = std::make_shared<const std::string>(job.error);
+  if (notice.outcome == model::JobOutcome::kDone && job.result) {
+    body = job.result;
+  }
+  this->context.SendWork(
+      {job.reply_to, wire::HttpMethod::kPost, "/internal/v1/result"},
+      std::move(doc), std::move(body),
+      [](const core::Expected<wire::HttpResponse>&) {}, "body");
+}
+
+void OwnershipService::OnEpochSeen(core::SchedulingEpoch seen) {
+  this->context.ownership.OnEpochSeen(seen, this->context.now);
+  this->CheckRole();
+}
+
+void OwnershipService::OnTick() {
+  this->RunStep();
+  this->CheckRole();
+  if (this->was_owner && this->context.now >= this->next_sweep) {
+    this->Sweep();
+  }
+  for (const core::JobId& id : this->context.jobs.OpenIds()) {
+    Job* job = this->context.jobs.Find(id);
+    if (job != nullptr && job->phase == JobPhase::kFollowing &&
+        !job->follow_call_open && this->context.now >= job->ask_again_at) {
+      this->PollFollowed(*job);
+    }
+  }
+}
+
+void OwnershipService::RunStep() {
+  PlanningOwnership& ownership = this->context.ownership;
+  switch (ownership.NextStep(this->context.now)) {
+    case OwnershipStep::kNone:
+      return;
+    case OwnershipStep::kRead:
+      this->context.List(PlanningOwnership::kPrefix, [this](const auto& read) {
+        this->context.ownership.OnRead(read, this->context.now);
+        this->RunStep();
+      });
+      return;
+    case OwnershipStep::kGrant:
+      this->context.Grant(kPlanningLease, [this](const auto& granted) {
+        this->context.ownership.OnGranted(granted, this->context.now);
+        this->RunStep();
+      });
+      return;
+    case OwnershipStep::kClaim:
+      this->context.Commit(
+          ownership.ClaimTransaction(), [this](const auto& claimed) {
+            this->context.ownership.OnClaimed(claimed, this->context.now);
+            this->CheckRole();
+          });
+      return;
+    case OwnershipStep::kRenew:
+      this->context.Keep(ownership.Lease(), [this](const auto& renewed) {
+        this->context.ownership.OnRenewed(renewed, this->context.now);
+        this->CheckRole();
+      });
+      return;
+  }
+}
+
+void OwnershipService::CheckRole() {
+  const bool is_owner = this->context.ownership.IsOwner();
+  if (is_owner == this->was_owner) {
+    return;
+  }
+  this->was_owner = is_owner;
+  if (is_owner) {
+    this->BecomeOwner();
+  } else {
+    this->LoseOwnership();
+  }
+}
+
+void OwnershipService::BecomeOwner() {
+  this->context.Log(
+      observe::LogLevel::kInfo,
+      "planning owner now, epoch " +
+          std::to_string(this->context.ownership.Epoch().Number()));
+  this->RebuildScheduler();
+  for (const core::JobId& id : this->context.jobs.OpenIds()) {
+    Job* job = this->context.jobs.Find(id);
+    if (job != nullptr && job->phase == JobPhase::kFollowing &&
+        NeedsOwner(job->description)) {
+      this->OnFollowedLost(*job);
+    }
+  }
+  this->Sweep();
+}
+
+void OwnershipService::LoseOwnership() {
+  this->context.Log(
+      observe::LogLevel::kWarn,
+      "no longer the planning owner; epoch " +
+          std::to_string(this->context.ownership.Epoch().Number()) +
+          " was seen");
+  this->RebuildScheduler();
+}
+
+void OwnershipService::RebuildScheduler() {
+  decide::SchedulerOptions options;
+  options.seed = this->context.options.seed;
+  options.plans_accelerators = this->context.ownership.IsOwner();
+  core::Expected<PlacementScheduler> fresh =
+      PlacementScheduler::Create(options);
+  HD_ASSERT(fresh.has_value());
+  this->context.scheduler = std::move(*fresh);
+  if (this->context.catalogue) {
+    this->context.scheduler.ApplyCatalogue(*this->context.catalogue,
+                                           this->context.now);
+  }
+  std::vector<core::JobId> queued;
+  std::vector<core::JobId> placed;
+  for (const core::JobId& id : this->context.jobs.OpenIds()) {
+    Job* job = this->context.jobs.Find(id);
+    if (job->attempt) {
+      placed.push_back(id);
+    } else if (job->in_scheduler) {
+      queued.push_back(id);
+    }
+    job->in_scheduler = job->attempt.has_value();
+  }
+  for (const auto& [id, agent] : this->context.agents.All()) {
+    this->UpsertWorker(agent);
+  }
+  for (const core::JobId& id : placed) {
+    this->AdoptIntoScheduler(*this->context.jobs.Find(id));
+  }
+  for (const core::JobId& id : queued) {
+    this->Dispatch(*this->context.jobs.Find(id));
+  }
+}
+
+void OwnershipService::AdoptIntoScheduler(Job& job) {
+  std::vector<decide::Placement> members;
+  for (const AttemptMember& member : job.attempt->members) {
+    members.push_back({member.place.agent, member.place.accelerators});
+  }
+  // From now on the job's tasks are not foreign to the scheduler.
+  job.in_scheduler = true;
+  for (const AttemptMember& member : job.attempt->members) {
+    if (const KnownAgent* agent =
+            this->context.agents.Find(member.place.agent)) {
+      this->UpsertWorker(*agent);
+    }
+  }
+  this->context.scheduler.Adopt(
+      {job.description, std::move(members), this->context.now},
+      this->context.now);
+}
+
+void OwnershipService::UpsertWorker(const KnownAgent& agent) {
+  const core::AgentId& id = agent.last.agent;
+  if (!agent.last.shape) {
+    this->context.scheduler.RemoveWorker(id, this->context.now);
+    return;
+  }
+  decide::WorkerView view;
+  view.agent = id;
+  view.shape = *agent.last.shape;
+  view.draining = !this->context.agents.MayPlaceOn(id, this->context.now);
+  for (const model::RunningTask& task : agent.last.running) {
+    const Job* job = this->context.jobs.Find(task.job);
+    if (job != nullptr && job->in_scheduler && job->attempt) {
+      continue;
+    }
+    ++view.foreign_slots;
+    view.foreign_accelerators =
+        view.foreign_accelerators.Union(task.accelerators);
+  }
+  this->context.scheduler.UpsertWorker(view, this->context.now);
+  this->context.plan_needed = true;
+}
+
+void OwnershipService::Sweep() {
+  if (this->sweep_open) {
+    return;
+  }
+  this->sweep_open = true;
+  this->next_sweep = this->context.now + kSweepPeriod;
+  ++this->context.record_reads;
+  this->context.List(kOpenPrefix, [this](const auto& listing) {
+    this->sweep_open = false;
+    if (!listing) {
+      this->next_sweep = this->context.now + kFollowPeriod;
+    } else if (this->context.ownership.IsOwner()) {
+      this->OnSwept(*listing);
+    }
+  });
+}
+
+void OwnershipService::OnSwept(const store::Listing& listing) {
+  std::map<core::JobId, int> still_failing;
+  for (const store::KeyValue& item : listing.items) {
+    core::Expected<JobRecord> record = JobRecordFromText(item.value);
+    if (!record) {
+      this->context.Log(
+          observe::LogLevel::kError,
+          "unreadable record " + item.key + ": " + record.error().message);
+      continue;
+    }
+    const core::JobId& id = record->description.id;
+    const FoundRecord found{*record, false, item.mod_revision};
+    const Job* job = this->context.jobs.Find(id);
+    if (job != nullptr && job->phase != JobPhase::kFollowing) {
+      continue;
+    }
+    const bool own = record->holder.empty() ||
+                     record->holder == this->context.options.endpoint;
+    if (own) {
+      this->AdoptRecord(found);
+      continue;
+    }
+    const auto failures = this->holder_failures.find(id);
+    if (failures != this->holder_failures.end()) {
+      still_failing.insert(*failures);
+    }
+    this->ProbeHolder(found);
+  }
+  this->holder_failures = std::move(still_failing);
+}
+
+void OwnershipService::ProbeHolder(const FoundRecord& found) {
+  const core::JobId id = found.record.description.id;
+  const std::string target =
+      "/internal/v1/jobs/" + id.Text() +
+      "?organisation=" + found.record.description.organisation.Text();
+  this->context.Call(
+      {found.record.holder, wire::HttpMethod::kGet, target}, {},
+      [this, id, found](const core::Expected<wire::HttpResponse>& answer) {
+        if (answer && answer->status != status::kNotFound) {
+          this->holder_failures.erase(id);
+          return;
+        }
+        // A holder that answers 404 has restarted; one that does not answer
+        // may only be slow, so it is asked again at the next sweep. The
+        // compare-and-swap on the record keeps the two from both starting it.
+        const int failures = ++this->holder_failures[id];
+        if ((answer || failures >= kHolderFailures) &&
+            this->context.ownership.IsOwner()) {
+          this->holder_failures.erase(id);
+          this->AdoptRecord(found);
+        }
+      });
+}
+
+void OwnershipService::AdoptRecord(const FoundRecord& found) {
+  const JobRecord& record = found.record;
+  const core::JobId& id = record.description.id;
+  Job* job = this->context.jobs.Find(id);
+  if (job == nullptr) {
+    Job fresh;
+    fresh.description = record.description;
+    fresh.body_hash = record.body_hash;
+    fresh.submitted_at = this->context.now;
+    fresh.submitted_wall_ms = record.submitted_wall_ms;
+    fresh.durable = true;
+    const core::Expected<Job*> added = this->context.jobs.Add(std::move(fresh));
+    if (!added) {
+      this->context.Log(observe::LogLevel::kWarn,
+                        "no room for a recorded job; it stays in the store");
+      return;
+    }
+    job = *added;
+  } else if (job->phase != JobPhase::kFollowing) {
+    return;
+  }
+  job->recorded = true;
+  job->payload_stored = record.payload_stored;
+  job->record.revision = found.revision;
+  job->last_attempt = record.attempt;
+  job->may_have_run = record.may_have_run;
+  this->context.Log(observe::LogLevel::kInfo, "took over from its record", job);
+  if (record.members.empty()) {
+    this->context.attempts->Requeue(*job, {});
+    return;
+  }
+  job->may_have_run = true;
+  Attempt attempt;
+  attempt.number = record.attempt;
+  attempt.members = record.members;
+  job->attempt = std::move(attempt);
+  this->context.attempts->Adopt(*job);
+}
+
+void OwnershipService::Resign() {
+  if (!this->context.ownership.IsOwner()) {
+    this->context.ownership.Resign();
+    return;
+  }
+  this->context.Commit(this->context.ownership.ReleaseTransaction(),
+                       [](const auto&) {});
+  this->context.ownership.Resign();
+}
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/planning_ownership.cc
@@ -0,0 +1,194 @@
+#include "modules/entry/core/planning_ownership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/model/model.h"
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+bool StoreFailed(const core::Error& error) {
+  return error.code == core::ErrorCode::kUnavailable ||
+         error.code == core::ErrorCode::kTimeout;
+}
+
+std::string OwnerToText(const PlanningOwner& owner) {
+  nlohmann::json doc;
+  doc["entry"] = owner.entry.Text();
+  doc["endpoint"] = owner.endpoint;
+  doc["epoch"] = std::to_string(owner.epoch.Number());
+  return model::DumpJson(doc);
+}
+
+std::optional<PlanningOwner> OwnerFromText(const std::string& text) {
+  const core::Expected<nlohmann::json> doc = model::ParseJson(text);
+  if (!doc) {
+    return std::nullopt;
+  }
+  model::JsonReader reader(*doc, "$");
+  PlanningOwner owner;
+  owner.entry = core::EntryId(reader.RequiredString("entry"));
+  owner.endpoint = reader.RequiredString("endpoint");
+  owner.epoch = core::SchedulingEpoch(reader.RequiredCounter("epoch"));
+  if (!reader.FinishLenient()) {
+    return std::nullopt;
+  }
+  return owner;
+}
+
+core::SchedulingEpoch EpochFromText(const std::string& text) {
+  const core::Expected<nlohmann::json> doc = model::ParseJson(text);
+  if (!doc) {
+    return {};
+  }
+  model::JsonReader reader(*doc, "$");
+  return core::SchedulingEpoch(reader.RequiredCounter("epoch"));
+}
+
+}  // namespace
+
+OwnershipStep PlanningOwnership::NextStep(core::TimePoint now) {
+  if (this->call_open || now < this->due || this->resigned) {
+    return OwnershipStep::kNone;
+  }
+  this->call_open = true;
+  if (this->next == OwnershipStep::kRenew ||
+      this->next == OwnershipStep::kGrant) {
+    this->renew_sent = now;
+  }
+  return this->next;
+}
+
+void PlanningOwnership::OnRead(const core::Expected<store::Listing>& listing,
+                               core::TimePoint now) {
+  this->call_open = false;
+  this->due = now + kPlanningRenewal;
+  this->store_answers = listing.has_value();
+  if (!listing) {
+    return;
+  }
+  this->owner.reset();
+  this->owner_revision = store::ModRevision();
+  for (const store::KeyValue& item : listing->items) {
+    if (item.key == kOwnerKey) {
+      this->owner = OwnerFromText(item.value);
+      this->owner_revision = item.mod_revision;
+    } else if (item.key == kEpochKey) {
+      this->epoch = std::max(this->epoch, EpochFromText(item.value));
+      this->epoch_revision = item.mod_revision;
+    }
+  }
+  if (this->owner_revision == store::ModRevision()) {
+    this->next = OwnershipStep::kGrant;
+    this->due = now;
+  }
+}
+
+void PlanningOwnership::OnGranted(const core::Expected<store::LeaseId>& granted,
+                                  core::TimePoint now) {
+  this->call_open = false;
+  this->store_answers = granted.has_value();
+  if (!granted) {
+    this->next = OwnershipStep::kRead;
+    this->due = now + kPlanningRenewal;
+    return;
+  }
+  this->lease = *granted;
+  this->next = OwnershipStep::kClaim;
+  this->due = now;
+}
+
+void PlanningOwnership::OnClaimed(
+    const core::Expected<store::TransactionResult>& claimed,
+    core::TimePoint now) {
+  this->call_open = false;
+  this->store_answers = claimed.has_value();
+  // After a lost answer the read shows whose the key is. A claim of this entry
+  // that took effect unseen lapses with its lease.
+  this->next = OwnershipStep::kRead;
+  this->due = now;
+  if (!claimed) {
+    this->due = now + kPlanningRenewal;
+    return;
+  }
+  if (!claimed->succeeded) {
+    return;
+  }
+  this->is_owner = true;
+  this->outage_confirmed = false;
+  this->epoch = this->epoch.Next();
+  this->owner_revision = claimed->revision;
+  this->epoch_revision = claimed->revision;
+  this->owner = PlanningOwner{this->entry, this->endpoint, this->epoch};
+  this->held_until = this->renew_sent + kPlanningLease;
+  this->next = OwnershipStep::kRenew;
+  this->due = this->renew_sent + kPlanningRenewal;
+}
+
+void PlanningOwnership::OnRenewed(const core::Expected<core::Duration>& renewed,
+                                  core::TimePoint now) {
+  this->call_open = false;
+  this->due = now + kPlanningRenewal;
+  if (!this->is_owner) {
+    return;
+  }
+  if (renewed) {
+    this->store_answers = true;
+    this->outage_confirmed = false;
+    this->held_until = this->renew_sent + kPlanningLease;
+    return;
+  }
+  if (StoreFailed(renewed.error())) {
+    this->store_answers = false;
+    this->outage_confirmed = now >= this->held_until;
+    return;
+  }
+  this->store_answers = true;
+  this->Lose(now);
+}
+
+void PlanningOwnership::OnEpochSeen(core::SchedulingEpoch seen,
+                                    core::TimePoint now) {
+  if (seen <= this->epoch) {
+    return;
+  }
+  this->epoch = seen;
+  if (this->is_owner) {
+    this->Lose(now);
+  }
+}
+
+store::Transaction PlanningOwnership::ClaimTransaction() const {
+  const PlanningOwner claim{this->entry, this->endpoint, this->epoch.Next()};
+  nlohmann::json epoch_doc;
+  epoch_doc["epoch"] = std::to_string(claim.epoch.Number());
+  store::Transaction transaction;
+  transaction.compares = {{kOwnerKey, store::ModRevision()},
+                          {kEpochKey, this->epoch_revision}};
+  transaction.writes = {{kOwnerKey, OwnerToText(claim), this->lease},
+                        {kEpochKey, model::DumpJson(epoch_doc), std::nullopt}};
+  return transaction;
+}
+
+store::Transaction PlanningOwnership::ReleaseTransaction() const {
+  store::Transaction transaction;
+  transaction.compares = {{kOwnerKey, this->owner_revision}};
+  transaction.writes = {{kOwnerKey, std::nullopt, std::nullopt}};
+  return transaction;
+}
+
+bool PlanningOwnership::MayPlan(core::TimePoint now) const {
+  return this->is_owner && (now < this->held_until || this->outage_confirmed);
+}
+
+void PlanningOwnership::Lose(core::TimePoint now) {
+  this->is_owner = false;
+  this->outage_confirmed = false;
+  this->owner.reset();
+  this->next = OwnershipStep::kRead;
+  this->due = now;
+}
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/record_keeper.cc
@@ -0,0 +1,524 @@
+#include "modules/entry/core/record_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/entry/core/attempt_runner.h"
+#include "modules/entry/core/caller_service.h"
+#include "modules/entry/core/ownership_service.h"
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+namespace status = wire::http_status;
+
+/// Longest delay between two creates is `kRecordRetryDelay` doubled so often.
+constexpr int kMaxDelayDoublings = 4;
+
+/// A record as read from a key; an error when it cannot be read.
+core::Expected<std::optional<FoundRecord>> ParseFound(
+    const std::optional<store::KeyValue>& item,
+    bool ended) {
+  if (!item) {
+    return std::optional<FoundRecord>();
+  }
+  core::Expected<JobRecord> record = JobRecordFromText(item->value);
+  if (!record) {
+    return tl::unexpected<core::Error>(record.error());
+  }
+  return std::optional<FoundRecord>(
+      FoundRecord{std::move(*record), ended, item->mod_revision});
+}
+
+/// True when the store said that nothing took effect.
+bool IsCertainFailure(const core::Error& error) {
+  return error.code == core::ErrorCode::kUnavailable ||
+         error.code == core::ErrorCode::kResourceExhausted;
+}
+
+}  // namespace
+
+std::string RecordKeeper::NewWriteId() {
+  return this->context.options.id.Text() + "." +
+         std::to_string(this->context.options.incarnation.Number()) + "." +
+         std::to_string(++this->writes);
+}
+
+bool RecordKeeper::IsOwnWrite(const std::string& write_id) const {
+  return write_id.starts_with(
+      this->context.options.id.Text() + "." +
+      std::to_string(this->context.options.incarnation.Number()) + ".");
+}
+
+JobRecord RecordKeeper::MakeRecord(const Job& job, std::string write_id) const {
+  JobRecord record;
+  record.description = job.description;
+  record.body_hash = job.body_hash;
+  record.write_id = std::move(write_id);
+  record.holder =
+      NeedsOwner(job.description) ? "" : this->context.options.endpoint;
+  record.payload_stored = job.payload_stored;
+  record.submitted_wall_ms = job.submitted_wall_ms;
+  record.cancel_requested = job.cancel_requested;
+  record.may_have_run = job.may_have_run;
+  record.attempt = job.last_attempt;
+  if (job.attempt) {
+    record.members = job.attempt->members;
+  }
+  if (job.outcome) {
+    record.outcome = job.outcome;
+    record.error = job.error;
+    record.result_endpoint = job.result_endpoint;
+    if (job.result && job.result->size() <= kMaxStoredResultBytes) {
+      record.result = *job.result;
+    }
+  }
+  return record;
+}
+
+void RecordKeeper::Create(Job& job) {
+  job.phase = JobPhase::kCreatingRecord;
+  job.record.write_id = this->NewWriteId();
+  this->RenewRetention();
+  job.payload_stored =
+      job.payload && job.payload->size() <= kMaxStoredPayloadBytes;
+  this->SendCreate(job);
+}
+
+void RecordKeeper::SendCreate(Job& job) {
+  job.record.busy = true;
+  ++job.record.tries;
+  ++this->context.record_writes;
+  const core::JobId id = job.description.id;
+  this->context.Commit(
+      MakeCreate(this->MakeRecord(job, job.record.write_id),
+                 job.payload_stored ? job.payload.get() : nullptr),
+      [this, id](const core::Expected<store::TransactionResult>& outcome) {
+        Job* current = this->context.jobs.Find(id);
+        if (current == nullptr) {
+          return;
+        }
+        current->record.busy = false;
+        if (!outcome) {
+          this->OnCreateFailed(*current, outcome.error());
+          return;
+        }
+        if (outcome->succeeded) {
+          this->OnCreated(*current, outcome->revision);
+          return;
+        }
+        this->Lookup(id, [this, id](const auto& found) {
+          Job* again = this->context.jobs.Find(id);
+          if (again == nullptr) {
+            return;
+          }
+          if (!found || !*found) {
+            this->OnCreateFailed(*again,
+                                 core::Error{core::ErrorCode::kTimeout,
+                                             "the record could not be read",
+                                             {}});
+            return;
+          }
+          this->OnRecordExists(*again, **found);
+        });
+      });
+}
+
+void RecordKeeper::OnCreated(Job& job, store::ModRevision revision) {
+  job.recorded = true;
+  job.record.revision = revision;
+  if (job.phase == JobPhase::kCreatingRecord) {
+    const core::JobId id = job.description.id;
+    this->context.owners->Dispatch(job);
+    this->context.callers->AnswerDue(id);
+  } else if (job.phase == JobPhase::kEnded) {
+    // It ended while its record was still in doubt: the record must end too.
+    this->SendEnd(job);
+  }
+}
+
+void RecordKeeper::OnCreateFailed(Job& job, const core::Error& error) {
+  const bool certain = IsCertainFailure(error) && !job.record.in_doubt;
+  job.record.in_doubt = job.record.in_doubt || !IsCertainFailure(error);
+  const int doublings = std::min(job.record.tries, kMaxDelayDoublings);
+  job.record.retry_at =
+      this->context.now + kRecordRetryDelay * (std::int64_t{1} << doublings);
+  if (job.phase != JobPhase::kCreatingRecord) {
+    return;
+  }
+  if (certain && !job.description.repeatable) {
+    job.durable = false;
+    this->context.attempts->Refuse(
+        job, {status::kUnavailable, "store-unavailable",
+              "The job was not run: the store that protects work that must not "
+              "be repeated is not available. Retry with the same "
+              "Idempotency-Key after the time in Retry-After.",
+              core::Duration::Seconds(2), model::JobOutcome::kNotRun,
+              job.description.id});
+    // The key may be used again at once.
+    this->context.jobs.Remove(core::JobId(job.description.id));
+    return;
+  }
+  if (certain || job.record.tries >= kMaxCreateTries) {
+    if (job.description.repeatable) {
+      // Goes on without a record, which is written when the store answers.
+      const core::JobId id = job.description.id;
+      this->context.owners->Dispatch(job);
+      this->context.callers->AnswerDue(id);
+      return;
+    }
+    this->context.callers->AnswerWaiters(
+        job,
+        MakeProblemResponse(
+            {status::kUnavailable, "acceptance-in-doubt",
+             "The store did not tell whether it took the job. Repeat the "
+             "same request with the same Idempotency-Key to learn it.",
+             core::Duration::Seconds(2), std::nullopt, job.description.id}));
+  }
+}
+
+void RecordKeeper::OnRecordExists(Job& job, const FoundRecord& found) {
+  const JobRecord& record = found.record;
+  if (!found.ended && record.write_id == job.record.write_id) {
+    this->OnCreated(job, found.revision);
+    return;
+  }
+  if (job.phase != JobPhase::kCreatingRecord) {
+    // Another entry created the record while this one worked without it.
+    job.durable = false;
+    return;
+  }
+  if (record.body_hash != job.body_hash ||
+      record.description.organisation != job.description.organisation) {
+    this->context.callers->AnswerWaiters(
+        job, MakeProblemResponse(
+                 {status::kUnprocessable,
+                  "idempotency-key-reused",
+                  "The Idempotency-Key was used before with another body. Use "
+                  "a new key for a new job.",
+                  {},
+                  std::nullopt,
+                  {}}));
+    this->context.jobs.Remove(core::JobId(job.description.id));
+    return;
+  }
+  job.recorded = true;
+  job.record.revision = found.revision;
+  if (found.ended) {
+    this->FinishFromRecord(job, record);
+  } else {
+    job.last_attempt = record.attempt;
+    job.may_have_run = record.may_have_run || record.attempt.Number() > 0;
+    this->context.owners->Follow(job, record.holder);
+  }
+}
+
+void RecordKeeper::FinishFromRecord(Job& job, const JobRecord& record) {
+  job.outcome = record.outcome.value_or(model::JobOutcome::kUnknown);
+  job.error = record.error;
+  job.last_attempt = record.attempt;
+  job.result_endpoint = record.result_endpoint;
+  job.recorded = true;
+  this->context.attempts->RemoveFromScheduler(job, *job.outcome, std::nullopt);
+  if (job.outcome == model::JobOutcome::kDone &&
+      record.result_endpoint.empty()) {
+    if (!this->context.jobs.AttachResult(
+            job, std::make_shared<const std::string>(record.result))) {
+      job.result_in_store = true;
+    }
+  }
+  if (job.phase != JobPhase::kEnded) {
+    this->context.attempts->Finalize(job);
+  }
+}
+
+void RecordKeeper::RecordAttempt(Job& job,
+                                 std::function<void(const core::JobId&)> next) {
+  job.phase = JobPhase::kRecordingAttempt;
+  job.record.write_id = this->NewWriteId();
+  this->SendAttempt(job, std::move(next));
+}
+
+void RecordKeeper::SendAttempt(Job& job,
+                               std::function<void(const core::JobId&)> next) {
+  job.record.busy = true;
+  ++this->context.record_writes;
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.last_attempt;
+  this->context.Commit(
+      MakeUpdate(this->MakeRecord(job, job.record.write_id),
+                 job.record.revision.value_or(store::ModRevision())),
+      [this, id, number, next = std::move(next)](
+          const core::Expected<store::TransactionResult>& outcome) {
+        Job* current = this->context.jobs.Find(id);
+        if (current == nullptr) {
+          return;
+        }
+        current->record.busy = false;
+        const bool waits = AttemptRunner::IsCurrent(
+            current, number, JobPhase::kRecordingAttempt);
+        if (outcome && outcome->succeeded) {
+          current->record.revision = outcome->revision;
+          if (waits) {
+            next(id);
+          }
+          return;
+        }
+        if (!waits) {
+          return;
+        }
+        if (outcome) {
+          this->OnAttemptConflict(*current, next);
+        } else if (outcome.error().code == core::ErrorCode::kTimeout) {
+          this->OnAttemptConflict(*current, next);
+        } else if (current->description.repeatable) {
+          // No other entry can take the record over while the store is down.
+          next(id);
+        } else {
+          // Nothing was written and nothing was sent: waits for the store.
+          this->context.attempts->RemoveFromScheduler(
+              *current, model::JobOutcome::kNotRun, std::nullopt);
+          this->context.attempts->Requeue(*current, kRecordRetryDelay);
+        }
+      });
+}
+
+void RecordKeeper::OnAttemptConflict(
+    Job& job,
+    std::function<void(const core::JobId&)> next) {
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.last_attempt;
+  this->Lookup(id, [this, id, number,
+                    next = std::move(next)](const auto& found) {
+    Job* current = this->context.jobs.Find(id);
+    if (!AttemptRunner::IsCurrent(current, number,
+                                  JobPhase::kRecordingAttempt)) {
+      return;
+    }
+    if (!found) {
+      // The write may have taken effect; nothing was sent to an agent yet.
+      this->context.attempts->RemoveFromScheduler(
+          *current, model::JobOutcome::kNotRun, std::nullopt);
+      this->context.attempts->Requeue(*current, kRecordRetryDelay);
+      return;
+    }
+    if (!*found) {
+      this->context.Log(observe::LogLevel::kError,
+                        "the record of a waiting job has vanished", current);
+      this->context.attempts->RemoveFromScheduler(
+          *current, model::JobOutcome::kNotRun, std::nullopt);
+      current->recorded = false;
+      this->context.attempts->End(*current, model::JobOutcome::kNotRun,
+                                  "its record was removed from the store "
+                                  "before it started");
+      return;
+    }
+    const FoundRecord& present = **found;
+    if (present.ended) {
+      this->FinishFromRecord(*current, present.record);
+    } else if (present.record.write_id == current->record.write_id) {
+      current->record.revision = present.revision;
+      next(id);
+    } else if (current->record.revision == present.revision ||
+               this->IsOwnWrite(present.record.write_id)) {
+      // The lost write did not take effect, or an earlier lost one did.
+      current->record.revision = present.revision;
+      this->context.attempts->RemoveFromScheduler(
+          *current, model::JobOutcome::kNotRun, std::nullopt);
+      this->context.attempts->Requeue(*current, kRecordRetryDelay);
+    } else {
+      // Another entry has taken the job over.
+      this->context.attempts->RemoveFromScheduler(
+          *current, model::JobOutcome::kNotRun, std::nullopt);
+      current->attempt.reset();
+      current->record.revision = present.revision;
+      this->context.owners->Follow(*current, present.record.holder);
+    }
+  });
+}
+
+void RecordKeeper::RecordEnd(Job& job) {
+  job.record.write_id = this->NewWriteId();
+  if (job.record.busy) {
+    // An earlier write is still open; its end brings the version to compare.
+    job.record.retry_at = this->context.now;
+    return;
+  }
+  this->SendEnd(job);
+}
+
+void RecordKeeper::SendEnd(Job& job) {
+  this->RenewRetention();
+  if (!this->retention) {
+    // A record without a lease would never be deleted.
+    job.record.retry_at = this->context.now;
+    return;
+  }
+  if (job.result && job.result->size() > kMaxStoredResultBytes && job.attempt) {
+    job.result_endpoint = job.attempt->members.front().place.endpoint;
+  }
+  job.record.busy = true;
+  ++this->context.record_writes;
+  const core::JobId id = job.description.id;
+  this->context.Commit(
+      MakeEnd(this->MakeRecord(job, job.record.write_id),
+              job.record.revision.value_or(store::ModRevision()),
+              this->retention),
+      [this, id](const core::Expected<store::TransactionResult>& outcome) {
+        Job* current = this->context.jobs.Find(id);
+        if (current == nullptr) {
+          return;
+        }
+        current->record.busy = false;
+        if (outcome && outcome->succeeded) {
+          if (current->phase == JobPhase::kRecordingEnd) {
+            this->context.attempts->Finalize(*current);
+          }
+          return;
+        }
+        if (current->phase != JobPhase::kRecordingEnd) {
+          return;
+        }
+        if (outcome || outcome.error().code == core::ErrorCode::kTimeout) {
+          this->OnEndConflict(*current);
+          return;
+        }
+        current->record.retry_at = this->context.now + kRecordRetryDelay;
+        this->AnswerBeforeRecord(*current);
+      });
+}
+
+void RecordKeeper::AnswerBeforeRecord(Job& job) {
+  // The end is known and the agent keeps the result until the record is
+  // written, so callers need not wait for the store.
+  const JobPhase phase = std::exchange(job.phase, JobPhase::kEnded);
+  this->context.callers->AnswerWaiters(job);
+  job.phase = phase;
+}
+
+void RecordKeeper::OnEndConflict(Job& job) {
+  const core::JobId id = job.description.id;
+  job.record.busy = true;
+  this->Lookup(id, [this, id](const auto& found) {
+    Job* current = this->context.jobs.Find(id);
+    if (current == nullptr) {
+      return;
+    }
+    current->record.busy = false;
+    if (current->phase != JobPhase::kRecordingEnd) {
+      return;
+    }
+    current->record.retry_at = this->context.now + kRecordRetryDelay;
+    if (!found) {
+      this->AnswerBeforeRecord(*current);
+      return;
+    }
+    if (!*found) {
+      // Neither open nor ended: nothing is left to end.
+      this->context.attempts->Finalize(*current);
+      return;
+    }
+    const FoundRecord& present = **found;
+    if (!present.ended) {
+      current->record.revision = present.revision;
+      current->record.retry_at = this->context.now;
+    } else if (present.record.write_id == current->record.write_id) {
+      this->context.attempts->Finalize(*current);
+    } else {
+      // The first recorded end is the one that all callers get.
+      this->context.jobs.DropResult(*current);
+      this->FinishFromRecord(*current, present.record);
+    }
+  });
+}
+
+void RecordKeeper::Lookup(const core::JobId& id, OnFound done) {
+  ++this->context.record_reads;
+  this->context.Read(
+      OpenKey(id), [this, id, done = std::move(done)](const auto& open) {
+        if (!open) {
+          done(tl::unexpected<core::Error>(open.error()));
+          return;
+        }
+        if (open->has_value()) {
+          done(ParseFound(*open, false));
+          return;
+        }
+        ++this->context.record_reads;
+        this->context.Read(EndedKey(id), [done](const auto& ended) {
+          if (!ended) {
+            done(tl::unexpected<core::Error>(ended.error()));
+            return;
+          }
+          done(ParseFound(*ended, true));
+        });
+      });
+}
+
+void RecordKeeper::LoadPayload(Job& job) {
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.last_attempt;
+  job.phase = JobPhase::kLoadingPayload;
+  ++this->context.record_reads;
+  this->context.Read(PayloadKey(id), [this, id, number](const auto& item) {
+    Job* job_now = this->context.jobs.Find(id);
+    if (!AttemptRunner::IsCurrent(job_now, number, JobPhase::kLoadingPayload)) {
+      return;
+    }
+    if (item && !item->has_value()) {
+      this->context.attempts->Refuse(
+          *job_now,
+          {status::kUnavailable, "payload-lost",
+           "The job was not run: its payload was lost with the entry "
+           "that accepted it. Submit it again with a new "
+           "Idempotency-Key.",
+           core::Duration::Seconds(1), model::JobOutcome::kNotRun, id});
+      return;
+    }
+    const bool attached =
+        item &&
+        this->context.jobs.AttachPayload(
+            *job_now, std::make_shared<const std::string>((*item)->value));
+    if (attached) {
+      this->context.attempts->ContinueStart(*job_now);
+      return;
+    }
+    this->context.attempts->RemoveFromScheduler(
+        *job_now, model::JobOutcome::kNotRun, std::nullopt);
+    this->context.attempts->Requeue(*job_now, kRecordRetryDelay);
+  });
+}
+
+void RecordKeeper::RenewRetention() {
+  if (this->retention_call_open || this->context.now < this->retention_until) {
+    return;
+  }
+  this->retention_call_open = true;
+  this->context.Grant(kRecordRetention + kRetentionPeriod,
+                      [this](const core::Expected<store::LeaseId>& lease) {
+                        this->retention_call_open = false;
+                        if (lease) {
+                          this->retention = *lease;
+                          this->retention_until =
+                              this->context.now + kRetentionPeriod;
+                        }
+                      });
+}
+
+void RecordKeeper::OnTick(Job& job) {
+  if (job.record.busy || this->context.now < job.record.retry_at) {
+    return;
+  }
+  if (job.phase == JobPhase::kRecordingEnd) {
+    this->SendEnd(job);
+    return;
+  }
+  const bool create_due = job.durable && !job.recorded &&
+                          job.phase != JobPhase::kEnded && job.record.tries > 0;
+  if (create_due) {
+    this->SendCreate(job);
+  }
+}
+
+}  // namespace hemlockdoor::entry
