Add the agent's state machine, process and upstream stand-in

Cause: entries need a worker's authority that grants reservations, starts work on its upstream by HTTP and keeps results until acknowledged. The state machine (core, gang, upstream folders) is pure; the process runs an HTTP server, the state machine, short calls and bulk calls on a thread each. Qt's keyword macros are off, since 'slots' is a field of WorkerShape. Messages gain optional fields only: run_ms of a running task, max_run_ms of a reservation, cause of a result.

Ruled out: reporting a start without an answer as not started after one GET /tasks/JOB with 404, since the start may still be unread in the upstream's socket; the upstream is told by 'stop' to refuse it for ever first.

Gang protocol and state machine have no tests yet.

--- /dev/null
+++ b/modules/agent/agent.h
@@ -0,0 +1,6 @@
+// Umbrella header of the agent module: the state machine that decides what
+// runs on one upstream, and the process around it.
+#pragma once
+
+#include "modules/agent/core/agent_core.h"        // IWYU pragma: export
+#include "modules/agent/process/agent_process.h"  // IWYU pragma: export
--- /dev/null
+++ b/modules/agent/core/attempt_history.cc
@@ -0,0 +1,72 @@
+#include "modules/agent/core/attempt_history.h"
+
+namespace hemlockdoor::agent {
+
+void AttemptHistory::Add(const TaskKey& key,
+                         PastAttempt past,
+                         core::TimePoint until) {
+  const auto found = this->members.find(key);
+  if (found != this->members.end()) {
+    this->member_order.erase({found->second.until, key});
+    this->members.erase(found);
+  }
+  this->members.emplace(key, Remembered{std::move(past), until});
+  this->member_order.insert({until, key});
+}
+
+void AttemptHistory::Forbid(const AttemptKey& attempt, core::TimePoint until) {
+  const auto found = this->forbidden.find(attempt);
+  if (found != this->forbidden.end()) {
+    if (found->second >= until) {
+      return;
+    }
+    this->forbidden_order.erase({found->second, attempt});
+  }
+  this->forbidden[attempt] = until;
+  this->forbidden_order.insert({until, attempt});
+}
+
+std::optional<PastAttempt> AttemptHistory::Find(const TaskKey& key) const {
+  const auto found = this->members.find(key);
+  if (found == this->members.end()) {
+    return std::nullopt;
+  }
+  return found->second.past;
+}
+
+bool AttemptHistory::HasEnded(const AttemptKey& attempt) const {
+  for (auto position = this->members.lower_bound({attempt.job, {}, 0});
+       position != this->members.end() && position->first.job == attempt.job;
+       ++position) {
+    const bool matches = attempt.attempt == core::AttemptNumber() ||
+                         position->first.attempt == attempt.attempt;
+    if (matches && position->second.past.kind == PastKind::kEnded) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool AttemptHistory::IsForbidden(const AttemptKey& attempt) const {
+  return this->forbidden.contains(attempt) ||
+         this->forbidden.contains({attempt.job, core::AttemptNumber()});
+}
+
+bool AttemptHistory::IsFull() const {
+  return this->members.size() + this->forbidden.size() >= kMaxEntries;
+}
+
+void AttemptHistory::Expire(core::TimePoint now) {
+  while (!this->member_order.empty() &&
+         this->member_order.begin()->until < now) {
+    this->members.erase(this->member_order.begin()->key);
+    this->member_order.erase(this->member_order.begin());
+  }
+  while (!this->forbidden_order.empty() &&
+         this->forbidden_order.begin()->until < now) {
+    this->forbidden.erase(this->forbidden_order.begin()->key);
+    this->forbidden_order.erase(this->forbidden_order.begin());
+  }
+}
+
+}  // namespace hemlockdoor::agent
--- /dev/null
+++ b/modules/agent/process/agent_process.cc
@@ -0,0 +1,196 @@
+#include "modules/agent/process/agent_process.h"
+
+#include <QObject>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "modules/agent/process/duty_thread.h"
+#include "modules/agent/process/http_front.h"
+#include "modules/agent/process/outgoing_calls.h"
+#include "modules/agent/process/state_duty.h"
+#include "modules/observe/observe.h"
+#include "modules/wire/wire.h"
+
+namespace hemlockdoor::agent {
+
+namespace {
+
+core::Incarnation DrawIncarnation() {
+  std::random_device device;
+  constexpr int kHalfBits = 32;
+  const auto high = static_cast<std::uint64_t>(device());
+  return core::Incarnation((high << kHalfBits) | device());
+}
+
+core::Expected<void> CheckSettings(const settings::AgentSettings& settings) {
+  if (settings.id.IsEmpty()) {
+    return core::MakeError(core::ErrorCode::kInvalidArgument,
+                           "an agent needs an id", "$.id");
+  }
+  if (settings.common.internal_key.IsEmpty()) {
+    return core::MakeError(core::ErrorCode::kInvalidArgument,
+                           "an agent needs the internal key", "$.internal_key");
+  }
+  for (const std::string& entry : settings.entries) {
+    const core::Expected<wire::Endpoint> parsed = wire::Endpoint::Parse(entry);
+    if (!parsed) {
+      return core::MakeError(parsed.error().code, parsed.error().message,
+                             "$.entries");
+    }
+  }
+  return {};
+}
+
+AgentCoreOptions CoreOptions(const settings::AgentSettings& settings,
+                             std::uint16_t port) {
+  AgentCoreOptions options;
+  options.id = settings.id;
+  options.incarnation = DrawIncarnation();
+  const std::string& advertised = settings.common.advertised_endpoint;
+  options.endpoint =
+      advertised.empty()
+          ? wire::Endpoint{settings.common.address, port}.ToText()
+          : advertised;
+  options.entries = settings.entries;
+  options.max_held_result_bytes = settings.max_held_result_bytes;
+  options.drain_timeout = settings.common.drain_timeout;
+  return options;
+}
+
+}  // namespace
+
+class AgentProcess::Threads {
+ public:
+  MetricsBoard board;
+  DutyThread<HttpFront> http;
+  DutyThread<OutgoingCalls> short_calls;
+  DutyThread<OutgoingCalls> bulk_calls;
+  DutyThread<StateDuty> state;
+  /// Lives on the thread of `Create`; `on_stopped` runs there.
+  QObject home;
+
+  core::Expected<void> Start(const settings::AgentSettings& settings,
+                             const wire::Endpoint& upstream,
+                             std::function<void()> on_stopped);
+  ~Threads();
+
+ private:
+  core::Expected<void> StartHttp(const settings::AgentSettings& settings,
+                                 const wire::Endpoint& upstream);
+};
+
+core::Expected<void> AgentProcess::Threads::StartHttp(
+    const settings::AgentSettings& settings,
+    const wire::Endpoint& upstream) {
+  HttpFront::Options options;
+  options.address = settings.common.address;
+  options.port = settings.common.port;
+  options.internal_key = settings.common.internal_key.Reveal();
+  options.upstream_address = upstream.address;
+  core::Expected<void> outcome;
+  this->http.Start("http", [&]() -> std::unique_ptr<HttpFront> {
+    core::Expected<std::unique_ptr<HttpFront>> front =
+        HttpFront::Listen(options, this->board);
+    if (!front) {
+      outcome = tl::unexpected<core::Error>(front.error());
+      return nullptr;
+    }
+    return std::move(*front);
+  });
+  return outcome;
+}
+
+core::Expected<void> AgentProcess::Threads::Start(
+    const settings::AgentSettings& settings,
+    const wire::Endpoint& upstream,
+    std::function<void()> on_stopped) {
+  if (core::Expected<void> listening = this->StartHttp(settings, upstream);
+      !listening) {
+    return listening;
+  }
+  const OutgoingCalls::Options call_options{
+      upstream, settings.common.internal_key.Reveal()};
+  const auto make_calls = [&] {
+    return std::make_unique<OutgoingCalls>(call_options, this->board);
+  };
+  this->short_calls.Start("peers", make_calls);
+  this->bulk_calls.Start("bulk", make_calls);
+  const AgentCoreOptions core_options =
+      CoreOptions(settings, this->http.Get()->Port());
+  this->state.Start("state", [&] {
+    return std::make_unique<StateDuty>(
+        core_options,
+        StateDuty::Links{this->http.Get()->Answers(),
+                         this->short_calls.Get()->Commands(),
+                         this->bulk_calls.Get()->Commands()},
+        this->board);
+  });
+  StateDuty* duty = this->state.Get();
+  const auto stopped = [this, callback = std::move(on_stopped)] {
+    QMetaObject::invokeMethod(&this->home, callback, Qt::QueuedConnection);
+  };
+  this->short_calls.Run(
+      [&] { this->short_calls.Get()->Open(duty->Outcomes()); });
+  this->bulk_calls.Run([&] { this->bulk_calls.Get()->Open(duty->Outcomes()); });
+  this->state.Run([duty] { duty->Open(); });
+  this->http.Run([&] {
+    this->http.Get()->SetStopped(stopped);
+    this->http.Get()->Open(duty->Requests());
+  });
+  return {};
+}
+
+AgentProcess::Threads::~Threads() {
+  // Every duty ends its activity before any is destroyed, since each may push
+  // to the inboxes of the others.
+  this->http.Close();
+  this->short_calls.Close();
+  this->bulk_calls.Close();
+  this->state.Close();
+  this->http.Join();
+  this->short_calls.Join();
+  this->bulk_calls.Join();
+  this->state.Join();
+}
+
+AgentProcess::AgentProcess() : threads(std::make_unique<Threads>()) {}
+
+AgentProcess::~AgentProcess() = default;
+
+core::Expected<std::unique_ptr<AgentProcess>> AgentProcess::Create(
+    settings::AgentSettings settings,
+    std::function<void()> on_stopped) {
+  if (core::Expected<void> checked = CheckSettings(settings); !checked) {
+    return tl::unexpected<core::Error>(checked.error());
+  }
+  const core::Expected<wire::Endpoint> upstream =
+      wire::Endpoint::Parse(settings.upstream);
+  if (!upstream) {
+    return core::MakeError(upstream.error().code, upstream.error().message,
+                           "$.upstream");
+  }
+  std::unique_ptr<AgentProcess> process(new AgentProcess());
+  core::Expected<void> started =
+      process->threads->Start(settings, *upstream, std::move(on_stopped));
+  if (!started) {
+    return tl::unexpected<core::Error>(started.error());
+  }
+  return process;
+}
+
+std::uint16_t AgentProcess::Port() const {
+  return this->threads->http.Get()->Port();
+}
+
+void AgentProcess::BeginDrain() {
+  StateDuty* duty = this->threads->state.Get();
+  // Not by the ring, which may be full of requests.
+  this->threads->state.Run([duty] { duty->Drain(); });
+}
+
+AgentMetrics AgentProcess::Metrics() const {
+  return this->threads->board.Read();
+}
+
+}  // namespace hemlockdoor::agent
--- /dev/null
+++ b/modules/agent/process/duty_thread.h
@@ -0,0 +1,67 @@
+// A thread with an event loop that owns one duty.
+#pragma once
+
+#include <QMetaObject>
+#include <QObject>
+#include <QString>
+#include <QThread>
+#include <memory>
+#include <utility>
+
+namespace hemlockdoor::agent {
+
+/// Makes a duty on a thread of its own and runs its event loop there. `Duty`
+/// has `void Close()`, which ends its timers, sockets and calls on its thread;
+/// the object itself is destroyed once the thread has ended, so that other
+/// duties may still push to its inbox until then.
+template <typename Duty>
+class DutyThread {
+ public:
+  DutyThread() = default;
+  ~DutyThread() {
+    this->Close();
+    this->Join();
+  }
+  DutyThread(const DutyThread&) = delete;
+  DutyThread& operator=(const DutyThread&) = delete;
+
+  /// Starts the thread and makes the duty there with `make`.
+  template <typename Make>
+  void Start(const char* name, Make make) {
+    this->thread.setObjectName(QString::fromLatin1(name));
+    this->context.moveToThread(&this->thread);
+    this->thread.start();
+    this->Run([this, &make] { this->duty = make(); });
+  }
+
+  /// Runs `function` on the thread and waits for its end.
+  template <typename Function>
+  void Run(Function function) {
+    QMetaObject::invokeMethod(&this->context, std::move(function),
+                              Qt::BlockingQueuedConnection);
+  }
+
+  /// Ends the duty's activity; the object stays.
+  void Close() {
+    if (this->thread.isRunning() && this->duty && !this->closed) {
+      this->closed = true;
+      this->Run([this] { this->duty->Close(); });
+    }
+  }
+
+  /// Ends the thread.
+  void Join() {
+    this->thread.quit();
+    this->thread.wait();
+  }
+
+  Duty* Get() { return this->duty.get(); }
+
+ private:
+  QThread thread;
+  QObject context;
+  std::unique_ptr<Duty> duty;
+  bool closed = false;
+};
+
+}  // namespace hemlockdoor::agent
--- /dev/null
+++ b/modules/agent/process/http_front.cc
@@ -0,0 +1,138 @@
+#include "modules/agent/process/http_front.h"
+
+#include <utility>
+
+namespace hemlockdoor::agent {
+
+namespace {
+
+/// Requests that wait for the state machine; also the bound on its answers.
+constexpr std::size_t kMaxPending = 512;
+/// Time for the last answers to reach their callers before the process ends.
+constexpr int kFlushMilliseconds = 100;
+/// Largest request: a payload of 8 MB with its JSON envelope.
+constexpr std::size_t kMaxRequestBytes = 9U * 1024U * 1024U;
+
+wire::HttpResponse Unavailable() {
+  wire::HttpResponse response =
+      wire::MakeProblem(wire::http_status::kUnavailable, "overloaded",
+                        "nothing was done; send the request again later");
+  response.headers.Add("Retry-After", "1");
+  return response;
+}
+
+}  // namespace
+
+HttpFront::HttpFront(const Options& options, MetricsBoard& metrics_board)
+    : board(metrics_board),
+      router(options.internal_key, options.upstream_address),
+      answers(kMaxPending + 1,
+              [this](const Command& command) { this->OnCommand(command); }) {}
+
+core::Expected<std::unique_ptr<HttpFront>> HttpFront::Listen(
+    const Options& options,
+    MetricsBoard& board) {
+  std::unique_ptr<HttpFront> front(new HttpFront(options, board));
+  wire::HttpServerLimits limits;
+  limits.max_body_bytes = kMaxRequestBytes;
+  auto server = wire::HttpServer::Listen(
+      options.address, options.port, limits,
+      [owner = front.get()](const wire::HttpRequest& request,
+                            const wire::HttpResponder& responder) {
+        owner->OnRequest(request, responder);
+      });
+  if (!server) {
+    return tl::unexpected<core::Error>(server.error());
+  }
+  front->server = std::move(*server);
+  front->port = front->server->Port();
+  return front;
+}
+
+void HttpFront::Open(wire::Inbox<Event>& event_inbox) {
+  this->events = &event_inbox;
+}
+
+void HttpFront::SetStopped(std::function<void()> stopped_callback) {
+  this->on_stopped = std::move(stopped_callback);
+}
+
+void HttpFront::Close() {
+  this->events = nullptr;
+  this->pending.clear();
+  this->server.reset();
+}
+
+wire::HttpResponse HttpFront::Liveness(bool good) const {
+  wire::HttpResponse response;
+  response.status =
+      good ? wire::http_status::kOk : wire::http_status::kUnavailable;
+  response.content_type = "text/plain";
+  response.body = good ? "ok\n" : "not ready\n";
+  return response;
+}
+
+void HttpFront::Respond(const wire::HttpResponder& responder,
+                        const wire::HttpResponse& response) {
+  this->board.control_bytes += response.body.size();
+  responder.Respond(response);
+}
+
+void HttpFront::OnRequest(const wire::HttpRequest& request,
+                          const wire::HttpResponder& responder) {
+  if (request.path == "/livez") {
+    this->Respond(responder, this->Liveness(true));
+    return;
+  }
+  if (request.path == "/readyz") {
+    this->Respond(responder, this->Liveness(this->board.ready.load()));
+    return;
+  }
+  const CallId call = this->next_call++;
+  Routed routed = this->router.Route(request, call);
+  if (const auto* answer = std::get_if<wire::HttpResponse>(&routed)) {
+    this->Respond(responder, *answer);
+    return;
+  }
+  auto& event = std::get<Event>(routed);
+  const bool carries_payload =
+      std::holds_alternative<RunRequested>(event) ||
+      std::holds_alternative<ReserveRequested>(event) ||
+      std::holds_alternative<TaskFinished>(event);
+  (carries_payload ? this->board.payload_bytes : this->board.control_bytes) +=
+      request.path.size() + request.body.size();
+  const bool is_run = std::holds_alternative<RunRequested>(event);
+  if (this->events == nullptr || this->pending.size() >= kMaxPending) {
+    ++this->board.shed;
+    this->Respond(responder, Unavailable());
+    return;
+  }
+  this->pending.emplace(call, Pending{responder, is_run});
+  if (!this->events->TryPush(std::move(event))) {
+    ++this->board.shed;
+    this->pending.erase(call);
+    this->Respond(responder, Unavailable());
+  }
+}
+
+void HttpFront::OnCommand(const Command& command) {
+  if (this->server == nullptr) {
+    return;
+  }
+  if (std::holds_alternative<Stop>(command)) {
+    this->server->StopListening();
+    QTimer::singleShot(kFlushMilliseconds,
+                       [callback = this->on_stopped] { callback(); });
+    return;
+  }
+  const std::optional<CallId> call = CallOf(command);
+  const auto found = call ? this->pending.find(*call) : this->pending.end();
+  if (found == this->pending.end()) {
+    return;
+  }
+  const Pending answered = found->second;
+  this->pending.erase(found);
+  this->Respond(answered.responder, *ResponseOf(command, answered.is_run));
+}
+
+}  // namespace hemlockdoor::agent
--- /dev/null
+++ b/modules/agent/process/outgoing_calls.cc
@@ -0,0 +1,350 @@
+#include "modules/agent/process/outgoing_calls.h"
+
+#include <QByteArray>
+#include <QUrl>
+#include <string_view>
+#include <utility>
+
+#include "modules/observe/observe.h"
+
+namespace hemlockdoor::agent {
+
+namespace {
+
+namespace status = wire::http_status;
+
+constexpr core::Duration kShortTimeout = core::Duration::Milliseconds(1000);
+constexpr core::Duration kStartTimeout = core::Duration::Seconds(2);
+constexpr core::Duration kTaskTimeout = core::Duration::Seconds(2);
+/// Enough for 8 MB between regions.
+constexpr core::Duration kDeliveryTimeout = core::Duration::Seconds(10);
+
+std::string_view GangTarget(GangMessageKind kind) {
+  switch (kind) {
+    case GangMessageKind::kConfirm:
+      return "/internal/v1/gang/confirm";
+    case GangMessageKind::kStart:
+      return "/internal/v1/gang/start";
+    case GangMessageKind::kRenew:
+      return "/internal/v1/gang/renew";
+    case GangMessageKind::kStop:
+      return "/internal/v1/gang/stop";
+    case GangMessageKind::kAsk:
+      break;
+  }
+  return "/internal/v1/gang/ask";
+}
+
+std::string TaskTarget(const TaskKey& key, TaskRequestKind kind) {
+  std::string target = "/tasks/" + QUrl::toPercentEncoding(
+                                       QString::fromStdString(key.job.Text()))
+                                       .toStdString();
+  switch (kind) {
+    case TaskRequestKind::kQuery:
+      break;
+    case TaskRequestKind::kCheckpoint:
+      target += "/checkpoint";
+      break;
+    case TaskRequestKind::kThrottle:
+      target += "/throttle";
+      break;
+    case TaskRequestKind::kStop:
+      target += "/stop";
+      break;
+  }
+  return target + "?attempt=" + std::to_string(key.attempt.Number()) +
+         "&member=" + std::to_string(key.member);
+}
+
+/// Reads the answer to a start. The contract lets an upstream refuse with 4xx
+/// or 503; any other answer does not tell whether the task runs.
+StartAnswered ReadStartAnswer(
+    TaskKey key,
+    const core::Expected<wire::HttpResponse>& answer) {
+  StartAnswered event;
+  event.key = std::move(key);
+  if (!answer) {
+    event.detail = answer.error().message;
+    return event;
+  }
+  const int code = answer->status;
+  const bool client_error =
+      code >= status::kBadRequest && code < status::kInternalError;
+  if (code == status::kAccepted) {
+    event.outcome = StartOutcome::kAccepted;
+  } else if (client_error || code == status::kUnavailable) {
+    event.outcome = StartOutcome::kRefused;
+    event.detail = "upstream answered " + std::to_string(code);
+  }
+  return event;
+}
+
+TaskReported ReadTaskAnswer(const RequestTask& request,
+                            const core::Expected<wire::HttpResponse>& answer) {
+  TaskReported event;
+  event.key = request.key;
+  event.kind = request.kind;
+  if (!answer) {
+    return event;
+  }
+  if (answer->status == status::kNotFound) {
+    event.outcome = ReportOutcome::kNotKnown;
+    return event;
+  }
+  const bool good =
+      answer->status == status::kOk || answer->status == status::kAccepted;
+  core::Expected<UpstreamTask> task = UpstreamTaskFromText(answer->body);
+  // An answer about another task is no answer to this question.
+  if (good && task && task->key == request.key) {
+    event.outcome = ReportOutcome::kReported;
+    event.task = std::move(*task);
+  }
+  return event;
+}
+
+}  // namespace
+
+struct OutgoingCalls::Clients {
+  wire::HttpClient announcements;
+  wire::HttpClient gangs;
+  wire::HttpClient listings;
+  wire::HttpClient starts;
+  wire::HttpClient tasks;
+  wire::HttpClient deliveries;
+};
+
+OutgoingCalls::OutgoingCalls(Options call_options, MetricsBoard& metrics_board)
+    : options(std::move(call_options)),
+      board(metrics_board),
+      commands(kMaxOutstanding,
+               [this](Command command) { this->OnCommand(command); }),
+      clients(std::make_unique<Clients>()) {}
+
+OutgoingCalls::~OutgoingCalls() = default;
+
+void OutgoingCalls::Open(wire::Inbox<Event>& outcome_inbox) {
+  this->outcomes = &outcome_inbox;
+}
+
+void OutgoingCalls::Close() {
+  this->outcomes = nullptr;
+  this->clients.reset();
+}
+
+void OutgoingCalls::Emit(Event event) {
+  if (this->outcomes != nullptr) {
+    const bool pushed = this->outcomes->TryPush(std::move(event));
+    HD_ASSERT(pushed);
+  }
+}
+
+void OutgoingCalls::OnCommand(Command& command) {
+  if (this->clients == nullptr) {
+    return;
+  }
+  std::visit(
+      [this](const auto& one) {
+        if constexpr (requires { this->Send(one); }) {
+          this->Send(one);
+        }
+      },
+      command);
+}
+
+wire::HttpCall OutgoingCalls::InternalPost(
+    const wire::Endpoint& endpoint,
+    const std::string& target,
+    const nlohmann::json& document) const {
+  wire::HttpCall call;
+  call.endpoint = endpoint;
+  call.method = wire::HttpMethod::kPost;
+  call.target = target;
+  call.headers.Add("Authorization", "Bearer " + this->options.internal_key);
+  call.body = model::DumpJson(document);
+  call.timeout = kShortTimeout;
+  return call;
+}
+
+void OutgoingCalls::NoteUnauthorized(const std::string& endpoint, int status) {
+  if (status == status::kUnauthorized && !this->unauthorized_logged) {
+    this->unauthorized_logged = true;
+    observe::Log(observe::LogLevel::kError,
+                 "entry " + endpoint + " refused the internal key");
+  }
+}
+
+void OutgoingCalls::Send(const SendAnnouncement& command) {
+  const core::Expected<wire::Endpoint> endpoint =
+      wire::Endpoint::Parse(command.endpoint);
+  if (!endpoint) {
+    this->Emit(AnnounceAnswered{command.endpoint, std::nullopt});
+    return;
+  }
+  const wire::HttpCall call = this->InternalPost(
+      *endpoint, "/internal/v1/announce", model::ToJson(command.message));
+  this->board.control_bytes += call.target.size() + call.body.size();
+  this->clients->announcements.Send(
+      call, [this, name = command.endpoint](
+                const core::Expected<wire::HttpResponse>& answer) {
+        AnnounceAnswered event{name, std::nullopt};
+        if (answer) {
+          this->board.control_bytes += answer->body.size();
+          this->NoteUnauthorized(name, answer->status);
+        }
+        if (answer && answer->status == status::kOk) {
+          auto reply =
+              model::FromText<&model::AnnounceReplyFromJson>(answer->body);
+          if (reply) {
+            event.reply = std::move(*reply);
+          }
+        }
+        this->Emit(std::move(event));
+      });
+}
+
+void OutgoingCalls::Send(const StartTask& command) {
+  if (core::Clock::Now() > command.not_after) {
+    this->Emit(StartAnswered{command.start.key, StartOutcome::kNotSent,
+                             "its start limit passed"});
+    return;
+  }
+  wire::HttpCall call;
+  call.endpoint = this->options.upstream;
+  call.method = wire::HttpMethod::kPost;
+  call.target = "/tasks";
+  call.body = UpstreamStartToText(command.start);
+  call.timeout = kStartTimeout;
+  call.single_send = true;
+  this->board.payload_bytes += call.target.size() + call.body.size();
+  this->clients->starts.Send(
+      call, [this, key = command.start.key](
+                const core::Expected<wire::HttpResponse>& answer) {
+        this->Emit(ReadStartAnswer(key, answer));
+      });
+}
+
+void OutgoingCalls::Send(const ListTasks& command) {
+  wire::HttpCall call;
+  call.endpoint = this->options.upstream;
+  call.target = "/tasks";
+  call.timeout = kShortTimeout;
+  this->board.control_bytes += call.target.size();
+  this->clients->listings.Send(
+      call, [this, asked_at = command.asked_at](
+                const core::Expected<wire::HttpResponse>& answer) {
+        TasksListed event{asked_at, std::nullopt};
+        if (answer) {
+          this->board.control_bytes += answer->body.size();
+        }
+        if (answer && answer->status == status::kOk) {
+          core::Expected<std::vector<UpstreamTask>> tasks =
+              UpstreamListFromText(answer->body);
+          if (tasks) {
+            event.tasks = std::move(*tasks);
+          }
+        }
+        this->Emit(std::move(event));
+      });
+}
+
+void OutgoingCalls::Send(const RequestTask& command) {
+  wire::HttpCall call;
+  call.endpoint = this->options.upstream;
+  call.method = command.kind == TaskRequestKind::kQuery
+                    ? wire::HttpMethod::kGet
+                    : wire::HttpMethod::kPost;
+  call.target = TaskTarget(command.key, command.kind);
+  call.timeout = kTaskTimeout;
+  this->board.payload_bytes += call.target.size();
+  this->clients->tasks.Send(
+      call, [this, command](const core::Expected<wire::HttpResponse>& answer) {
+        this->board.payload_bytes += answer ? answer->body.size() : 0;
+        this->Emit(ReadTaskAnswer(command, answer));
+      });
+}
+
+void OutgoingCalls::Send(const DeliverResult& command) {
+  const model::ResultNotice& notice = command.notice;
+  const TaskKey key{notice.job, notice.attempt, notice.member};
+  const core::Expected<wire::Endpoint> endpoint =
+      wire::Endpoint::Parse(command.endpoint);
+  if (!endpoint) {
+    this->Emit(ResultDelivered{key, false});
+    return;
+  }
+  wire::HttpCall call = this->InternalPost(*endpoint, "/internal/v1/result",
+                                           model::ToJson(notice));
+  call.timeout = kDeliveryTimeout;
+  this->board.payload_bytes += call.target.size() + call.body.size();
+  this->clients->deliveries.Send(call, [this,
+                                        key](const core::Expected<
+                                             wire::HttpResponse>& answer) {
+    this->Emit(ResultDelivered{key, answer && answer->status == status::kOk});
+  });
+}
+
+void OutgoingCalls::Send(const SendGangMessage& command) {
+  GangMessageAnswered event;
+  event.kind = command.kind;
+  event.attempt = {command.message.job, command.message.attempt};
+  event.receiver = command.receiver;
+  event.sent_at = command.sent_at;
+  const core::Expected<wire::Endpoint> endpoint =
+      wire::Endpoint::Parse(command.endpoint);
+  if (!endpoint) {
+    this->Emit(std::move(event));
+    return;
+  }
+  const wire::HttpCall call =
+      this->InternalPost(*endpoint, std::string(GangTarget(command.kind)),
+                         model::ToJson(command.message));
+  this->board.control_bytes += call.target.size() + call.body.size();
+  this->clients->gangs.Send(
+      call, [this, answered = std::move(event)](
+                const core::Expected<wire::HttpResponse>& answer) mutable {
+        if (answer) {
+          this->board.control_bytes += answer->body.size();
+          auto reply = model::FromText<&model::GangReplyFromJson>(answer->body);
+          if (reply) {
+            answered.reply = std::move(*reply);
+          }
+        }
+        this->Emit(std::move(answered));
+      });
+}
+
+std::optional<Event> OutcomeOfUnsent(const Command& command) {
+  if (const auto* one = std::get_if<SendAnnouncement>(&command)) {
+    return AnnounceAnswered{one->endpoint, std::nullopt};
+  }
+  if (const auto* one = std::get_if<StartTask>(&command)) {
+    return StartAnswered{one->start.key, StartOutcome::kNotSent,
+                         "too many calls outstanding"};
+  }
+  if (const auto* one = std::get_if<ListTasks>(&command)) {
+    return TasksListed{one->asked_at, std::nullopt};
+  }
+  if (const auto* one = std::get_if<RequestTask>(&command)) {
+    return TaskReported{one->key, one->kind, ReportOutcome::kNoAnswer, {}};
+  }
+  if (const auto* one = std::get_if<DeliverResult>(&command)) {
+    return ResultDelivered{
+        {one->notice.job, one->notice.attempt, one->notice.member}, false};
+  }
+  if (const auto* one = std::get_if<SendGangMessage>(&command)) {
+    return GangMessageAnswered{one->kind,
+                               {one->message.job, one->message.attempt},
+                               one->receiver,
+                               one->sent_at,
+                               std::nullopt};
+  }
+  return std::nullopt;
+}
+
+bool IsBulkCall(const Command& command) {
+  return std::holds_alternative<StartTask>(command) ||
+         std::holds_alternative<RequestTask>(command) ||
+         std::holds_alternative<DeliverResult>(command);
+}
+
+}  // namespace hemlockdoor::agent
--- /dev/null
+++ b/modules/agent/upstream/upstream_link.cc
@@ -0,0 +1,54 @@
+#include "modules/agent/upstream/upstream_link.h"
+
+namespace hemlockdoor::agent {
+
+namespace {
+
+constexpr int kFailuresUntilSuspected = 2;
+
+}  // namespace
+
+void UpstreamLink::OnAnnounced(const model::WorkerShape& announced,
+                               core::TimePoint now) {
+  this->shape = announced;
+  this->announced_at = now;
+  this->heard_at = now;
+  this->withdrawn = false;
+}
+
+void UpstreamLink::OnWithdrawn(core::TimePoint now) {
+  this->withdrawn = true;
+  this->heard_at = now;
+}
+
+void UpstreamLink::OnCall(bool answered, core::TimePoint now) {
+  if (answered) {
+    this->failures = 0;
+    this->heard_at = now;
+    return;
+  }
+  ++this->failures;
+  if (this->failures >= kFailuresUntilSuspected) {
+    this->reconciled = false;
+  }
+}
+
+void UpstreamLink::SetReconciled(bool known) {
+  this->reconciled = known;
+  this->was_reconciled = this->was_reconciled || known;
+}
+
+bool UpstreamLink::IsAnnounced(core::TimePoint now) const {
+  return this->shape.has_value() && !this->withdrawn &&
+         now - this->announced_at <= kUpstreamLease;
+}
+
+bool UpstreamLink::IsReady(core::TimePoint now) const {
+  return this->reconciled && this->IsAnnounced(now);
+}
+
+bool UpstreamLink::IsLost(core::TimePoint now) const {
+  return now - this->heard_at > kUpstreamLease;
+}
+
+}  // namespace hemlockdoor::agent
--- a/modules/model/messages/messages.cc
+++ b/modules/model/messages/messages.cc
@@ -25,6 +25,24 @@
     {RefusalReason::kUnknownReservation, "unknown_reservation"},
 }};
 
+struct NamedCause {
+  ResultCause cause;
+  std::string_view name;
+};
+
+constexpr std::array<NamedCause, 10> kCauseNames = {{
+    {ResultCause::kTask, "task"},
+    {ResultCause::kUpstreamLost, "upstream_lost"},
+    {ResultCause::kUpstreamRefused, "upstream_refused"},
+    {ResultCause::kNotStarted, "not_started"},
+    {ResultCause::kRunTimeExceeded, "run_time_exceeded"},
+    {ResultCause::kPreempted, "preempted"},
+    {ResultCause::kCheckpointed, "checkpointed"},
+    {ResultCause::kCancelled, "cancelled"},
+    {ResultCause::kGangStopped, "gang_stopped"},
+    {ResultCause::kAgentRestarted, "agent_restarted"},
+}};
+
 constexpr std::size_t kMaxListElements = 100'000;
 
 template <typename Number>
@@ -95,6 +113,7 @@
   doc["organisation"] = task.organisation.Text();
   doc["class"] = task.job_class.Text();
   doc["accelerators"] = MaskText(task.accelerators);
+  doc["run_ms"] = task.run_time.InMilliseconds();
   return doc;
 }
 
@@ -110,6 +129,8 @@
       core::OrganisationId(reader.OptionalString("organisation"));
   task.job_class = core::JobClass(reader.OptionalString("class"));
   task.accelerators = AcceleratorSet(reader.RequiredCounter("accelerators"));
+  task.run_time =
+      core::Duration::Milliseconds(reader.OptionalInteger("run_ms", 0));
   return Finish(reader, std::move(task));
 }
 
@@ -135,6 +156,14 @@
 
 }  // namespace
 
+nlohmann::json ToJson(const RunningTask& message) {
+  return RunningTaskToJson(message);
+}
+
+core::Expected<RunningTask> RunningTaskFromJson(const nlohmann::json& doc) {
+  return RunningTaskFromJson(doc, "$");
+}
+
 std::string_view RefusalReasonName(RefusalReason reason) {
   for (const NamedReason& row : kReasonNames) {
     if (row.reason == reason) {
@@ -153,6 +182,24 @@
   return std::nullopt;
 }
 
+std::string_view ResultCauseName(ResultCause cause) {
+  for (const NamedCause& row : kCauseNames) {
+    if (row.cause == cause) {
+      return row.name;
+    }
+  }
+  return "";
+}
+
+std::optional<ResultCause> ResultCauseFromName(std::string_view name) {
+  for (const NamedCause& row : kCauseNames) {
+    if (row.name == name) {
+      return row.cause;
+    }
+  }
+  return std::nullopt;
+}
+
 nlohmann::json ToJson(const Announcement& message) {
   nlohmann::json doc;
   doc["agent"] = message.agent.Text();
@@ -244,6 +291,7 @@
   }
   doc["reply_to"] = message.reply_to;
   doc["traceparent"] = message.traceparent;
+  doc["max_run_ms"] = message.max_run.InMilliseconds();
   return doc;
 }
 
@@ -276,6 +324,8 @@
       ReadList<GangMember>(reader, "members", &GangMemberFromJson);
   message.reply_to = reader.RequiredString("reply_to");
   message.traceparent = reader.OptionalString("traceparent");
+  message.max_run =
+      core::Duration::Milliseconds(reader.OptionalInteger("max_run_ms", 0));
   if (message.members.empty() ||
       message.member >= static_cast<int>(message.members.size())) {
     reader.Fail("members", "member index is outside the list of members");
@@ -325,6 +375,7 @@
   doc["outcome"] = JobOutcomeName(message.outcome);
   doc["body"] = message.body;
   doc["run_ms"] = message.run_time.InMilliseconds();
+  doc["cause"] = ResultCauseName(message.cause);
   return doc;
 }
 
@@ -345,6 +396,9 @@
   message.body = reader.OptionalString("body", {}, kMaxPayloadBytes);
   message.run_time =
       core::Duration::Milliseconds(reader.OptionalInteger("run_ms", 0));
+  // A cause that a newer agent added is read as the general one.
+  message.cause = ResultCauseFromName(reader.OptionalString("cause", "task"))
+                      .value_or(ResultCause::kTask);
   return Finish(reader, std::move(message));
 }
 
--- a/modules/model/messages/messages.h
+++ b/modules/model/messages/messages.h
@@ -22,6 +22,8 @@
   core::OrganisationId organisation;
   core::JobClass job_class;
   AcceleratorSet accelerators;
+  /// Usage so far: time since the task started, as the agent saw it.
+  core::Duration run_time;
 };
 
 /// Agent to entry, at least each `kAnnouncePeriod`.
@@ -82,6 +84,8 @@
   std::string reply_to;
   /// W3C trace context of the caller's request, or empty.
   std::string traceparent;
+  /// The agent stops the task after this time; zero: no limit.
+  core::Duration max_run;
 };
 
 /// Why an agent refused.
@@ -109,6 +113,20 @@
   core::CatalogueRevision revision;
 };
 
+/// What ended an attempt; tells an entry whether the job itself is to blame.
+enum class ResultCause {
+  kTask,             ///< The task ended by itself.
+  kUpstreamLost,     ///< The upstream died, froze or forgot the task.
+  kUpstreamRefused,  ///< The upstream did not accept the start.
+  kNotStarted,       ///< Expired or released before the start.
+  kRunTimeExceeded,  ///< Stopped after `max_run`.
+  kPreempted,        ///< Stopped by `preempt`.
+  kCheckpointed,     ///< Ended at a checkpoint that `preempt` asked for.
+  kCancelled,        ///< Stopped by `cancel`.
+  kGangStopped,      ///< Another part of the gang failed or was lost.
+  kAgentRestarted,   ///< Stopped by the successor of the agent that ran it.
+};
+
 /// Agent to entry: the end of one attempt on that agent.
 struct ResultNotice {
   core::AgentId agent;
@@ -119,6 +137,7 @@
   /// Result of `kDone`, error text of `kFailed`.
   std::string body;
   core::Duration run_time;
+  ResultCause cause = ResultCause::kTask;
 };
 
 /// Names a job or one attempt, for `cancel`, `ack` and `release`.
@@ -133,6 +152,11 @@
 std::string_view RefusalReasonName(RefusalReason reason);
 std::optional<RefusalReason> RefusalReasonFromName(std::string_view name);
 
+/// Names used in JSON: "task", "upstream_lost" and so on.
+std::string_view ResultCauseName(ResultCause cause);
+std::optional<ResultCause> ResultCauseFromName(std::string_view name);
+
+nlohmann::json ToJson(const RunningTask& message);
 nlohmann::json ToJson(const Announcement& message);
 nlohmann::json ToJson(const AnnounceReply& message);
 nlohmann::json ToJson(const ReservationRequest& message);
@@ -140,6 +164,7 @@
 nlohmann::json ToJson(const ResultNotice& message);
 nlohmann::json ToJson(const AttemptReference& message);
 
+core::Expected<RunningTask> RunningTaskFromJson(const nlohmann::json& doc);
 core::Expected<Announcement> AnnouncementFromJson(const nlohmann::json& doc);
 core::Expected<AnnounceReply> AnnounceReplyFromJson(const nlohmann::json& doc);
 core::Expected<ReservationRequest> ReservationRequestFromJson(
--- a/modules/wire/server/http_server.cc
+++ b/modules/wire/server/http_server.cc
@@ -65,7 +65,7 @@
     QObject::connect(socket, &QTcpSocket::disconnected, socket,
                      &QObject::deleteLater);
     this->addPendingConnection(socket);
-    emit this->newConnection();
+    Q_EMIT this->newConnection();
   }
 
  private:
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -51,7 +51,8 @@
   this->process.setStandardErrorFile(QString::fromStdString(log_file),
                                      QIODevice::Append);
   this->process.start(ProgramPath(program), list);
-  BOOST_REQUIRE_MESSAGE(this->process.waitForStarted(), "cannot start " + program);
+  BOOST_REQUIRE_MESSAGE(this->process.waitForStarted(),
+                        "cannot start " + program);
 }
 
 ChildProcess::~ChildProcess() {
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -28,18 +28,15 @@
     QObject::connect(target, &QTcpSocket::connected, target, [target] {
       target->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     });
-    QObject::connect(client, &QTcpSocket::readyRead, target,
-                     [this, client, target] {
-                       this->ForwardRequests(client, target);
-                     });
-    QObject::connect(target, &QTcpSocket::connected, client,
-                     [this, client, target] {
-                       this->ForwardRequests(client, target);
-                     });
-    QObject::connect(target, &QTcpSocket::readyRead, client,
-                     [this, client, target] {
-                       this->ForwardAnswers(client, target);
-                     });
+    QObject::connect(
+        client, &QTcpSocket::readyRead, target,
+        [this, client, target] { this->ForwardRequests(client, target); });
+    QObject::connect(
+        target, &QTcpSocket::connected, client,
+        [this, client, target] { this->ForwardRequests(client, target); });
+    QObject::connect(
+        target, &QTcpSocket::readyRead, client,
+        [this, client, target] { this->ForwardAnswers(client, target); });
     QObject::connect(target, &QTcpSocket::disconnected, client,
                      &QTcpSocket::disconnectFromHost);
     QObject::connect(target, &QTcpSocket::errorOccurred, client,
