Add logs, metrics and traces

Cause: the processes had only an unescaped line on standard error. Ruled out: opentelemetry-cpp, which Debian 12 does not have; the pull server of prometheus-cpp, since /metrics belongs on our own server. Organisations and classes outside the catalogue count as "other".

--- a/modules/cli/roles/run_process.h
+++ b/modules/cli/roles/run_process.h
@@ -49,6 +49,21 @@
 
 }  // namespace detail
 
+/// Sets logs and traces of a process up as its settings say; its destruction
+/// sends the spans that wait.
+class Observation {
+ public:
+  static core::Expected<std::unique_ptr<Observation>> Start(
+      const settings::CommonSettings& common,
+      const std::string& process_id);
+  ~Observation() { observe::StopTraceExport(); }
+  Observation(const Observation&) = delete;
+  Observation& operator=(const Observation&) = delete;
+
+ private:
+  Observation() = default;
+};
+
 /// Runs until a signal has led to a complete drain. Needs a QCoreApplication.
 template <typename Process, typename Settings>
 requires DrainableProcess<Process, Settings> ExitCode
@@ -66,6 +81,11 @@
   if (!signals) {
     return ReportError(console, signals.error(), ExitCode::kFailed);
   }
+  const core::Expected<std::unique_ptr<Observation>> observation =
+      Observation::Start(settings.common, settings.id.Text());
+  if (!observation) {
+    return ReportError(console, observation.error(), ExitCode::kFailed);
+  }
   core::Expected<std::unique_ptr<Process>> created =
       Process::Create(settings, [] { detail::QuitEventLoop(); });
   if (!created) {
--- /dev/null
+++ b/modules/observe/metrics/metrics_test.cc
@@ -0,0 +1,130 @@
+#include "modules/observe/metrics/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace hemlockdoor::observe {
+
+namespace {
+
+const core::OrganisationId kNorth("north");
+const core::JobClass kBatch("batch");
+
+bool Has(Metrics& metrics, const std::string& line) {
+  return ("\n" + metrics.ToText()).find("\n" + line + "\n") !=
+         std::string::npos;
+}
+
+/// Value of a series without labels; -1 when absent.
+double ValueOf(Metrics& metrics, const std::string& name) {
+  std::istringstream lines(metrics.ToText());
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.rfind(name + " ", 0) == 0) {
+      return std::stod(line.substr(name.size() + 1));
+    }
+  }
+  return -1;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(MetricsTest)
+
+// Guards against a value that is counted under the wrong name or label.
+BOOST_AUTO_TEST_CASE(EveryMetricHasItsNameLabelsAndUnit) {
+  Metrics metrics;
+  metrics.SetCatalogueNames({kNorth}, {kBatch});
+  metrics.CountJobEnd(kNorth, kBatch, OutcomeLabel::kNotRun);
+  metrics.SetQueueLength(kNorth, kBatch, 3);
+  metrics.ObserveWait(kBatch, core::Duration::Milliseconds(1500));
+  metrics.ObserveCompletion(kBatch, core::Duration::Seconds(2));
+  metrics.ObserveShortWait(core::Duration::Milliseconds(500));
+  metrics.CountRefusal(RefusalLabel::kDraining);
+  metrics.SetReservations(4);
+  metrics.CountPreemption(PreemptionLabel::kStop);
+  metrics.SetGuaranteeShortfall(kNorth, 2);
+  metrics.SetQuarantinedWorkers(1);
+  metrics.SetFragmentation(0.25);
+  metrics.CountStoreCall(StoreCallLabel::kWatch,
+                         StoreResultLabel::kUnavailable);
+  metrics.AddControlBytes(TrafficLabel::kReceived, 100);
+  metrics.CountDroppedSpans(7);
+  const std::vector<std::string> lines = {
+      R"(hemlockdoor_jobs_total{class="batch",organisation="north",outcome="not-run"} 1)",
+      R"(hemlockdoor_queue_jobs{class="batch",organisation="north"} 3)",
+      R"(hemlockdoor_job_wait_seconds_sum{class="batch"} 1.5)",
+      R"(hemlockdoor_job_wait_seconds_bucket{class="batch",le="1"} 0)",
+      R"(hemlockdoor_job_wait_seconds_bucket{class="batch",le="2"} 1)",
+      R"(hemlockdoor_job_completion_seconds_sum{class="batch"} 2)",
+      R"(hemlockdoor_short_job_wait_seconds_sum 0.5)",
+      R"(hemlockdoor_refusals_total{reason="draining"} 1)",
+      R"(hemlockdoor_refusals_total{reason="shed"} 0)",
+      R"(hemlockdoor_reservations 4)",
+      R"(hemlockdoor_preemptions_total{mode="stop"} 1)",
+      R"(hemlockdoor_guarantee_shortfall_gangs{organisation="north"} 2)",
+      R"(hemlockdoor_quarantined_workers 1)",
+      R"(hemlockdoor_free_accelerator_fragmentation_ratio 0.25)",
+      R"(hemlockdoor_store_calls_total{kind="watch",result="unavailable"} 1)",
+      R"(hemlockdoor_control_bytes_total{direction="received"} 100)",
+      R"(hemlockdoor_trace_spans_dropped_total 7)",
+  };
+  for (const std::string& line : lines) {
+    BOOST_TEST(Has(metrics, line), line);
+  }
+}
+
+// Guards against callers that add series by inventing names.
+BOOST_AUTO_TEST_CASE(UnknownNamesCountAsOther) {
+  Metrics metrics;
+  metrics.SetCatalogueNames({kNorth}, {kBatch});
+  for (int i = 0; i < 100; ++i) {
+    metrics.CountJobEnd(core::OrganisationId("o" + std::to_string(i)),
+                        core::JobClass("c" + std::to_string(i)),
+                        OutcomeLabel::kDone);
+  }
+  BOOST_TEST(Has(
+      metrics,
+      R"(hemlockdoor_jobs_total{class="other",organisation="other",outcome="done"} 100)"));
+  BOOST_TEST(metrics.ToText().find("\"o1\"") == std::string::npos);
+}
+
+// Guards against series of deleted catalogue entries that stay for good.
+BOOST_AUTO_TEST_CASE(SeriesOfRemovedNamesGo) {
+  Metrics metrics;
+  metrics.SetCatalogueNames({kNorth}, {kBatch});
+  metrics.SetQueueLength(kNorth, kBatch, 3);
+  metrics.SetCatalogueNames({}, {});
+  BOOST_TEST(metrics.ToText().find("north") == std::string::npos);
+  metrics.SetCatalogueNames({kNorth}, {kBatch});
+  metrics.SetQueueLength(kNorth, kBatch, 2);
+  BOOST_TEST(
+      Has(metrics,
+          R"(hemlockdoor_queue_jobs{class="batch",organisation="north"} 2)"));
+}
+
+// Guards against process figures that are not updated or have a wrong unit.
+BOOST_AUTO_TEST_CASE(ProcessFiguresAreOfNow) {
+  constexpr double kMebibyte = 1024.0 * 1024.0;
+  Metrics metrics;
+  const double cpu_before =
+      ValueOf(metrics, "hemlockdoor_process_cpu_seconds_total");
+  volatile double sink = 0;
+  while (ValueOf(metrics, "hemlockdoor_process_cpu_seconds_total") <
+         cpu_before + 0.05) {
+    for (int i = 0; i < 100'000; ++i) {
+      sink = sink + i;
+    }
+  }
+  BOOST_TEST(cpu_before >= 0);
+  const double resident =
+      ValueOf(metrics, "hemlockdoor_process_resident_memory_bytes");
+  BOOST_TEST(resident > kMebibyte);
+  BOOST_TEST(resident < 4096 * kMebibyte);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::observe
