--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -20,6 +20,10 @@
 constexpr core::Duration kResendDelay = core::Duration::Milliseconds(100);
 /// Delay of a job that was refused more than `kQuickRefusals` times.
 constexpr core::Duration kRefusalDelay = core::Duration::Milliseconds(500);
+/// Results up to this size that nobody waits for stay with their agent until
+/// they are fetched; an agent delivers a kept result again every 5 s, which is
+/// too much traffic for larger ones.
+constexpr std::size_t kKeptWithAgentBytes = 64U * 1024U;
 /// A task that its agent has not announced for so long may have ended unseen.
 constexpr core::Duration kUnannouncedTime = core::Duration::Milliseconds(3000);
 
@@ -208,6 +212,13 @@
   }
   request.reply_to = this->context.options.endpoint;
   request.traceparent = job.traceparent;
+  if (this->context.catalogue) {
+    const model::CatalogueEntry* entry = this->context.catalogue->FindFor(
+        job.description.organisation, job.description.job_class);
+    if (entry != nullptr && entry->limits.max_run) {
+      request.max_run = *entry->limits.max_run;
+    }
+  }
   return model::ToJson(request);
 }
 
@@ -440,15 +451,23 @@
     const core::AgentId asked = current->attempt->members.front().place.agent;
     if (answer) {
       this->context.agents.CountSuccess(asked);
-      this->OnTaskAnswer(*current, *answer);
+      if (IsGang(*current)) {
+        this->OnGangAnswer(*current, *answer);
+      } else {
+        this->OnTaskAnswer(*current, *answer);
+      }
     } else {
       this->context.agents.CountFailure(asked, this->context.now);
     }
   };
   if (IsGang(job)) {
+    model::GangMessage question;
+    question.job = id;
+    question.attempt = number;
+    question.incarnation = lead.place.incarnation;
     this->context.Call(
         {lead.place.endpoint, wire::HttpMethod::kPost, "/internal/v1/gang/ask"},
-        ReferenceText(job, lead), done);
+        model::DumpJson(model::ToJson(question)), done);
   } else {
     this->context.Call({lead.place.endpoint, wire::HttpMethod::kGet,
                         "/internal/v1/tasks/" + id.Text()},
@@ -457,22 +476,22 @@
 }
 
 void AttemptRunner::OnTaskAnswer(Job& job, const wire::HttpResponse& response) {
-  if (const std::optional<model::ResultNotice> end = ReadTaskEnd(response)) {
-    this->TakeNotice(job, *end);
+  const std::optional<model::TaskStatus> task = ReadTaskStatus(response);
+  const AttemptMember& lead = job.attempt->members.front();
+  if (!task || task->incarnation != lead.place.incarnation) {
     return;
   }
-  if (const std::optional<model::GrantReply> reply = ReadGrantReply(response)) {
-    if (reply->granted || reply->may_have_started) {
-      this->OnStarted(job);
+  const core::AttemptNumber number = job.attempt->number;
+  for (const model::ResultNotice& end : task->results) {
+    if (end.attempt == number && this->TakeNotice(job, end)) {
       return;
     }
   }
-  const AttemptMember& lead = job.attempt->members.front();
-  const KnownAgent* agent = this->context.agents.Find(lead.place.agent);
-  if (agent != nullptr &&
-      FindTask(*agent, job.description.id, job.attempt->number) != nullptr) {
-    this->OnStarted(job);
-    return;
+  for (const model::RunningTask& running : task->running) {
+    if (running.attempt == number) {
+      this->OnStarted(job);
+      return;
+    }
   }
   // The agent does not know the attempt. Only after the latest start is it
   // certain that no copy of the request can still start it.
@@ -481,6 +500,64 @@
   }
 }
 
+void AttemptRunner::OnGangAnswer(Job& job, const wire::HttpResponse& response) {
+  const core::Expected<model::GangReply> reply =
+      model::FromText<&model::GangReplyFromJson>(response.body);
+  const AttemptMember& lead = job.attempt->members.front();
+  if (!reply || reply->incarnation != lead.place.incarnation) {
+    return;
+  }
+  switch (reply->state) {
+    case model::GangState::kCommitted:
+    case model::GangState::kRunning:
+      this->OnStarted(job);
+      return;
+    case model::GangState::kReserved:
+    case model::GangState::kAborted:
+      // A release makes an undecided lead abort for good.
+      this->context.gangs->Release(job);
+      return;
+    case model::GangState::kDone:
+    case model::GangState::kStopped:
+      // The members' results are on their way to this entry, or held.
+      this->AskMembers(job);
+      return;
+    case model::GangState::kUnknown:
+      if (this->context.now > lead.no_start_after) {
+        this->SendTombstone(job);
+      }
+      return;
+  }
+}
+
+void AttemptRunner::AskMembers(Job& job) {
+  const core::JobId id = job.description.id;
+  const core::AttemptNumber number = job.attempt->number;
+  for (const AttemptMember& member : job.attempt->members) {
+    if (member.ended) {
+      continue;
+    }
+    this->context.Call(
+        {member.place.endpoint, wire::HttpMethod::kGet,
+         "/internal/v1/tasks/" + id.Text()},
+        {},
+        [this, id, number](const core::Expected<wire::HttpResponse>& answer) {
+          const std::optional<model::TaskStatus> task =
+              answer ? ReadTaskStatus(*answer) : std::nullopt;
+          if (!task) {
+            return;
+          }
+          for (const model::ResultNotice& end : task->results) {
+            Job* current = this->context.jobs.Find(id);
+            if (end.attempt == number &&
+                IsCurrent(current, number, JobPhase::kResolving)) {
+              this->TakeNotice(*current, end);
+            }
+          }
+        });
+  }
+}
+
 void AttemptRunner::SendTombstone(Job& job) {
   const core::JobId id = job.description.id;
   const core::AttemptNumber number = job.attempt->number;
@@ -523,8 +600,7 @@
 
 void AttemptRunner::RetryElsewhere(Job& job,
                                    const std::optional<core::AgentId>& fault) {
-  const bool exhausted =
-      job.last_attempt.Number() >= static_cast<std::uint64_t>(kMaxAttempts);
+  const bool exhausted = ++job.failures >= kMaxAttempts;
   if (exhausted || job.deadline_passed || !this->context.retries.TryTake()) {
     job.attempt->fault = fault;
     this->End(job, model::JobOutcome::kFailed, job.last_error);
@@ -592,7 +668,17 @@
   if (!job.reply_to.empty()) {
     this->context.owners->PushEnd(job);
   }
-  if (delivered || job.recorded) {
+  wire::HttpResponse kept;
+  kept.body = "{}";
+  if (!job.result_endpoint.empty()) {
+    kept.status = status::kAccepted;
+  }
+  for (const RequestId request : job.result_requests) {
+    this->context.Answer(request, kept);
+  }
+  job.result_requests.clear();
+  const bool large = job.result && job.result->size() > kKeptWithAgentBytes;
+  if (delivered || job.recorded || large || !job.reply_to.empty()) {
     this->Acknowledge(job);
   }
 }
@@ -635,8 +721,13 @@
   response.status = status::kOk;
   response.body = "{}";
   if (job->phase == JobPhase::kFollowing) {
-    this->context.owners->OnFollowedEnd(*job, notice);
-    this->context.Answer(request, std::move(response));
+    if (this->context.owners->OnPushedEnd(*job, notice)) {
+      this->context.Answer(request, std::move(response));
+    } else {
+      this->context.AnswerProblem(
+          request, {status::kNotFound, "not-held-here",
+                    "Another entry holds the job; keep the result."});
+    }
     return;
   }
   const bool ended = job->phase == JobPhase::kEnded;
@@ -649,9 +740,27 @@
     return;
   }
   const bool recording = job->phase == JobPhase::kRecordingEnd;
-  if (recording || (!ended && this->TakeNotice(*job, notice) &&
-                    job->phase != JobPhase::kEnded)) {
-    // The agent keeps the result until `ack`: the end is not recorded yet.
+  const bool had_waiter = !job->waiters.empty() || !job->reply_to.empty();
+  const bool taken = !ended && !recording && this->TakeNotice(*job, notice);
+  job = this->context.jobs.Find(notice.job);
+  if (job == nullptr) {
+    this->context.Answer(request, std::move(response));
+    return;
+  }
+  if (job->phase == JobPhase::kRecordingEnd) {
+    // Answered when the end is recorded: until then the agent keeps it.
+    job->result_requests.push_back(request);
+    return;
+  }
+  const bool fetched_later = taken && !had_waiter && !job->recorded &&
+                             job->outcome == model::JobOutcome::kDone &&
+                             notice.body.size() <= kKeptWithAgentBytes;
+  const bool unfetched =
+      fetched_later || (ended && !job->unacknowledged.empty() &&
+                        job->ended_attempt == notice.attempt);
+  if (unfetched) {
+    // Nobody has the result yet. The agent keeps it, so that it outlives this
+    // entry, until it is fetched or its retention time is over.
     response.status = status::kAccepted;
   }
   this->context.Answer(request, std::move(response));
@@ -708,9 +817,9 @@
                                    const model::ResultNotice& notice) {
   job.last_error = notice.body;
   job.attempt->fault = notice.agent;
-  if (job.cancel_requested && notice.outcome == model::JobOutcome::kFailed) {
-    this->End(job, model::JobOutcome::kFailed, notice.body);
-  } else if (job.description.repeatable && !job.cancel_requested) {
+  const bool may_retry = job.description.repeatable && !job.cancel_requested &&
+                         notice.cause != model::ResultCause::kRunTimeExceeded;
+  if (may_retry) {
     this->RetryElsewhere(job, notice.agent);
   } else {
     this->End(job, notice.outcome, notice.body);
@@ -724,6 +833,8 @@
               "stopped because its deadline had passed");
   } else if (job.cancel_requested) {
     this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
+  } else if (notice.cause == model::ResultCause::kGangStopped) {
+    this->OnMemberFailed(job, notice);
   } else if (job.description.repeatable) {
     // Stopped by a preemption or by the worker's own decision: runs again.
     this->RemoveFromScheduler(job, model::JobOutcome::kCancelled, std::nullopt);
@@ -813,27 +924,28 @@
   if (job == nullptr || !job->attempt || job->phase != JobPhase::kRunning) {
     return;
   }
-  std::string mode = "stop";
+  model::PreemptAction action = model::PreemptAction::kStop;
   if (decision.mode == decide::PreemptMode::kCheckpoint) {
-    mode = "checkpoint";
+    action = model::PreemptAction::kCheckpoint;
   } else if (decision.mode == decide::PreemptMode::kThrottle) {
-    mode = "throttle";
+    action = model::PreemptAction::kThrottle;
   }
   job->preempting = decision.mode != decide::PreemptMode::kThrottle;
-  this->context.Log(
-      observe::LogLevel::kInfo,
-      "preempting (" + mode + ") for job " + decision.beneficiary.Text(), job);
+  this->context.Log(observe::LogLevel::kInfo,
+                    "preempting (" +
+                        std::string(model::PreemptActionName(action)) +
+                        ") for job " + decision.beneficiary.Text(),
+                    job);
   for (const AttemptMember& member : job->attempt->members) {
-    model::AttemptReference reference;
-    reference.job = job->description.id;
-    reference.attempt = job->attempt->number;
-    reference.incarnation = member.place.incarnation;
-    nlohmann::json doc = model::ToJson(reference);
-    doc["mode"] = mode;
-    doc["grace_ms"] = decision.grace.InMilliseconds();
+    model::PreemptRequest request;
+    request.job = job->description.id;
+    request.attempt = job->attempt->number;
+    request.incarnation = member.place.incarnation;
+    request.action = action;
+    request.grace = decision.grace;
     this->context.Call({member.place.endpoint, wire::HttpMethod::kPost,
                         "/internal/v1/preempt"},
-                       model::DumpJson(doc),
+                       model::DumpJson(model::ToJson(request)),
                        [](const core::Expected<wire::HttpResponse>&) {});
   }
 }
--- a/modules/entry/core/attempt_runner.h
+++ b/modules/entry/core/attempt_runner.h
@@ -77,6 +77,8 @@
   void Refuse(Job& job, const Problem& problem);
   /// Ends a job whose end is final elsewhere too: tells callers and agents.
   void Finalize(Job& job);
+  /// Tells the agents that they may drop the job's result.
+  void Acknowledge(Job& job);
   /// Drops an ended job; its result is acknowledged to its agents.
   void Forget(const core::JobId& id);
   /// Takes an attempt found in a record or on agents into this entry.
@@ -106,6 +108,8 @@
   void OnRunInDoubt(Job& job);
   void OnRefusal(Job& job, const model::GrantReply& reply);
   void Ask(Job& job);
+  void OnGangAnswer(Job& job, const wire::HttpResponse& response);
+  void AskMembers(Job& job);
   void OnTaskAnswer(Job& job, const wire::HttpResponse& response);
   void SendTombstone(Job& job);
   void OnAgentLost(Job& job);
@@ -118,7 +122,6 @@
   void RetryElsewhere(Job& job, const std::optional<core::AgentId>& fault);
   void CheckDeadline(Job& job);
   void TickJob(Job& job);
-  void Acknowledge(Job& job);
 
   EntryContext& context;
 };
--- a/modules/entry/core/caller_service.cc
+++ b/modules/entry/core/caller_service.cc
@@ -32,6 +32,20 @@
   return phase != JobPhase::kEnded && phase != JobPhase::kCreatingRecord;
 }
 
+/// The result of the newest attempt that an agent holds of a job; member 0
+/// speaks for a gang.
+const model::ResultNotice* NewestResult(const model::TaskStatus& task,
+                                        const core::JobId& job) {
+  const model::ResultNotice* newest = nullptr;
+  for (const model::ResultNotice& each : task.results) {
+    const bool counts = each.job == job && each.member == 0;
+    if (counts && (newest == nullptr || newest->attempt < each.attempt)) {
+      newest = &each;
+    }
+  }
+  return newest;
+}
+
 wire::HttpResponse RawResult(const std::string& body) {
   wire::HttpResponse response;
   response.content_type = "application/octet-stream";
@@ -41,17 +55,16 @@
 
 }  // namespace
 
-std::optional<model::ResultNotice> ReadTaskEnd(
+std::optional<model::TaskStatus> ReadTaskStatus(
     const wire::HttpResponse& response) {
-  if (response.status != status::kOk) {
-    return std::nullopt;
-  }
-  core::Expected<model::ResultNotice> notice =
-      model::FromText<&model::ResultNoticeFromJson>(response.body);
-  if (!notice) {
+  core::Expected<model::TaskStatus> task =
+      model::FromText<&model::TaskStatusFromJson>(response.body);
+  const bool is_status =
+      response.status == status::kOk || response.status == status::kNotFound;
+  if (!task || !is_status) {
     return std::nullopt;
   }
-  return std::move(*notice);
+  return std::move(*task);
 }
 
 bool CallerService::RefuseSubmission(const SubmitJob& event) {
@@ -342,8 +355,12 @@
   }
   if (query.kind == JobQueryKind::kStatus) {
     this->context.Answer(query.request, MakeJobResponse(job, false));
+    if (done) {
+      this->AcknowledgeHeld(query.job);
+    }
   } else if (done) {
     this->context.Answer(query.request, RawResult(*job.result));
+    this->AcknowledgeHeld(query.job);
   } else {
     const bool ended = job.phase == JobPhase::kEnded;
     this->context.AnswerProblem(
@@ -355,6 +372,12 @@
   }
 }
 
+void CallerService::AcknowledgeHeld(const core::JobId& id) {
+  if (Job* job = this->context.jobs.Find(id)) {
+    this->context.attempts->Acknowledge(*job);
+  }
+}
+
 void CallerService::SearchAgents(const QueryJob& query) {
   if (const KnownAgent* holder = this->context.agents.FindHolder(query.job)) {
     this->FetchResult(query, holder->last.endpoint);
@@ -378,9 +401,11 @@
       {},
       [this, query,
        endpoint](const core::Expected<wire::HttpResponse>& answer) {
-        const std::optional<model::ResultNotice> notice =
-            answer ? ReadTaskEnd(*answer) : std::nullopt;
-        if (!notice || notice->job != query.job) {
+        const std::optional<model::TaskStatus> task =
+            answer ? ReadTaskStatus(*answer) : std::nullopt;
+        const model::ResultNotice* notice =
+            task ? NewestResult(*task, query.job) : nullptr;
+        if (notice == nullptr) {
           this->context.AnswerProblem(
               query.request,
               {status::kUnavailable, "result-not-reachable",
--- a/modules/entry/core/caller_service.h
+++ b/modules/entry/core/caller_service.h
@@ -47,6 +47,7 @@
   void JoinJob(Job& job, const SubmitJob& event);
   core::JobId NewJobId(const SubmitJob& event);
   void CancelFollowed(Job& job);
+  void AcknowledgeHeld(const core::JobId& id);
   void AcknowledgeFetched(const model::ResultNotice& notice,
                           const std::string& endpoint);
   void AnswerEnd(const QueryJob& query, const model::ResultNotice& notice);
@@ -67,9 +68,9 @@
   std::map<RequestId, core::JobId> waiting;
 };
 
-/// Reads what `GET /internal/v1/tasks/JOB` answered as the end of an attempt;
-/// nothing while the task runs or when the answer is not one.
-std::optional<model::ResultNotice> ReadTaskEnd(
+/// Reads what `GET /internal/v1/tasks/JOB` answered; nothing when the answer
+/// is not one.
+std::optional<model::TaskStatus> ReadTaskStatus(
     const wire::HttpResponse& response);
 
 }  // namespace hemlockdoor::entry
--- a/modules/entry/core/entry_context.h
+++ b/modules/entry/core/entry_context.h
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "modules/core/core.h"
+#include "modules/decide/decide.h"
 #include "modules/entry/api/answers.h"
 #include "modules/entry/core/agent_directory.h"
 #include "modules/entry/core/commands.h"
 #include "modules/entry/core/events.h"
-#include "modules/entry/core/first_fit_scheduler.h"
 #include "modules/entry/core/job_table.h"
 #include "modules/entry/core/planning_ownership.h"
 #include "modules/entry/core/retry_budget.h"
@@ -23,7 +23,7 @@
 namespace hemlockdoor::entry {
 
 /// The scheduler in use.
-using PlacementScheduler = FirstFitScheduler;
+using PlacementScheduler = decide::Scheduler;
 
 /// Fixed parameters of an entry's state machine.
 struct EntryOptions {
--- a/modules/entry/core/gang_coordinator.cc
+++ b/modules/entry/core/gang_coordinator.cc
@@ -212,15 +212,14 @@
   }
   AttemptMember& target = job->attempt->members.at(member);
   const std::optional<model::GrantReply> reply = ReadGrantReply(*answer);
-  if (reply && reply->may_have_started) {
+  const bool same_process =
+      reply && reply->incarnation == target.place.incarnation;
+  if (same_process && reply->may_have_started) {
     // The lead rolled forward before the release arrived: the gang runs.
     this->context.attempts->OnStarted(*job);
     return;
   }
-  const bool unknown_path = answer->status == wire::http_status::kNotFound;
-  target.released = reply.has_value() || unknown_path ||
-                    answer->status == wire::http_status::kOk ||
-                    answer->status == wire::http_status::kNoContent;
+  target.released = reply && reply->granted;
   this->CheckReleased(*job);
 }
 
@@ -259,6 +258,7 @@
     const KnownAgent* agent = this->context.agents.Find(member.place.agent);
     const bool gone =
         agent == nullptr || agent->last.incarnation != member.place.incarnation;
+    job.ask_again_at = this->context.now + kAskPeriod;
     if (!gone) {
       this->SendRelease(job, i);
     } else if (i > 0 && (lead.released || !job.attempt->start_sent) &&
--- a/modules/entry/core/job_table.h
+++ b/modules/entry/core/job_table.h
@@ -128,6 +128,8 @@
   /// Some attempt started, or may have.
   bool may_have_run = false;
   int refusals = 0;
+  /// Attempts that started and failed.
+  int failures = 0;
   std::string last_error;
   bool in_scheduler = false;
   bool preempting = false;
@@ -138,6 +140,8 @@
   core::TimePoint ask_again_at;
 
   std::vector<Waiter> waiters;
+  /// Deliveries of the result that are answered when the end is recorded.
+  std::vector<RequestId> result_requests;
   std::optional<model::JobOutcome> outcome;
   /// Status, problem type and text of an outcome that is not kDone.
   int problem_status = 0;
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -15,6 +15,11 @@
 /// Unanswered questions after which the entry that holds a job counts as gone.
 constexpr int kMaxFollowFailures = 3;
 
+/// How an entry names itself where results name an agent.
+core::AgentId PeerName(const std::string& endpoint) {
+  return core::AgentId("entry:" + endpoint);
+}
+
 std::string PeerJobTarget(const Job& job) {
   return "/internal/v1/jobs/" + job.description.id.Text() +
          "?organisation=" + job.description.organisation.Text();
@@ -168,6 +173,17 @@
   this->OnFollowedEnd(job, notice);
 }
 
+bool OwnershipService::OnPushedEnd(Job& job,
+                                   const model::ResultNotice& notice) {
+  // Only the entry that holds the job knows which attempt is the present one;
+  // a result that an agent brings here may be of an earlier attempt.
+  if (job.followed.empty() || notice.agent != PeerName(job.followed)) {
+    return false;
+  }
+  this->OnFollowedEnd(job, notice);
+  return job.phase == JobPhase::kEnded;
+}
+
 void OwnershipService::OnFollowedEnd(Job& job,
                                      const model::ResultNotice& notice) {
   if (notice.outcome == model::JobOutcome::kDone) {
@@ -225,7 +241,7 @@
 
 void OwnershipService::PushEnd(Job& job) {
   model::ResultNotice notice;
-  notice.agent = core::AgentId(this->context.options.id.Text());
+  notice.agent = PeerName(this->context.options.endpoint);
   notice.job = job.description.id;
   notice.attempt = job.ended_attempt;
   notice.outcome = job.outcome.value_or(model::JobOutcome::kUnknown);
@@ -415,7 +431,6 @@
   }
   this->sweep_open = true;
   this->next_sweep = this->context.now + kSweepPeriod;
-  ++this->context.record_reads;
   this->context.List(kOpenPrefix, [this](const auto& listing) {
     this->sweep_open = false;
     if (!listing) {
--- a/modules/entry/core/ownership_service.h
+++ b/modules/entry/core/ownership_service.h
@@ -35,7 +35,10 @@
   void Dispatch(Job& job);
   /// Follows a job that another entry holds.
   void Follow(Job& job, const std::string& endpoint);
-  /// The owner gave this entry the end of a job that it follows.
+  /// The entry that holds a job brought its end; false when the sender is not
+  /// that entry, or there is no room for the result.
+  bool OnPushedEnd(Job& job, const model::ResultNotice& notice);
+  /// Takes over the end of a job that this entry follows.
   void OnFollowedEnd(Job& job, const model::ResultNotice& notice);
   /// Sends the end of a job to the entry that handed it over.
   void PushEnd(Job& job);
--- a/modules/entry/core/record_keeper.cc
+++ b/modules/entry/core/record_keeper.cc
@@ -237,6 +237,7 @@
                                  std::function<void(const core::JobId&)> next) {
   job.phase = JobPhase::kRecordingAttempt;
   job.record.write_id = this->NewWriteId();
+  this->RenewRetention();
   this->SendAttempt(job, std::move(next));
 }
 
@@ -395,6 +396,16 @@
   const JobPhase phase = std::exchange(job.phase, JobPhase::kEnded);
   this->context.callers->AnswerWaiters(job);
   job.phase = phase;
+  for (const RequestId request : job.result_requests) {
+    this->context.AnswerProblem(
+        request, {status::kUnavailable,
+                  "not-recorded",
+                  "The end is not recorded yet; keep the result.",
+                  core::Duration::Seconds(1),
+                  std::nullopt,
+                  {}});
+  }
+  job.result_requests.clear();
 }
 
 void RecordKeeper::OnEndConflict(Job& job) {
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -1,5 +1,6 @@
 #include "modules/entry/process/entry_process.h"
 
+#include <QAbstractEventDispatcher>
 #include <QTimer>
 #include <atomic>
 #include <deque>
@@ -43,7 +44,7 @@
 constexpr std::size_t kMaxBodyBytes = 9U * 1024U * 1024U;
 constexpr int kClosedCheckPeriodMs = 500;
 /// Delay before an event that found the ring full is offered again.
-constexpr int kOfferAgainMs = 5;
+constexpr core::Duration kOfferAgainDelay = core::Duration::Milliseconds(5);
 
 using SharedEvent = std::shared_ptr<Event>;
 
@@ -422,7 +423,8 @@
     return;
   }
   // The end of a call must not be lost, and waiting must not block the thread.
-  QTimer::singleShot(kOfferAgainMs, [this, event] { this->Offer(event); });
+  wire::RunLater(QAbstractEventDispatcher::instance(), kOfferAgainDelay,
+                 [this, event] { this->Offer(event); });
 }
 
 void EntryProcess::Shell::OnAnswer(const Answer& answer) {
