Add the client commands and check

Cause: operators and callers had only the HTTP API. Ruled out: Qt's own repeat of a request after a closed connection; the client sends each try once and remembers which are in doubt. A submission always has an Idempotency-Key, so a retry cannot start the job again; an edit whose answer was lost is resolved by reading back.

--- a/modules/cli/program/program.cc
+++ b/modules/cli/program/program.cc
@@ -8,6 +8,9 @@
 #include <variant>
 #include <vector>
 
+#include "modules/cli/commands/catalogue_commands.h"
+#include "modules/cli/commands/job_commands.h"
+#include "modules/cli/commands/offline_commands.h"
 #include "modules/cli/output/console.h"
 #include "modules/cli/program/command_line.h"
 #include "modules/cli/roles/roles.h"
@@ -26,6 +29,24 @@
   ExitCode operator()(const AgentCommand& command) const {
     return RunAgent(this->console, command.settings_file);
   }
+  ExitCode operator()(const CheckCommand& command) const {
+    return RunCheck(this->console, command);
+  }
+  ExitCode operator()(const SubmitCommand& command) const {
+    return RunSubmit(this->console, command);
+  }
+  ExitCode operator()(const StatusCommand& command) const {
+    return RunStatus(this->console, command);
+  }
+  ExitCode operator()(const CancelCommand& command) const {
+    return RunCancel(this->console, command);
+  }
+  ExitCode operator()(const CatalogueCommand& command) const {
+    return RunCatalogue(this->console, command);
+  }
+  ExitCode operator()(const DrainCommand& command) const {
+    return RunDrain(this->console, command);
+  }
   ExitCode operator()(const ShowTextCommand& command) const {
     this->console.out << command.text << std::flush;
     return ExitCode::kDone;
