--- a/modules/cli/roles/roles.cc
+++ b/modules/cli/roles/roles.cc
@@ -1,5 +1,7 @@
 #include "modules/cli/roles/roles.h"
 
+#include "modules/agent/agent.h"
+#include "modules/cli/roles/run_process.h"
 #include "modules/settings/settings.h"
 
 namespace hemlockdoor::cli {
@@ -30,7 +32,7 @@
   if (!settings) {
     return ReportError(console, settings.error(), ExitCode::kUsage);
   }
-  return ReportMissingRole(console, "agent");
+  return RunProcess<agent::AgentProcess>(console, *settings);
 }
 
 }  // namespace hemlockdoor::cli
