Wake inboxes by a posted event

Cause: the static analyser reports QMetaObject::invokeMethod with a lambda and QTimer::singleShot as leaks in every file that uses them, so lint failed. Ruled out: a suppression, since the reports point into Qt's headers.

--- a/modules/agent/process/agent_process.cc
+++ b/modules/agent/process/agent_process.cc
@@ -1,6 +1,5 @@
 #include "modules/agent/process/agent_process.h"
 
-#include <QObject>
 #include <random>
 #include <string>
 #include <utility>
@@ -63,12 +62,12 @@
 class AgentProcess::Threads {
  public:
   MetricsBoard board;
+  /// Lives on the thread of `Create`; `on_stopped` runs there.
+  std::unique_ptr<wire::Inbox<Stop>> home;
   DutyThread<HttpFront> http;
   DutyThread<OutgoingCalls> short_calls;
   DutyThread<OutgoingCalls> bulk_calls;
   DutyThread<StateDuty> state;
-  /// Lives on the thread of `Create`; `on_stopped` runs there.
-  QObject home;
 
   core::Expected<void> Start(const settings::AgentSettings& settings,
                              const wire::Endpoint& upstream,
@@ -127,8 +126,11 @@
         this->board);
   });
   StateDuty* duty = this->state.Get();
-  const auto stopped = [this, callback = std::move(on_stopped)] {
-    QMetaObject::invokeMethod(&this->home, callback, Qt::QueuedConnection);
+  this->home = std::make_unique<wire::Inbox<Stop>>(
+      1, [callback = std::move(on_stopped)](Stop) { callback(); });
+  const auto stopped = [inbox = this->home.get()] {
+    const bool pushed = inbox->TryPush(Stop{});
+    HD_ASSERT(pushed);
   };
   this->short_calls.Run(
       [&] { this->short_calls.Get()->Open(duty->Outcomes()); });
--- a/modules/agent/process/duty_thread.h
+++ b/modules/agent/process/duty_thread.h
@@ -1,10 +1,13 @@
 // A thread with an event loop that owns one duty.
 #pragma once
 
-#include <QMetaObject>
+#include <QCoreApplication>
+#include <QEvent>
 #include <QObject>
+#include <QSemaphore>
 #include <QString>
 #include <QThread>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -29,7 +32,7 @@
   template <typename Make>
   void Start(const char* name, Make make) {
     this->thread.setObjectName(QString::fromLatin1(name));
-    this->context.moveToThread(&this->thread);
+    this->runner.moveToThread(&this->thread);
     this->thread.start();
     this->Run([this, &make] { this->duty = make(); });
   }
@@ -37,8 +40,12 @@
   /// Runs `function` on the thread and waits for its end.
   template <typename Function>
   void Run(Function function) {
-    QMetaObject::invokeMethod(&this->context, std::move(function),
-                              Qt::BlockingQueuedConnection);
+    QSemaphore finished;
+    QCoreApplication::postEvent(&this->runner, new Work([&function, &finished] {
+      function();
+      finished.release();
+    }));
+    finished.acquire();
   }
 
   /// Ends the duty's activity; the object stays.
@@ -58,8 +65,27 @@
   Duty* Get() { return this->duty.get(); }
 
  private:
+  /// A function to be run on the thread.
+  class Work : public QEvent {
+   public:
+    explicit Work(std::function<void()> work_function)
+        : QEvent(QEvent::User), function(std::move(work_function)) {}
+    std::function<void()> function;
+  };
+  /// Runs functions on the thread it lives on.
+  class Runner : public QObject {
+   public:
+    bool event(QEvent* event) override {
+      if (event->type() != QEvent::User) {
+        return QObject::event(event);
+      }
+      static_cast<Work*>(event)->function();
+      return true;
+    }
+  };
+
   QThread thread;
-  QObject context;
+  Runner runner;
   std::unique_ptr<Duty> duty;
   bool closed = false;
 };
--- a/modules/agent/process/http_front.cc
+++ b/modules/agent/process/http_front.cc
@@ -9,7 +9,7 @@
 /// Requests that wait for the state machine; also the bound on its answers.
 constexpr std::size_t kMaxPending = 512;
 /// Time for the last answers to reach their callers before the process ends.
-constexpr int kFlushMilliseconds = 100;
+constexpr core::Duration kFlushTime = core::Duration::Milliseconds(100);
 /// Largest request: a payload of 8 MB with its JSON envelope.
 constexpr std::size_t kMaxRequestBytes = 9U * 1024U * 1024U;
 
@@ -61,6 +61,7 @@
   this->events = nullptr;
   this->pending.clear();
   this->server.reset();
+  this->context.reset();
 }
 
 wire::HttpResponse HttpFront::Liveness(bool good) const {
@@ -121,8 +122,7 @@
   }
   if (std::holds_alternative<Stop>(command)) {
     this->server->StopListening();
-    QTimer::singleShot(kFlushMilliseconds,
-                       [callback = this->on_stopped] { callback(); });
+    wire::RunLater(this->context.get(), kFlushTime, this->on_stopped);
     return;
   }
   const std::optional<CallId> call = CallOf(command);
--- a/modules/agent/process/http_front.h
+++ b/modules/agent/process/http_front.h
@@ -1,7 +1,7 @@
 // The duty that serves an agent's HTTP API.
 #pragma once
 
-#include <QTimer>
+#include <QObject>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -65,6 +65,8 @@
   std::map<CallId, Pending> pending;
   CallId next_call = 1;
   std::function<void()> on_stopped;
+  /// Owns the timer that ends the process after a drain.
+  std::unique_ptr<QObject> context = std::make_unique<QObject>();
 };
 
 }  // namespace hemlockdoor::agent
--- a/modules/wire/loop/inbox.h
+++ b/modules/wire/loop/inbox.h
@@ -1,7 +1,8 @@
 // Bounded ring whose consumer runs on a Qt event loop.
 #pragma once
 
-#include <QMetaObject>
+#include <QCoreApplication>
+#include <QEvent>
 #include <QObject>
 #include <atomic>
 #include <cstddef>
@@ -30,13 +31,30 @@
       return false;
     }
     if (!this->wake_pending.exchange(true)) {
-      QMetaObject::invokeMethod(
-          &this->context, [this] { this->Drain(); }, Qt::QueuedConnection);
+      // Not QMetaObject::invokeMethod with a lambda, which the static analyser
+      // reports as a leak in every caller.
+      QCoreApplication::postEvent(&this->waker, new QEvent(QEvent::User));
     }
     return true;
   }
 
  private:
+  /// Receives wake-ups on the consumer's thread.
+  class Waker : public QObject {
+   public:
+    explicit Waker(Inbox& inbox) : owner(inbox) {}
+    bool event(QEvent* event) override {
+      if (event->type() != QEvent::User) {
+        return QObject::event(event);
+      }
+      this->owner.Drain();
+      return true;
+    }
+
+   private:
+    Inbox& owner;
+  };
+
   void Drain() {
     this->wake_pending.store(false);
     while (std::optional<Message> message = this->ring.TryPop()) {
@@ -47,7 +65,7 @@
   core::BoundedRing<Message> ring;
   Handler handler;
   std::atomic<bool> wake_pending = false;
-  QObject context;
+  Waker waker{*this};
 };
 
 }  // namespace hemlockdoor::wire
--- a/standins/upstream/upstream_standin.cc
+++ b/standins/upstream/upstream_standin.cc
@@ -120,7 +120,7 @@
 
 void UpstreamStandin::CheckWithdrawn() {
   if (this->on_withdrawn && this->HasNoTasks()) {
-    QTimer::singleShot(0, this, this->on_withdrawn);
+    wire::RunLater(this, {}, this->on_withdrawn);
   }
 }
 
@@ -149,8 +149,8 @@
     response.body.resize(response.body.size() / 2);
   }
   if (this->faults.delay_ms > 0) {
-    QTimer::singleShot(this->faults.delay_ms, this,
-                       [responder, response] { responder.Respond(response); });
+    wire::RunLater(this, core::Duration::Milliseconds(this->faults.delay_ms),
+                   [responder, response] { responder.Respond(response); });
     return;
   }
   responder.Respond(response);
@@ -252,8 +252,10 @@
   const TaskBehaviour behaviour = task.behaviour;
   this->tasks.emplace(key, std::move(task));
   const bool fails = this->faults.fail_all || !behaviour.fail.empty();
-  QTimer::singleShot(
-      this->faults.fail_all ? 0 : behaviour.run_ms, this,
+  wire::RunLater(
+      this,
+      core::Duration::Milliseconds(this->faults.fail_all ? 0
+                                                         : behaviour.run_ms),
       [this, key, fails] { this->EndTask(key, fails ? "failed" : "done"); });
   return Json(status::kAccepted, nlohmann::json::object());
 }
@@ -286,8 +288,8 @@
     return;
   }
   if (this->waiting_reports.empty()) {
-    QTimer::singleShot(kReverseHoldMilliseconds, this,
-                       [this] { this->FlushReports(); });
+    wire::RunLater(this, core::Duration::Milliseconds(kReverseHoldMilliseconds),
+                   [this] { this->FlushReports(); });
   }
   this->waiting_reports.push_back(key);
 }
@@ -331,8 +333,9 @@
           this->CheckWithdrawn();
           return;
         }
-        QTimer::singleShot(kReportRetryMilliseconds, this,
-                           [this, key] { this->Report(key); });
+        wire::RunLater(this,
+                       core::Duration::Milliseconds(kReportRetryMilliseconds),
+                       [this, key] { this->Report(key); });
       });
 }
 
@@ -406,8 +409,8 @@
   if (action == "stop" && !behaviour.ignore_stop) {
     this->EndTask(key, "stopped");
   } else if (action == "checkpoint" && !behaviour.ignore_checkpoint) {
-    QTimer::singleShot(kCheckpointMilliseconds, this,
-                       [this, key] { this->EndTask(key, "checkpointed"); });
+    wire::RunLater(this, core::Duration::Milliseconds(kCheckpointMilliseconds),
+                   [this, key] { this->EndTask(key, "checkpointed"); });
   }
   return this->Describe(key, status::kAccepted);
 }
