Test the gang protocol over a small queue of agents

Cause: each step must survive the death or pause of coordinator, lead and member, and lost, doubled and unanswered messages. Ruled out: tasks shorter than the fault in rows that must stop, since a task that ends by itself on a dead agent's upstream is rightly reported as done.

--- /dev/null
+++ b/modules/agent/gang/gang_table_test.cc
@@ -0,0 +1,433 @@
+#include "modules/agent/gang/gang_table.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/support/agent_cluster.h"
+
+namespace hemlockdoor::agent {
+
+namespace {
+
+using core::Duration;
+using testing::AgentCluster;
+using testing::AgentNode;
+
+/// What must have become of the whole gang.
+enum class Fate {
+  kDone,      ///< Every member ran once and ended with its result.
+  kNeverRan,  ///< No member ever started.
+  kStopped,   ///< Some may have run; all were stopped.
+};
+
+/// Where in the protocol a fault strikes.
+enum class Moment {
+  kAfterReserve,       ///< All members reserved, no commit.
+  kAfterSomeReserves,  ///< One member not reserved, no commit.
+  kOnConfirm,          ///< The first confirm message was sent.
+  kOnStart,            ///< The first start message was sent.
+  kWhileRunning,       ///< All members run.
+};
+
+/// Who fails at that moment.
+enum class Victim { kNone, kLead, kMember, kLeadPaused, kMemberPaused };
+
+struct Row {
+  const char* name;
+  std::vector<int> placement;
+  Moment moment;
+  Victim victim;
+  Fate fate;
+};
+
+constexpr Duration kPauseTime = Duration::Milliseconds(4500);
+/// A part may run without the whole for a lease, the retry of a renewal that
+/// got no answer, and a stop.
+constexpr Duration kMaxPartialTime = Duration::Milliseconds(4500);
+
+bool Commits(Moment moment) {
+  return moment != Moment::kAfterReserve &&
+         moment != Moment::kAfterSomeReserves;
+}
+
+void Strike(AgentCluster& cluster, Victim victim) {
+  const int index =
+      victim == Victim::kLead || victim == Victim::kLeadPaused ? 0 : 1;
+  switch (victim) {
+    case Victim::kNone:
+      return;
+    case Victim::kLead:
+    case Victim::kMember:
+      cluster.Kill(index);
+      cluster.At(Duration::Seconds(8),
+                 [&cluster, index] { cluster.Boot(index); });
+      return;
+    case Victim::kLeadPaused:
+    case Victim::kMemberPaused:
+      cluster.Node(index).paused = true;
+      cluster.At(kPauseTime,
+                 [&cluster, index] { cluster.Node(index).paused = false; });
+      return;
+  }
+}
+
+/// Longest time in which some but not all members of the gang ran, on agents
+/// that were alive and not paused throughout.
+Duration PartialTime(AgentCluster& cluster, std::size_t members) {
+  Duration longest;
+  Duration current;
+  const Duration step = Duration::Milliseconds(10);
+  for (int elapsed = 0; elapsed < 30'000; elapsed += 10) {
+    cluster.RunFor(step);
+    int on_healthy = 0;
+    for (int index = 0; index < cluster.Count(); ++index) {
+      const AgentNode& node = cluster.Node(index);
+      for (const auto& [key, task] : node.tasks) {
+        const bool runs = task.state == UpstreamTaskState::kRunning;
+        on_healthy += runs && node.alive && !node.paused ? 1 : 0;
+      }
+    }
+    const bool whole = cluster.RunningTasks() == static_cast<int>(members);
+    const bool all_healthy = on_healthy == cluster.RunningTasks();
+    const bool partial = on_healthy > 0 && !(whole && all_healthy);
+    current = partial ? current + step : Duration();
+    longest = std::max(longest, current);
+  }
+  return longest;
+}
+
+std::set<int> MembersWith(const AgentCluster& cluster,
+                          model::JobOutcome outcome) {
+  std::set<int> members;
+  for (const model::ResultNotice& notice : cluster.results) {
+    if (notice.outcome == outcome) {
+      members.insert(notice.member);
+    }
+  }
+  return members;
+}
+
+void CheckFate(AgentCluster& cluster, const Row& row) {
+  const auto members = static_cast<int>(row.placement.size());
+  const std::set<int> done = MembersWith(cluster, model::JobOutcome::kDone);
+  switch (row.fate) {
+    case Fate::kDone:
+      BOOST_TEST(cluster.Starts() == members);
+      BOOST_TEST(static_cast<int>(done.size()) == members);
+      break;
+    case Fate::kNeverRan:
+      BOOST_TEST(cluster.Starts() == 0);
+      BOOST_TEST(done.empty());
+      break;
+    case Fate::kStopped:
+      BOOST_TEST(done.empty());
+      break;
+  }
+  // P4: what was reported as not run was not run.
+  for (const int member : MembersWith(cluster, model::JobOutcome::kNotRun)) {
+    for (int index = 0; index < cluster.Count(); ++index) {
+      for (const auto& [key, task] : cluster.Node(index).tasks) {
+        BOOST_TEST((key.member != member ||
+                    task.state == UpstreamTaskState::kNeverStarted));
+      }
+    }
+  }
+}
+
+void CheckNothingLeft(AgentCluster& cluster) {
+  BOOST_TEST(cluster.RunningTasks() == 0);
+  BOOST_TEST(cluster.HeldAccelerators() == 0);
+  for (int index = 0; index < cluster.Count(); ++index) {
+    BOOST_TEST(cluster.Node(index).core->HeldResultCount() == 0U);
+    BOOST_TEST(cluster.Node(index).core->IsReady(cluster.now));
+  }
+}
+
+void RunRow(const Row& row) {
+  AgentCluster cluster(3);
+  if (row.fate == Fate::kStopped) {
+    // Longer than every fault, so that no task ends by itself meanwhile.
+    cluster.run_time = Duration::Seconds(60);
+  }
+  bool struck = false;
+  const auto strike_once = [&] {
+    if (!struck) {
+      struck = true;
+      cluster.At(Duration(), [&] { Strike(cluster, row.victim); });
+    }
+  };
+  cluster.copies = [&](int, int, GangMessageKind kind) {
+    const bool on_confirm =
+        row.moment == Moment::kOnConfirm && kind == GangMessageKind::kConfirm;
+    const bool on_start =
+        row.moment == Moment::kOnStart && kind == GangMessageKind::kStart;
+    if (on_confirm || on_start) {
+      strike_once();
+    }
+    return 1;
+  };
+  if (row.moment == Moment::kAfterSomeReserves) {
+    for (std::size_t member = 0; member + 1 < row.placement.size(); ++member) {
+      BOOST_TEST(
+          cluster
+              .Ask<ReserveRequested>(row.placement[member],
+                                     cluster.Request("job", row.placement,
+                                                     static_cast<int>(member)))
+              .granted);
+    }
+  } else {
+    BOOST_TEST(cluster.ReserveAll("job", row.placement) ==
+               static_cast<int>(row.placement.size()));
+  }
+  if (Commits(row.moment)) {
+    BOOST_TEST(cluster.Commit("job", row.placement[0]).granted);
+  } else {
+    strike_once();
+  }
+  if (row.moment == Moment::kWhileRunning) {
+    cluster.RunFor(Duration::Seconds(1));
+    BOOST_TEST(cluster.RunningTasks() ==
+               static_cast<int>(row.placement.size()));
+    strike_once();
+  }
+  const Duration partial = PartialTime(cluster, row.placement.size());
+  BOOST_TEST(partial.InMilliseconds() <= kMaxPartialTime.InMilliseconds());
+  CheckFate(cluster, row);
+  CheckNothingLeft(cluster);
+}
+
+const std::vector<int> kSpread = {0, 1, 2};
+const std::vector<int> kShared = {0, 1, 1, 0, 2};
+const std::vector<int> kOneAgent = {0, 0, 0};
+
+const std::vector<Row> kRows = {
+    {"no fault", kSpread, Moment::kWhileRunning, Victim::kNone, Fate::kDone},
+    {"several members on an agent", kShared, Moment::kWhileRunning,
+     Victim::kNone, Fate::kDone},
+    {"lead and members are one agent", kOneAgent, Moment::kWhileRunning,
+     Victim::kNone, Fate::kDone},
+    {"coordinator dies after all reserves", kSpread, Moment::kAfterReserve,
+     Victim::kNone, Fate::kDone},
+    {"coordinator dies, shared agents", kShared, Moment::kAfterReserve,
+     Victim::kNone, Fate::kDone},
+    {"coordinator dies, one agent", kOneAgent, Moment::kAfterReserve,
+     Victim::kNone, Fate::kDone},
+    {"coordinator dies before the last reserve", kSpread,
+     Moment::kAfterSomeReserves, Victim::kNone, Fate::kNeverRan},
+    {"coordinator dies before the last reserve, shared agents", kShared,
+     Moment::kAfterSomeReserves, Victim::kNone, Fate::kNeverRan},
+    {"coordinator and lead die", kSpread, Moment::kAfterReserve, Victim::kLead,
+     Fate::kNeverRan},
+    {"coordinator and a member die", kSpread, Moment::kAfterReserve,
+     Victim::kMember, Fate::kNeverRan},
+    {"lead dies on the first confirm", kSpread, Moment::kOnConfirm,
+     Victim::kLead, Fate::kNeverRan},
+    {"member dies on the first confirm", kSpread, Moment::kOnConfirm,
+     Victim::kMember, Fate::kNeverRan},
+    {"lead pauses on the first confirm", kShared, Moment::kOnConfirm,
+     Victim::kLeadPaused, Fate::kNeverRan},
+    {"member pauses on the first confirm", kShared, Moment::kOnConfirm,
+     Victim::kMemberPaused, Fate::kNeverRan},
+    {"lead dies on the first start", kSpread, Moment::kOnStart, Victim::kLead,
+     Fate::kStopped},
+    {"member dies on the first start", kSpread, Moment::kOnStart,
+     Victim::kMember, Fate::kStopped},
+    {"member pauses on the first start", kShared, Moment::kOnStart,
+     Victim::kMemberPaused, Fate::kStopped},
+    {"lead dies while running", kSpread, Moment::kWhileRunning, Victim::kLead,
+     Fate::kStopped},
+    {"member dies while running", kShared, Moment::kWhileRunning,
+     Victim::kMember, Fate::kStopped},
+    {"lead pauses while running", kSpread, Moment::kWhileRunning,
+     Victim::kLeadPaused, Fate::kStopped},
+    {"member pauses while running", kSpread, Moment::kWhileRunning,
+     Victim::kMemberPaused, Fate::kStopped},
+};
+
+constexpr GangMessageKind kKinds[] = {
+    GangMessageKind::kConfirm, GangMessageKind::kStart, GangMessageKind::kRenew,
+    GangMessageKind::kStop, GangMessageKind::kAsk};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(GangTableTest)
+
+// Guards against a gang that runs in part, starts a member twice, or keeps
+// accelerators after the death or pause of any participant at any step.
+BOOST_AUTO_TEST_CASE(FaultsAtEachStepEndWholeOrNotAtAll) {
+  for (const Row& row : kRows) {
+    BOOST_TEST_CONTEXT(row.name) {
+      RunRow(row);
+    }
+  }
+}
+
+// Guards against a step that depends on one message or one answer: the first
+// of each kind to each receiver is lost and must be repeated, without a second
+// start.
+BOOST_AUTO_TEST_CASE(LostAndRepeatedMessagesChangeNothing) {
+  for (const bool coordinator_lives : {true, false}) {
+    for (const GangMessageKind hit : kKinds) {
+      for (const int mode : {0, 1, 2}) {  // Lost, answer lost, doubled.
+        BOOST_TEST_CONTEXT("kind " << static_cast<int>(hit) << " mode " << mode
+                                   << " commit " << coordinator_lives) {
+          AgentCluster cluster(3);
+          std::set<int> hit_before;
+          const auto hits = [&](int to, GangMessageKind kind) {
+            return kind == hit && hit_before.insert(to).second;
+          };
+          cluster.copies = [&](int, int to, GangMessageKind kind) {
+            if (mode == 1) {
+              return 1;
+            }
+            return hits(to, kind) ? (mode == 0 ? 0 : 2) : 1;
+          };
+          cluster.loses_answer = [&](int, int to, GangMessageKind kind) {
+            return mode == 1 && hits(to, kind);
+          };
+          BOOST_TEST(cluster.ReserveAll("job", kShared) == 5);
+          if (coordinator_lives) {
+            BOOST_TEST(cluster.Commit("job", 0).granted);
+            BOOST_TEST(cluster.Commit("job", 0).granted);
+          }
+          const Duration partial = PartialTime(cluster, kShared.size());
+          BOOST_TEST(partial.InMilliseconds() <=
+                     kMaxPartialTime.InMilliseconds());
+          BOOST_TEST(cluster.Starts() == 5);
+          BOOST_TEST(MembersWith(cluster, model::JobOutcome::kDone).size() ==
+                     5U);
+          CheckNothingLeft(cluster);
+        }
+      }
+    }
+  }
+}
+
+// Guards against a partition in which a cut-off member goes on: every message
+// between the lead and one member is lost from some moment on.
+BOOST_AUTO_TEST_CASE(LostContactStopsBothSides) {
+  AgentCluster cluster(3);
+  cluster.run_time = Duration::Seconds(60);
+  BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+  BOOST_TEST(cluster.Commit("job", 0).granted);
+  cluster.RunFor(Duration::Seconds(5));
+  BOOST_TEST(cluster.RunningTasks() == 3);
+  cluster.copies = [](int from, int to, GangMessageKind) {
+    return from == 1 || to == 1 ? 0 : 1;
+  };
+  cluster.RunFor(model::kGangLease + Duration::Milliseconds(1300));
+  BOOST_TEST(cluster.RunningTasks() == 0);
+  BOOST_TEST(cluster.HeldAccelerators() == 0);
+}
+
+// Guards against an abort that is taken back: after `release`, neither a
+// commit, nor a repeated reserve, nor a message of the gang may revive it.
+BOOST_AUTO_TEST_CASE(AbortIsFinal) {
+  AgentCluster cluster(3);
+  BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+  BOOST_TEST(
+      cluster.Ask<ReleaseRequested>(0, cluster.Reference("job", 0)).granted);
+  const model::GrantReply commit = cluster.Commit("job", 0);
+  BOOST_TEST(!commit.granted);
+  BOOST_TEST(!commit.may_have_started);
+  BOOST_TEST((commit.refusal == model::RefusalReason::kCancelled));
+  const model::GrantReply again =
+      cluster.Ask<ReserveRequested>(0, cluster.Request("job", kSpread, 0));
+  BOOST_TEST((again.refusal == model::RefusalReason::kCancelled));
+  cluster.RunFor(Duration::Seconds(20));
+  BOOST_TEST(cluster.Starts() == 0);
+  CheckNothingLeft(cluster);
+}
+
+// Guards against a release that undoes a commit.
+BOOST_AUTO_TEST_CASE(CommitIsFinal) {
+  AgentCluster cluster(3);
+  BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+  BOOST_TEST(cluster.Commit("job", 0).granted);
+  const model::GrantReply release =
+      cluster.Ask<ReleaseRequested>(0, cluster.Reference("job", 0));
+  BOOST_TEST(!release.granted);
+  BOOST_TEST(release.may_have_started);
+  cluster.RunFor(Duration::Seconds(20));
+  BOOST_TEST(MembersWith(cluster, model::JobOutcome::kDone).size() == 3U);
+}
+
+// Guards against a new owner that cannot learn the decision of the recorded
+// attempt from the lead, before and after its end.
+BOOST_AUTO_TEST_CASE(NewOwnerLearnsTheDecision) {
+  AgentCluster cluster(3);
+  const auto ask = [&cluster] {
+    model::GangMessage message;
+    message.job = core::JobId("job");
+    message.attempt = core::AttemptNumber(1);
+    message.incarnation = cluster.Node(0).incarnation;
+    const CallId call = ++cluster.last_call;
+    cluster.Give(0, GangMessageReceived{call, GangMessageKind::kAsk, message});
+    return cluster.gang_replies[call].state;
+  };
+  BOOST_TEST((ask() == model::GangState::kUnknown));
+  BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+  BOOST_TEST((ask() == model::GangState::kReserved));
+  BOOST_TEST(cluster.Commit("job", 0).granted);
+  BOOST_TEST((ask() == model::GangState::kCommitted));
+  cluster.RunFor(Duration::Seconds(2));
+  BOOST_TEST((ask() == model::GangState::kRunning));
+  cluster.RunFor(Duration::Seconds(10));
+  BOOST_TEST((ask() == model::GangState::kDone));
+}
+
+// Guards against members that go on after one task of the gang failed or was
+// cancelled.
+BOOST_AUTO_TEST_CASE(EndOfOneMemberStopsTheGang) {
+  for (const bool cancels : {false, true}) {
+    AgentCluster cluster(3);
+    cluster.run_time = Duration::Seconds(60);
+    BOOST_TEST(cluster.ReserveAll("job", kShared) == 5);
+    BOOST_TEST(cluster.Commit("job", 0).granted);
+    cluster.RunFor(Duration::Seconds(2));
+    BOOST_TEST(cluster.RunningTasks() == 5);
+    if (cancels) {
+      BOOST_TEST(
+          cluster.Ask<CancelRequested>(0, cluster.Reference("job", 0)).granted);
+    } else {
+      const TaskKey key{core::JobId("job"), core::AttemptNumber(1), 4};
+      cluster.Node(2).tasks[key].state = UpstreamTaskState::kFailed;
+      cluster.Give(2,
+                   TaskFinished{0, {key, UpstreamTaskState::kFailed, {}, {}}});
+    }
+    cluster.RunFor(Duration::Seconds(1));
+    BOOST_TEST(cluster.RunningTasks() == 0);
+    BOOST_TEST(MembersWith(cluster, model::JobOutcome::kDone).empty());
+    cluster.RunFor(Duration::Seconds(5));
+    CheckNothingLeft(cluster);
+  }
+}
+
+// Measures how long accelerators are held idle after the coordinator's death
+// between reserve and commit, and guards against a roll-forward that is no
+// earlier than the expiry of the reservation.
+BOOST_AUTO_TEST_CASE(RollForwardShortensIdleTime) {
+  std::int64_t idle_ms[2] = {0, 0};
+  for (const bool roll_forward : {false, true}) {
+    AgentCluster cluster(3, roll_forward);
+    BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+    const core::TimePoint died_at = cluster.now;
+    while (cluster.HeldAccelerators() > 0 && cluster.RunningTasks() < 3) {
+      cluster.RunFor(Duration::Milliseconds(1));
+    }
+    idle_ms[roll_forward ? 1 : 0] = (cluster.now - died_at).InMilliseconds();
+    BOOST_TEST(cluster.Starts() == (roll_forward ? 3 : 0));
+  }
+  BOOST_TEST_MESSAGE(
+      "reservation 6000 ms, 3 agents: accelerators idle after "
+      "the coordinator's death "
+      << idle_ms[0] << " ms without roll-forward, " << idle_ms[1]
+      << " ms with it");
+  BOOST_TEST(idle_ms[1] < idle_ms[0]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::agent
