Test the agent's state machine

Cause: refusals, lost starts, upstream loss, restarts, crossed reports, bounds on held results, stops and drain had no tests. Ruled out: a simulator; the tests use one state machine, a fake upstream and a virtual clock.

--- a/tests/support/agent_cluster.h
+++ b/tests/support/agent_cluster.h
@@ -73,11 +73,12 @@
     options.id = this->IdOf(index);
     options.incarnation = node.incarnation;
     options.endpoint = options.id.Text();
+    options.entries = {"entry"};
     options.roll_forward = this->rolls_forward;
     node.core = std::make_unique<AgentCore>(options, this->now);
     node.alive = true;
-    this->Tick(index, node.incarnation);
-    this->Announce(index, node.incarnation);
+    this->KeepTicking(index, node.incarnation);
+    this->KeepAnnouncing(index, node.incarnation);
   }
 
   void Kill(int index) { this->Node(index).alive = false; }
@@ -265,7 +266,7 @@
     }
   }
 
-  void Tick(int index, core::Incarnation incarnation) {
+  void KeepTicking(int index, core::Incarnation incarnation) {
     if (!this->Node(index).alive ||
         this->Node(index).incarnation != incarnation) {
       return;
@@ -273,11 +274,12 @@
     if (!this->Node(index).paused) {
       this->Give(index, agent::Tick{});
     }
-    this->At(agent::kTickPeriod,
-             [this, index, incarnation] { this->Tick(index, incarnation); });
+    this->At(agent::kTickPeriod, [this, index, incarnation] {
+      this->KeepTicking(index, incarnation);
+    });
   }
 
-  void Announce(int index, core::Incarnation incarnation) {
+  void KeepAnnouncing(int index, core::Incarnation incarnation) {
     AgentNode& node = this->Node(index);
     if (!node.alive || node.incarnation != incarnation) {
       return;
@@ -291,7 +293,7 @@
       this->Give(index, agent::UpstreamAnnounced{++this->last_call, shape});
     }
     this->At(Duration::Seconds(1), [this, index, incarnation] {
-      this->Announce(index, incarnation);
+      this->KeepAnnouncing(index, incarnation);
     });
   }
 
