Test an early report and an incomplete lead

Cause: two deliberate faults (reports taken before the first listing; roll forward with a member of the lead's own missing) passed all tests.

--- a/modules/agent/core/agent_core_test.cc
+++ b/modules/agent/core/agent_core_test.cc
@@ -300,6 +300,8 @@
   this->Kill(0);
   this->RunFor(Duration::Seconds(6));
   this->Boot(0);
+  // Before the first listing the report may be of a task to adopt.
+  BOOST_TEST((this->Finish("job", "early") == AnswerPlain::Kind::kRetryLater));
   this->RunFor(Duration::Seconds(2));
   BOOST_TEST((this->ResultOf("job").outcome == JobOutcome::kDone));
 }
--- a/modules/agent/gang/gang_table_test.cc
+++ b/modules/agent/gang/gang_table_test.cc
@@ -201,6 +201,7 @@
 const std::vector<int> kSpread = {0, 1, 2};
 const std::vector<int> kShared = {0, 1, 1, 0, 2};
 const std::vector<int> kOneAgent = {0, 0, 0};
+const std::vector<int> kLeadTwice = {0, 1, 0};
 
 const std::vector<Row> kRows = {
     {"no fault", kSpread, Moment::kWhileRunning, Victim::kNone, Fate::kDone},
@@ -218,6 +219,8 @@
      Moment::kAfterSomeReserves, Victim::kNone, Fate::kNeverRan},
     {"coordinator dies before the last reserve, shared agents", kShared,
      Moment::kAfterSomeReserves, Victim::kNone, Fate::kNeverRan},
+    {"coordinator dies before the lead's second reserve", kLeadTwice,
+     Moment::kAfterSomeReserves, Victim::kNone, Fate::kNeverRan},
     {"coordinator and lead die", kSpread, Moment::kAfterReserve, Victim::kLead,
      Fate::kNeverRan},
     {"coordinator and a member die", kSpread, Moment::kAfterReserve,
