Say not-run of a gang only when no member started

Cause: an entry takes one 'not-run' notice as the end of the whole job, but a member that refused its start reported 'not-run' while other members ran. Members that never started now report 'failed' with a cause, and 'not-run' only when the lead stops the gang before any start message. A refused commit is final, as the entry takes it to be. An attempt that ended is remembered for 10 minutes beyond its start limit, and a question about a forgotten one is answered with may_have_started, since 'expired' said before that it never ran. Ruled out: remembering attempts without bound.

--- a/modules/agent/core/agent_core.cc
+++ b/modules/agent/core/agent_core.cc
@@ -217,7 +217,8 @@
     refusal = this->CheckCapacity(request, now);
   }
   if (refusal) {
-    return this->Refuse(*refusal);
+    return this->Refuse(
+        *refusal, this->history.MayHaveForgotten(request.start_not_after));
   }
   return std::nullopt;
 }
@@ -366,7 +367,9 @@
   }
   model::GrantReply reply = this->Reply();
   reply.granted = true;
-  reply.may_have_started = this->MayHaveStarted(attempt);
+  reply.may_have_started =
+      this->MayHaveStarted(attempt) ||
+      this->history.MayHaveForgotten(event.attempt.start_not_after);
   this->Answer(event.call, std::move(reply), out);
 }
 
@@ -534,6 +537,10 @@
   for (TaskEnd& end : this->tasks.TakeEnds()) {
     ++this->counters.ended.at(static_cast<std::size_t>(end.outcome));
     const bool never_started = end.outcome == model::JobOutcome::kNotRun;
+    if (never_started && end.context.gang_size > 1) {
+      // Other members may have started, and "not run" is said of a whole job.
+      end.outcome = model::JobOutcome::kFailed;
+    }
     this->Report(end.key, end.outcome, end.cause, std::move(end.body),
                  end.run_time, end.context.reply_to);
     this->Close(end.key,
@@ -610,10 +617,8 @@
                       Commands& /*out*/) {
   const TaskKey& key = action.member.start.key;
   if (action.report) {
-    const bool cancelled = action.cause == model::ResultCause::kCancelled;
-    const model::JobOutcome outcome =
-        cancelled ? model::JobOutcome::kCancelled : model::JobOutcome::kNotRun;
-    this->Report(key, outcome, action.cause, "the gang never started here", {},
+    this->Report(key, *action.report, action.cause,
+                 "this member of the gang never started", {},
                  action.member.start.context.reply_to);
   }
   this->Close(key, PastKind::kCancelled, now);
--- a/modules/agent/core/attempt_history.h
+++ b/modules/agent/core/attempt_history.h
@@ -24,11 +24,12 @@
   core::ReservationId reservation;
 };
 
-/// Remembers attempts until their start limit; after it any start is refused
-/// as expired, so nothing more need be kept.
+/// Remembers attempts until their start limit, after which any start is refused
+/// as expired, and for `kExtraMemory` beyond it while there is room, so that a
+/// late question whether an attempt ever started gets a true answer.
 class AttemptHistory {
  public:
-  /// Remembers a member's attempt until `until`.
+  /// Remembers a member's attempt, whose start limit is `until`.
   void Add(const TaskKey& key, PastAttempt past, core::TimePoint until);
   /// Forbids every member of an attempt until `until`; attempt 0 stands for
   /// every attempt of the job.
@@ -43,10 +44,14 @@
   /// True when no more can be remembered; new work must then be refused, since
   /// its duplicates could not be.
   bool IsFull() const;
+  /// True when an attempt with this start limit may have started here and been
+  /// forgotten since.
+  bool MayHaveForgotten(core::TimePoint start_limit) const;
   /// Forgets what is past its time.
   void Expire(core::TimePoint now);
 
   static constexpr std::size_t kMaxEntries = 65'536;
+  static constexpr core::Duration kExtraMemory = core::Duration::Seconds(600);
 
  private:
   template <typename Key>
@@ -62,6 +67,7 @@
 
   std::map<TaskKey, Remembered> members;
   std::set<Timed<TaskKey>> member_order;
+  std::optional<core::TimePoint> forgotten_until;
   std::map<AttemptKey, core::TimePoint> forbidden;
   std::set<Timed<AttemptKey>> forbidden_order;
 };
--- a/modules/agent/gang/gang_table.cc
+++ b/modules/agent/gang/gang_table.cc
@@ -114,6 +114,8 @@
     return model::RefusalReason::kExpired;
   }
   if (!this->IsComplete(gang)) {
+    // The refusal is final, as the coordinator takes it to be.
+    this->StopGang(attempt, gang, model::ResultCause::kNotStarted, now);
     return model::RefusalReason::kUnknownReservation;
   }
   gang.part = Part::kCommitted;
@@ -167,7 +169,7 @@
     this->StopGang(attempt, gang, cause, now);
     return;
   }
-  this->EndPart(attempt, gang, cause, now);
+  this->EndPart(attempt, gang, cause, /*none_started=*/false, now);
 }
 
 model::GangState GangTable::StateOf(const Gang& gang) const {
@@ -240,7 +242,7 @@
     case GangMessageKind::kRenew:
       return this->OnRenew(attempt, gang, message, now);
     case GangMessageKind::kStop:
-      return this->OnStop(attempt, gang, now);
+      return this->OnStop(attempt, gang, message.state, now);
     case GangMessageKind::kAsk:
       break;
   }
@@ -251,7 +253,8 @@
                                       Gang& gang,
                                       core::TimePoint now) {
   if (gang.part == Part::kReserved && now > gang.not_after) {
-    this->EndPart(attempt, gang, model::ResultCause::kNotStarted, now);
+    this->EndPart(attempt, gang, model::ResultCause::kNotStarted,
+                  /*none_started=*/false, now);
   }
   if (gang.part == Part::kReserved && this->IsComplete(gang)) {
     gang.part = Part::kCommitted;
@@ -280,7 +283,8 @@
   }
   if (now > gang.not_after || !this->upstream_ready) {
     const bool late = now > gang.not_after;
-    this->EndPart(attempt, gang, model::ResultCause::kNotStarted, now);
+    this->EndPart(attempt, gang, model::ResultCause::kNotStarted,
+                  /*none_started=*/false, now);
     return this->Refuse(&gang, late ? model::RefusalReason::kExpired
                                     : model::RefusalReason::kNotReady);
   }
@@ -314,8 +318,10 @@
 
 model::GangReply GangTable::OnStop(const AttemptKey& attempt,
                                    Gang& gang,
+                                   model::GangState lead_state,
                                    core::TimePoint now) {
-  this->EndPart(attempt, gang, model::ResultCause::kGangStopped, now);
+  this->EndPart(attempt, gang, model::ResultCause::kGangStopped,
+                /*none_started=*/lead_state == model::GangState::kAborted, now);
   Peer& lead = gang.peers.begin()->second;
   lead.heard_at = now;
   lead.ended = true;
@@ -368,7 +374,8 @@
                       reply.state == model::GangState::kCommitted ||
                       reply.state == model::GangState::kRunning;
     if (!open && gang.part == Part::kReserved) {
-      this->EndPart(attempt, gang, model::ResultCause::kNotStarted, now);
+      this->EndPart(attempt, gang, model::ResultCause::kNotStarted,
+                    /*none_started=*/false, now);
     }
     lead.next_send = now + kRetryPeriod;
     return;
@@ -378,7 +385,8 @@
     return;
   }
   lead.ended = true;
-  this->EndPart(attempt, gang, model::ResultCause::kGangStopped, now);
+  this->EndPart(attempt, gang, model::ResultCause::kGangStopped,
+                /*none_started=*/false, now);
 }
 
 void GangTable::OnMemberAnswered(const AttemptKey& attempt,
@@ -492,20 +500,29 @@
 void GangTable::EndPart(const AttemptKey& attempt,
                         Gang& gang,
                         model::ResultCause cause,
+                        bool none_started,
                         core::TimePoint now) {
   if (!IsOpen(gang)) {
     return;
   }
   const bool committed = gang.part != Part::kReserved;
+  std::optional<model::JobOutcome> report;
+  if (committed) {
+    report =
+        none_started ? model::JobOutcome::kNotRun : model::JobOutcome::kFailed;
+    report = cause == model::ResultCause::kCancelled
+                 ? model::JobOutcome::kCancelled
+                 : report;
+  }
   for (auto& [index, member] : gang.held) {
     this->actions.emplace_back(
-        GangReleaseAction{std::move(member), committed, cause});
+        GangReleaseAction{std::move(member), report, cause});
   }
   gang.held.clear();
   if (!gang.running.empty()) {
     this->actions.emplace_back(GangStopAction{attempt, cause});
   }
-  gang.part = committed ? Part::kStopped : Part::kAborted;
+  gang.part = committed && !none_started ? Part::kStopped : Part::kAborted;
   for (auto& [peer_agent, peer] : gang.peers) {
     peer.next_send = now;
   }
@@ -518,7 +535,11 @@
   if (gang.duty == Duty::kStopping || gang.duty == Duty::kEnded) {
     return;
   }
-  this->EndPart(attempt, gang, cause, now);
+  // Starts are sent only after every member has confirmed.
+  const bool none_started = gang.duty == Duty::kUndecided ||
+                            gang.duty == Duty::kAsking ||
+                            gang.duty == Duty::kConfirming;
+  this->EndPart(attempt, gang, cause, none_started, now);
   if (gang.part == Part::kDone) {
     gang.part = Part::kStopped;  // The gang as a whole did not end well.
   }
@@ -645,7 +666,8 @@
   switch (gang.part) {
     case Part::kReserved:
       if (now > gang.not_after) {
-        this->EndPart(attempt, gang, model::ResultCause::kNotStarted, now);
+        this->EndPart(attempt, gang, model::ResultCause::kNotStarted,
+                      /*none_started=*/false, now);
       } else if (now >= HalfTime(gang)) {
         this->SendDue(attempt, gang, GangMessageKind::kAsk, now);
       }
@@ -653,7 +675,8 @@
     case Part::kCommitted:
     case Part::kRunning:
       if (lease_over) {
-        this->EndPart(attempt, gang, model::ResultCause::kGangStopped, now);
+        this->EndPart(attempt, gang, model::ResultCause::kGangStopped,
+                      /*none_started=*/false, now);
         return;
       }
       this->SendDue(attempt, gang, GangMessageKind::kRenew, now);
--- a/modules/agent/gang/gang_table.h
+++ b/modules/agent/gang/gang_table.h
@@ -38,8 +38,9 @@
 /// Give back what a member that never started held.
 struct GangReleaseAction {
   GangReservation member;
-  /// True when the attempt was committed, so that its end must be reported.
-  bool report = false;
+  /// Set when the attempt was committed, so that its end must be reported.
+  /// kNotRun only when no member of the gang was started on any agent.
+  std::optional<model::JobOutcome> report;
   model::ResultCause cause = model::ResultCause::kGangStopped;
 };
 
@@ -178,6 +179,7 @@
                            core::TimePoint now);
   model::GangReply OnStop(const AttemptKey& attempt,
                           Gang& gang,
+                          model::GangState lead_state,
                           core::TimePoint now);
   model::GangReply OnAsk(const Gang& gang) const;
 
@@ -200,9 +202,11 @@
                               core::TimePoint now);
   void StartPart(Gang& gang, core::TimePoint now);
   /// Ends the part held here: releases what never started, stops the rest.
+  /// `none_started` says that no member started on any agent.
   void EndPart(const AttemptKey& attempt,
                Gang& gang,
                model::ResultCause cause,
+               bool none_started,
                core::TimePoint now);
   /// At the lead: ends the gang everywhere.
   void StopGang(const AttemptKey& attempt,
