--- a/modules/agent/gang/gang_table_test.cc
+++ b/modules/agent/gang/gang_table_test.cc
@@ -417,6 +417,31 @@
   }
 }
 
+// Guards against "not run" for a job of which one member started: one upstream
+// refuses its start, or one member refuses while another has not been told to
+// start yet.
+BOOST_AUTO_TEST_CASE(PartlyStartedGangIsNotReportedAsNotRun) {
+  for (const bool upstream_refuses : {true, false}) {
+    AgentCluster cluster(3);
+    cluster.run_time = Duration::Seconds(60);
+    cluster.Node(1).upstream_refuses_starts = upstream_refuses;
+    cluster.copies = [&](int, int to, GangMessageKind kind) {
+      const bool starts = kind == GangMessageKind::kStart;
+      if (starts && to == 1 && !upstream_refuses) {
+        cluster.At(Duration(), [&] { cluster.Give(1, UpstreamWithdrawn{}); });
+      }
+      return starts && to == 2 ? 0 : 1;
+    };
+    BOOST_TEST(cluster.ReserveAll("job", kSpread) == 3);
+    BOOST_TEST(cluster.Commit("job", 0).granted);
+    cluster.RunFor(Duration::Seconds(10));
+    BOOST_TEST(cluster.Starts() == 1);
+    BOOST_TEST(MembersWith(cluster, model::JobOutcome::kFailed).size() == 3U);
+    BOOST_TEST(MembersWith(cluster, model::JobOutcome::kNotRun).empty());
+    CheckNothingLeft(cluster);
+  }
+}
+
 // Measures how long accelerators are held idle after the coordinator's death
 // between reserve and commit, and guards against a roll-forward that is no
 // earlier than the expiry of the reservation.
--- a/tests/support/agent_cluster.h
+++ b/tests/support/agent_cluster.h
@@ -47,6 +47,7 @@
   bool upstream_ignores_stop = false;
   /// Answers of the upstream to starts are lost; the start takes effect.
   bool lose_start_answers = false;
+  bool upstream_refuses_starts = false;
   /// Starts are lost before the upstream sees them.
   bool lose_starts = false;
   std::map<TaskKey, FakeTask> tasks;
@@ -344,6 +345,11 @@
       this->Return(index, kCallTimeout, answer);
       return;
     }
+    if (node.upstream_refuses_starts) {
+      answer.outcome = agent::StartOutcome::kRefused;
+      this->Return(index, kHop, answer);
+      return;
+    }
     ++node.starts;
     FakeTask task;
     task.context = agent::TaskContextToText(command.start.context);
