--- a/tests/support/agent_cluster.h
+++ b/tests/support/agent_cluster.h
@@ -47,6 +47,7 @@
   bool upstream_ignores_stop = false;
   /// Answers of the upstream to starts are lost; the start takes effect.
   bool lose_start_answers = false;
+  bool upstream_refuses_starts = false;
   /// Starts are lost before the upstream sees them.
   bool lose_starts = false;
   std::map<TaskKey, FakeTask> tasks;
@@ -73,11 +74,12 @@
     options.id = this->IdOf(index);
     options.incarnation = node.incarnation;
     options.endpoint = options.id.Text();
+    options.entries = {"entry"};
     options.roll_forward = this->rolls_forward;
     node.core = std::make_unique<AgentCore>(options, this->now);
     node.alive = true;
-    this->Tick(index, node.incarnation);
-    this->Announce(index, node.incarnation);
+    this->KeepTicking(index, node.incarnation);
+    this->KeepAnnouncing(index, node.incarnation);
   }
 
   void Kill(int index) { this->Node(index).alive = false; }
@@ -265,7 +267,7 @@
     }
   }
 
-  void Tick(int index, core::Incarnation incarnation) {
+  void KeepTicking(int index, core::Incarnation incarnation) {
     if (!this->Node(index).alive ||
         this->Node(index).incarnation != incarnation) {
       return;
@@ -273,11 +275,12 @@
     if (!this->Node(index).paused) {
       this->Give(index, agent::Tick{});
     }
-    this->At(agent::kTickPeriod,
-             [this, index, incarnation] { this->Tick(index, incarnation); });
+    this->At(agent::kTickPeriod, [this, index, incarnation] {
+      this->KeepTicking(index, incarnation);
+    });
   }
 
-  void Announce(int index, core::Incarnation incarnation) {
+  void KeepAnnouncing(int index, core::Incarnation incarnation) {
     AgentNode& node = this->Node(index);
     if (!node.alive || node.incarnation != incarnation) {
       return;
@@ -291,7 +294,7 @@
       this->Give(index, agent::UpstreamAnnounced{++this->last_call, shape});
     }
     this->At(Duration::Seconds(1), [this, index, incarnation] {
-      this->Announce(index, incarnation);
+      this->KeepAnnouncing(index, incarnation);
     });
   }
 
@@ -342,6 +345,11 @@
       this->Return(index, kCallTimeout, answer);
       return;
     }
+    if (node.upstream_refuses_starts) {
+      answer.outcome = agent::StartOutcome::kRefused;
+      this->Return(index, kHop, answer);
+      return;
+    }
     ++node.starts;
     FakeTask task;
     task.context = agent::TaskContextToText(command.start.context);
