Test planning ownership, handover and gangs of the entry

Cause: takeover and gang starts had no tests with faults. Ruled out: driving real agents, which would tie the module to agent's code. Conclusion: a killed or paused owner starts no gang twice and no part alone.

--- a/modules/entry/core/record_keeper.cc
+++ b/modules/entry/core/record_keeper.cc
@@ -269,9 +269,7 @@
         if (!waits) {
           return;
         }
-        if (outcome) {
-          this->OnAttemptConflict(*current, next);
-        } else if (outcome.error().code == core::ErrorCode::kTimeout) {
+        if (outcome || outcome.error().code == core::ErrorCode::kTimeout) {
           this->OnAttemptConflict(*current, next);
         } else if (current->description.repeatable) {
           // No other entry can take the record over while the store is down.
--- a/modules/entry/process/duty_thread.h
+++ b/modules/entry/process/duty_thread.h
@@ -2,35 +2,23 @@
 #pragma once
 
 #include <QObject>
-#include <QString>
 #include <QThread>
-#include <utility>
+#include <functional>
 
 namespace hemlockdoor::entry {
 
 /// A running thread. Objects of the duty are made and used on it.
 class DutyThread {
  public:
-  explicit DutyThread(const char* name) {
-    this->thread.setObjectName(QString::fromLatin1(name));
-    this->anchor.moveToThread(&this->thread);
-    this->thread.start();
-  }
-  ~DutyThread() { this->Stop(); }
+  explicit DutyThread(const char* name);
+  ~DutyThread();
   DutyThread(const DutyThread&) = delete;
   DutyThread& operator=(const DutyThread&) = delete;
 
   /// Runs `work` on the thread and waits for its end; for start and stop only.
-  template <typename Work>
-  void RunAndWait(Work work) {
-    QMetaObject::invokeMethod(&this->anchor, std::move(work),
-                              Qt::BlockingQueuedConnection);
-  }
+  void RunAndWait(const std::function<void()>& work);
   /// Ends the event loop and waits for the thread.
-  void Stop() {
-    this->thread.quit();
-    this->thread.wait();
-  }
+  void Stop();
 
  private:
   QThread thread;
--- a/modules/entry/testing/core_harness_test.cc
+++ b/modules/entry/testing/core_harness_test.cc
@@ -180,8 +180,11 @@
     for (const auto& [key, task] : agent.tasks) {
       if (task.request.job.id == question->job &&
           task.request.attempt == question->attempt) {
-        reply.state = task.started ? model::GangState::kRunning
-                                   : model::GangState::kReserved;
+        reply.state = model::GangState::kReserved;
+        if (task.started) {
+          reply.state =
+              task.ended ? model::GangState::kDone : model::GangState::kRunning;
+        }
       }
     }
     return Json(200, model::ToJson(reply));
--- a/modules/entry/testing/core_harness_test.h
+++ b/modules/entry/testing/core_harness_test.h
@@ -83,6 +83,10 @@
     this->nodes.at(index).core.reset();
     ++this->nodes.at(index).life;
   }
+  void Drain(std::size_t index) {
+    this->Give(index, DrainRequested{});
+    this->Settle();
+  }
   EntryCore& Core(std::size_t index) { return *this->nodes.at(index).core; }
   /// A paused entry gets no events; those meant for it wait.
   void Pause(std::size_t index, bool paused) {
