--- a/modules/cli/program/program.cc
+++ b/modules/cli/program/program.cc
@@ -29,6 +29,9 @@
   ExitCode operator()(const AgentCommand& command) const {
     return RunAgent(this->console, command.settings_file);
   }
+  ExitCode operator()(const StandaloneCommand& command) const {
+    return RunStandalone(this->console, command);
+  }
   ExitCode operator()(const CheckCommand& command) const {
     return RunCheck(this->console, command);
   }
--- a/modules/cli/roles/run_process.h
+++ b/modules/cli/roles/run_process.h
@@ -65,9 +65,12 @@
 };
 
 /// Runs until a signal has led to a complete drain. Needs a QCoreApplication.
+/// `on_listening` runs once the process listens.
 template <typename Process, typename Settings>
 requires DrainableProcess<Process, Settings> ExitCode
-RunProcess(Console& console, const Settings& settings) {
+RunProcess(Console& console,
+           const Settings& settings,
+           const std::function<void(const Process&)>& on_listening = {}) {
   std::unique_ptr<Process> process;
   core::Expected<std::unique_ptr<ShutdownSignals>> signals =
       ShutdownSignals::Create([&process](int count) {
@@ -103,6 +106,9 @@
       return ReportError(console, written.error(), ExitCode::kFailed);
     }
   }
+  if (on_listening) {
+    on_listening(*process);
+  }
   QCoreApplication::exec();
   observe::Log(observe::LogLevel::kInfo, "drained; stopped");
   return ExitCode::kDone;
