--- a/modules/agent/process/outgoing_calls.cc
+++ b/modules/agent/process/outgoing_calls.cc
@@ -159,7 +159,7 @@
   call.endpoint = endpoint;
   call.method = wire::HttpMethod::kPost;
   call.target = target;
-  call.headers.Add("Authorization", "Bearer " + this->options.internal_key);
+  wire::AddBearer(call.headers, this->options.internal_key);
   call.body = model::DumpJson(document);
   call.timeout = kShortTimeout;
   return call;
--- a/modules/agent/process/request_router.cc
+++ b/modules/agent/process/request_router.cc
@@ -116,17 +116,6 @@
                            "this path or method is not served here");
 }
 
-/// Compares in a time that depends on the length of `expected` alone.
-bool EqualInConstantTime(std::string_view expected, std::string_view given) {
-  unsigned difference = expected.size() == given.size() ? 0U : 1U;
-  for (std::size_t index = 0; index < expected.size(); ++index) {
-    const char other = given.empty() ? '\0' : given[index % given.size()];
-    difference |= static_cast<unsigned char>(expected[index]) ^
-                  static_cast<unsigned char>(other);
-  }
-  return difference == 0;
-}
-
 Routed RouteInternal(const wire::HttpRequest& request, CallId call) {
   if (request.method == wire::HttpMethod::kGet &&
       request.path.starts_with(kTasksPrefix)) {
@@ -207,14 +196,7 @@
 
 RequestRouter::RequestRouter(std::string internal_key,
                              std::string upstream_address)
-    : authorization("Bearer " + internal_key),
-      upstream(std::move(upstream_address)) {}
-
-bool RequestRouter::HasKey(const wire::HttpRequest& request) const {
-  return EqualInConstantTime(
-      this->authorization,
-      request.headers.Find("Authorization").value_or(std::string()));
-}
+    : key(std::move(internal_key)), upstream(std::move(upstream_address)) {}
 
 bool RequestRouter::IsFromUpstream(const wire::HttpRequest& request) const {
   constexpr std::string_view kMappedPrefix = "::ffff:";
@@ -228,7 +210,7 @@
 Routed RequestRouter::Route(const wire::HttpRequest& request,
                             CallId call) const {
   if (request.path.starts_with(kInternalPrefix)) {
-    if (!this->HasKey(request)) {
+    if (!wire::HasBearer(request.headers, this->key)) {
       return wire::MakeProblem(status::kUnauthorized, "unauthorized",
                                "the internal API needs the deployment's key");
     }
--- a/modules/agent/process/request_router.h
+++ b/modules/agent/process/request_router.h
@@ -25,10 +25,9 @@
   Routed Route(const wire::HttpRequest& request, CallId call) const;
 
  private:
-  bool HasKey(const wire::HttpRequest& request) const;
   bool IsFromUpstream(const wire::HttpRequest& request) const;
 
-  std::string authorization;
+  std::string key;
   std::string upstream;
 };
 
