Keep fewer copies of large results

Cause: six results of 8 MB that ended at once took an agent to 272 MB. Results are shared between the state machine and their delivery, request bodies are freed once parsed, a notice is written without copies of its body, and the allocator gives large buffers back at once. Ruled out: a smaller bound on held results alone, since most of the peak was transient; what is left is buffered by the HTTP server before any handler runs.

--- a/modules/agent/core/agent_core.cc
+++ b/modules/agent/core/agent_core.cc
@@ -70,9 +70,7 @@
   out.emplace_back(AnswerPlain{event.call});
 }
 
-void AgentCore::On(const TaskFinished& event,
-                   core::TimePoint now,
-                   Commands& out) {
+void AgentCore::On(TaskFinished& event, core::TimePoint now, Commands& out) {
   const bool known = this->tasks.Has(event.task.key);
   // Before the first listing the task may be one to adopt; without room for
   // its result the upstream has to keep it. Both times it reports again.
@@ -84,7 +82,7 @@
     out.emplace_back(AnswerPlain{event.call, AnswerPlain::Kind::kRetryLater});
     return;
   }
-  this->tasks.OnFinished(event.task, now);
+  this->tasks.OnFinished(std::move(event.task), now);
   out.emplace_back(AnswerPlain{event.call});
 }
 
@@ -498,9 +496,7 @@
   this->tasks.OnListed(event, now, out);
 }
 
-void AgentCore::On(const TaskReported& event,
-                   core::TimePoint now,
-                   Commands& out) {
+void AgentCore::On(TaskReported& event, core::TimePoint now, Commands& out) {
   const bool no_room = event.outcome == ReportOutcome::kReported &&
                        !this->results.HasRoomFor(event.task.body.size());
   if (no_room && event.task.state != UpstreamTaskState::kRunning) {
@@ -510,7 +506,7 @@
         {event.key, event.kind, ReportOutcome::kNoAnswer, {}}, now, out);
     return;
   }
-  this->tasks.OnReported(event, now, out);
+  this->tasks.OnReported(std::move(event), now, out);
 }
 
 void AgentCore::On(const ResultDelivered& event,
@@ -639,7 +635,7 @@
 void AgentCore::SendDeliveries(core::TimePoint now, Commands& out) {
   for (const DueDelivery& due : this->results.TakeDue(now)) {
     out.emplace_back(DeliverResult{
-        this->entries.TargetFor(due.reply_to, due.failures), *due.notice});
+        this->entries.TargetFor(due.reply_to, due.failures), due.notice});
   }
 }
 
--- a/modules/agent/core/agent_core.h
+++ b/modules/agent/core/agent_core.h
@@ -91,7 +91,7 @@
   void On(const Tick& event, core::TimePoint now, Commands& out);
   void On(const UpstreamAnnounced& event, core::TimePoint now, Commands& out);
   void On(const UpstreamWithdrawn& event, core::TimePoint now, Commands& out);
-  void On(const TaskFinished& event, core::TimePoint now, Commands& out);
+  void On(TaskFinished& event, core::TimePoint now, Commands& out);
   void On(RunRequested& event, core::TimePoint now, Commands& out);
   void On(ReserveRequested& event, core::TimePoint now, Commands& out);
   void On(const CommitRequested& event, core::TimePoint now, Commands& out);
@@ -107,7 +107,7 @@
   void On(const AnnounceAnswered& event, core::TimePoint now, Commands& out);
   void On(const StartAnswered& event, core::TimePoint now, Commands& out);
   void On(const TasksListed& event, core::TimePoint now, Commands& out);
-  void On(const TaskReported& event, core::TimePoint now, Commands& out);
+  void On(TaskReported& event, core::TimePoint now, Commands& out);
   void On(const ResultDelivered& event, core::TimePoint now, Commands& out);
 
   /// The answer to a request that needs no new grant (a repeat, or one that
--- a/modules/agent/core/commands.h
+++ b/modules/agent/core/commands.h
@@ -1,6 +1,7 @@
 // Commands that the agent's state machine gives to the process.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,7 +66,8 @@
 /// Delivers a result to one entry.
 struct DeliverResult {
   std::string endpoint;
-  model::ResultNotice notice;
+  /// Shared with the results held, since it may be large; never null.
+  std::shared_ptr<const model::ResultNotice> notice;
 };
 
 /// Sends a gang message to another agent.
--- a/modules/agent/core/held_results.cc
+++ b/modules/agent/core/held_results.cc
@@ -48,7 +48,7 @@
   const auto found = this->held.find(key);
   if (found != this->held.end()) {
     const bool improves =
-        found->second.notice.outcome == model::JobOutcome::kUnknown;
+        found->second.notice->outcome == model::JobOutcome::kUnknown;
     if (!improves || found->second.sending) {
       return;
     }
@@ -56,7 +56,8 @@
   }
   this->bytes += SizeOf(notice);
   Held result;
-  result.notice = std::move(notice);
+  result.notice =
+      std::make_shared<const model::ResultNotice>(std::move(notice));
   result.reply_to = std::move(reply_to);
   this->held.emplace(key, std::move(result));
 }
@@ -67,7 +68,7 @@
     this->sending_large =
         this->sending_large && !HeldResults::IsLarge(position->second);
   }
-  this->bytes -= SizeOf(position->second.notice);
+  this->bytes -= SizeOf(*position->second.notice);
   return this->held.erase(position);
 }
 
@@ -100,7 +101,7 @@
     result.sending = true;
     ++this->sending;
     this->sending_large = this->sending_large || large;
-    due.push_back({&result.notice, result.reply_to, result.failures});
+    due.push_back({result.notice, result.reply_to, result.failures});
   }
   return due;
 }
@@ -134,7 +135,7 @@
   std::vector<model::ResultNotice> results;
   for (auto position = this->held.lower_bound({job, {}, 0});
        position != this->held.end() && position->first.job == job; ++position) {
-    results.push_back(position->second.notice);
+    results.push_back(*position->second.notice);
   }
   return results;
 }
@@ -150,7 +151,7 @@
 }
 
 bool HeldResults::IsLarge(const Held& result) {
-  return result.notice.body.size() >= kLargeBytes;
+  return result.notice->body.size() >= kLargeBytes;
 }
 
 }  // namespace hemlockdoor::agent
--- a/modules/agent/core/held_results.h
+++ b/modules/agent/core/held_results.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,7 @@
 
 /// A result to be sent, and how many deliveries of it failed before.
 struct DueDelivery {
-  const model::ResultNotice* notice = nullptr;
+  std::shared_ptr<const model::ResultNotice> notice;
   std::string reply_to;
   int failures = 0;
 };
@@ -55,7 +56,7 @@
 
  private:
   struct Held {
-    model::ResultNotice notice;
+    std::shared_ptr<const model::ResultNotice> notice;
     std::string reply_to;
     int failures = 0;
     bool sending = false;
--- a/modules/agent/process/agent_process.cc
+++ b/modules/agent/process/agent_process.cc
@@ -1,5 +1,7 @@
 #include "modules/agent/process/agent_process.h"
 
+#include <malloc.h>
+
 #include <random>
 #include <string>
 #include <utility>
@@ -22,6 +24,18 @@
   return core::Incarnation((high << kHalfBits) | device());
 }
 
+/// Gives large buffers back to the system as soon as they are freed. The
+/// allocator otherwise raises its threshold to the largest buffer seen and
+/// keeps that much in the heap of each thread.
+void BoundAllocator() {
+  constexpr int kMapThresholdBytes = 128 * 1024;
+  constexpr int kTrimThresholdBytes = 1024 * 1024;
+  constexpr int kHeaps = 2;
+  mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+  mallopt(M_ARENA_MAX, kHeaps);
+}
+
 core::Expected<void> CheckSettings(const settings::AgentSettings& settings) {
   if (settings.id.IsEmpty()) {
     return core::MakeError(core::ErrorCode::kInvalidArgument,
@@ -172,6 +186,7 @@
     return core::MakeError(upstream.error().code, upstream.error().message,
                            "$.upstream");
   }
+  BoundAllocator();
   std::unique_ptr<AgentProcess> process(new AgentProcess());
   core::Expected<void> started =
       process->threads->Start(settings, *upstream, std::move(on_stopped));
--- a/modules/agent/process/http_front.cc
+++ b/modules/agent/process/http_front.cc
@@ -37,9 +37,9 @@
   limits.max_body_bytes = kMaxRequestBytes;
   auto server = wire::HttpServer::Listen(
       options.address, options.port, limits,
-      [owner = front.get()](const wire::HttpRequest& request,
+      [owner = front.get()](wire::HttpRequest request,
                             const wire::HttpResponder& responder) {
-        owner->OnRequest(request, responder);
+        owner->OnRequest(std::move(request), responder);
       });
   if (!server) {
     return tl::unexpected<core::Error>(server.error());
@@ -79,7 +79,7 @@
   responder.Respond(response);
 }
 
-void HttpFront::OnRequest(const wire::HttpRequest& request,
+void HttpFront::OnRequest(wire::HttpRequest request,
                           const wire::HttpResponder& responder) {
   if (request.path == "/livez") {
     this->Respond(responder, this->Liveness(true));
@@ -90,6 +90,7 @@
     return;
   }
   const CallId call = this->next_call++;
+  const std::size_t request_bytes = request.path.size() + request.body.size();
   Routed routed = this->router.Route(request, call);
   if (const auto* answer = std::get_if<wire::HttpResponse>(&routed)) {
     this->Respond(responder, *answer);
@@ -101,7 +102,7 @@
       std::holds_alternative<ReserveRequested>(event) ||
       std::holds_alternative<TaskFinished>(event);
   (carries_payload ? this->board.payload_bytes : this->board.control_bytes) +=
-      request.path.size() + request.body.size();
+      request_bytes;
   const bool is_run = std::holds_alternative<RunRequested>(event);
   if (this->events == nullptr || this->pending.size() >= kMaxPending) {
     ++this->board.shed;
--- a/modules/agent/process/http_front.h
+++ b/modules/agent/process/http_front.h
@@ -49,7 +49,7 @@
   };
 
   HttpFront(const Options& options, MetricsBoard& metrics_board);
-  void OnRequest(const wire::HttpRequest& request,
+  void OnRequest(wire::HttpRequest request,
                  const wire::HttpResponder& responder);
   void OnCommand(const Command& command);
   void Respond(const wire::HttpResponder& responder,
--- a/modules/agent/process/outgoing_calls.cc
+++ b/modules/agent/process/outgoing_calls.cc
@@ -102,6 +102,49 @@
   return event;
 }
 
+/// Appends `body` as the inside of a JSON text.
+void AppendEscaped(std::string& text, std::string_view body) {
+  constexpr char kFirstPrintable = 0x20;
+  constexpr std::string_view kHexDigits = "0123456789abcdef";
+  constexpr unsigned kNibbleBits = 4;
+  constexpr unsigned kNibble = 0xf;
+  for (const char byte : body) {
+    const auto value = static_cast<unsigned char>(byte);
+    if (byte == '"' || byte == '\\') {
+      text += '\\';
+      text += byte;
+    } else if (value < kFirstPrintable) {
+      text += "\\u00";
+      text += kHexDigits[value >> kNibbleBits];
+      text += kHexDigits[value & kNibble];
+    } else {
+      text += byte;
+    }
+  }
+}
+
+/// Writes a notice with no more than one copy of its body, which may be 8 MB.
+/// The body came out of a JSON document and so is valid UTF-8.
+std::string NoticeToText(const model::ResultNotice& notice) {
+  constexpr std::string_view kEmptyBody = R"("body":"")";
+  const model::ResultNotice head{
+      notice.agent,   notice.job, notice.attempt,  notice.member,
+      notice.outcome, {},         notice.run_time, notice.cause};
+  const std::string frame = model::DumpJson(model::ToJson(head));
+  // Quotes inside values are escaped, so the first match is the field.
+  const std::size_t place = frame.find(kEmptyBody);
+  HD_ASSERT(place != std::string::npos);
+  const std::size_t start = place + kEmptyBody.size() - 1;
+  constexpr std::size_t kEscapeShare = 16;
+  std::string text;
+  text.reserve(frame.size() + notice.body.size() +
+               notice.body.size() / kEscapeShare);
+  text.append(frame, 0, start);
+  AppendEscaped(text, notice.body);
+  text.append(frame, start);
+  return text;
+}
+
 }  // namespace
 
 struct OutgoingCalls::Clients {
@@ -264,7 +307,7 @@
 }
 
 void OutgoingCalls::Send(const DeliverResult& command) {
-  const model::ResultNotice& notice = command.notice;
+  const model::ResultNotice& notice = *command.notice;
   const TaskKey key{notice.job, notice.attempt, notice.member};
   const core::Expected<wire::Endpoint> endpoint =
       wire::Endpoint::Parse(command.endpoint);
@@ -272,8 +315,9 @@
     this->Emit(ResultDelivered{key, false});
     return;
   }
-  wire::HttpCall call = this->InternalPost(*endpoint, "/internal/v1/result",
-                                           model::ToJson(notice));
+  wire::HttpCall call =
+      this->InternalPost(*endpoint, "/internal/v1/result", {});
+  call.body = NoticeToText(notice);
   call.timeout = kDeliveryTimeout;
   this->board.payload_bytes += call.target.size() + call.body.size();
   this->clients->deliveries.Send(call, [this,
@@ -329,7 +373,7 @@
   }
   if (const auto* one = std::get_if<DeliverResult>(&command)) {
     return ResultDelivered{
-        {one->notice.job, one->notice.attempt, one->notice.member}, false};
+        {one->notice->job, one->notice->attempt, one->notice->member}, false};
   }
   if (const auto* one = std::get_if<SendGangMessage>(&command)) {
     return GangMessageAnswered{one->kind,
--- a/modules/agent/process/request_router.cc
+++ b/modules/agent/process/request_router.cc
@@ -15,7 +15,7 @@
 constexpr std::string_view kUpstreamPrefix = "/upstream/v1/";
 constexpr std::string_view kTasksPrefix = "/internal/v1/tasks/";
 
-using Reader = Routed (*)(const std::string& body, CallId call);
+using Reader = Routed (*)(std::string body, CallId call);
 
 struct PostRoute {
   std::string_view path;
@@ -30,8 +30,13 @@
 
 /// Reads a message and makes the event `E`, whose second field is it.
 template <typename E, auto FromJson>
-Routed ReadMessage(const std::string& body, CallId call) {
-  auto message = model::FromText<FromJson>(body);
+Routed ReadMessage(std::string body, CallId call) {
+  const core::Expected<nlohmann::json> doc =
+      model::ParseJson(std::exchange(body, {}));
+  if (!doc) {
+    return BadRequest(doc.error());
+  }
+  auto message = FromJson(*doc);
   if (!message) {
     return BadRequest(message.error());
   }
@@ -39,7 +44,7 @@
 }
 
 template <GangMessageKind kind>
-Routed ReadGangMessage(const std::string& body, CallId call) {
+Routed ReadGangMessage(std::string body, CallId call) {
   auto message = model::FromText<&model::GangMessageFromJson>(body);
   if (!message) {
     return BadRequest(message.error());
@@ -47,7 +52,7 @@
   return Event(GangMessageReceived{call, kind, std::move(*message)});
 }
 
-Routed ReadRevision(const std::string& body, CallId call) {
+Routed ReadRevision(std::string body, CallId call) {
   const core::Expected<nlohmann::json> doc = model::ParseJson(body);
   if (!doc) {
     return BadRequest(doc.error());
@@ -63,12 +68,12 @@
   return Event(event);
 }
 
-Routed ReadDrain(const std::string& /*body*/, CallId call) {
+Routed ReadDrain(std::string /*body*/, CallId call) {
   return Event(DrainRequested{call});
 }
 
-Routed ReadFinished(const std::string& body, CallId call) {
-  core::Expected<UpstreamTask> task = UpstreamTaskFromText(body);
+Routed ReadFinished(std::string body, CallId call) {
+  core::Expected<UpstreamTask> task = UpstreamTaskFromText(std::move(body));
   if (!task) {
     return BadRequest(task.error());
   }
@@ -79,7 +84,7 @@
   return Event(TaskFinished{call, std::move(*task)});
 }
 
-Routed ReadAnnounce(const std::string& body, CallId call) {
+Routed ReadAnnounce(std::string body, CallId call) {
   const core::Expected<nlohmann::json> doc = model::ParseJson(body);
   if (!doc) {
     return BadRequest(doc.error());
@@ -116,7 +121,7 @@
                            "this path or method is not served here");
 }
 
-Routed RouteInternal(const wire::HttpRequest& request, CallId call) {
+Routed RouteInternal(wire::HttpRequest& request, CallId call) {
   if (request.method == wire::HttpMethod::kGet &&
       request.path.starts_with(kTasksPrefix)) {
     return Event(TasksQueried{
@@ -129,23 +134,23 @@
       std::string_view(request.path).substr(kInternalPrefix.size());
   for (const PostRoute& route : kInternalPosts) {
     if (route.path == name) {
-      return route.read(request.body, call);
+      return route.read(std::move(request.body), call);
     }
   }
   return NotFound();
 }
 
-Routed RouteUpstream(const wire::HttpRequest& request, CallId call) {
+Routed RouteUpstream(wire::HttpRequest& request, CallId call) {
   const std::string_view name =
       std::string_view(request.path).substr(kUpstreamPrefix.size());
   if (name == "announce" && request.method == wire::HttpMethod::kPut) {
-    return ReadAnnounce(request.body, call);
+    return ReadAnnounce(std::move(request.body), call);
   }
   if (name == "announce" && request.method == wire::HttpMethod::kDelete) {
     return Event(UpstreamWithdrawn{call});
   }
   if (name == "finished" && request.method == wire::HttpMethod::kPost) {
-    return ReadFinished(request.body, call);
+    return ReadFinished(std::move(request.body), call);
   }
   return NotFound();
 }
@@ -207,8 +212,7 @@
   return address == this->upstream;
 }
 
-Routed RequestRouter::Route(const wire::HttpRequest& request,
-                            CallId call) const {
+Routed RequestRouter::Route(wire::HttpRequest& request, CallId call) const {
   if (request.path.starts_with(kInternalPrefix)) {
     if (!wire::HasBearer(request.headers, this->key)) {
       return wire::MakeProblem(status::kUnauthorized, "unauthorized",
--- a/modules/agent/process/request_router.h
+++ b/modules/agent/process/request_router.h
@@ -22,7 +22,8 @@
   RequestRouter(std::string internal_key, std::string upstream_address);
 
   /// Reads one request; `call` goes into the event.
-  Routed Route(const wire::HttpRequest& request, CallId call) const;
+  /// Takes the body, which may be large, and frees it when it is parsed.
+  Routed Route(wire::HttpRequest& request, CallId call) const;
 
  private:
   bool IsFromUpstream(const wire::HttpRequest& request) const;
--- a/modules/agent/upstream/task_supervisor.cc
+++ b/modules/agent/upstream/task_supervisor.cc
@@ -79,7 +79,7 @@
 }
 
 void TaskSupervisor::EndByState(Iterator position,
-                                const UpstreamTask& task,
+                                UpstreamTask task,
                                 core::TimePoint now) {
   const std::optional<model::ResultCause> stop = position->second.stop_cause;
   switch (task.state) {
@@ -87,11 +87,11 @@
       return;
     case UpstreamTaskState::kDone:
       this->End(position, model::JobOutcome::kDone, model::ResultCause::kTask,
-                task.body, now);
+                std::move(task.body), now);
       return;
     case UpstreamTaskState::kFailed:
       this->End(position, model::JobOutcome::kFailed, model::ResultCause::kTask,
-                task.body, now);
+                std::move(task.body), now);
       return;
     case UpstreamTaskState::kStopped: {
       const model::ResultCause cause = stop.value_or(model::ResultCause::kTask);
@@ -166,7 +166,7 @@
   }
 }
 
-void TaskSupervisor::OnReported(const TaskReported& report,
+void TaskSupervisor::OnReported(TaskReported report,
                                 core::TimePoint now,
                                 Commands& out) {
   this->link.OnCall(report.outcome != ReportOutcome::kNoAnswer, now);
@@ -184,7 +184,7 @@
     return;
   }
   if (report.task.state != UpstreamTaskState::kRunning) {
-    this->EndByState(position, report.task, now);
+    this->EndByState(position, std::move(report.task), now);
     return;
   }
   if (task.phase == Phase::kUnclear || task.phase == Phase::kFencing) {
@@ -215,11 +215,11 @@
   this->EndWithoutCertainty(position, "upstream does not know the task", now);
 }
 
-void TaskSupervisor::OnFinished(const UpstreamTask& task, core::TimePoint now) {
+void TaskSupervisor::OnFinished(UpstreamTask task, core::TimePoint now) {
   this->link.OnCall(true, now);
   const auto position = this->tasks.find(task.key);
   if (position != this->tasks.end()) {
-    this->EndByState(position, task, now);
+    this->EndByState(position, std::move(task), now);
   }
 }
 
--- a/modules/agent/upstream/task_supervisor.h
+++ b/modules/agent/upstream/task_supervisor.h
@@ -42,11 +42,9 @@
                        Commands& out);
   /// Applies a listing: confirms, adopts or stops what runs on the upstream.
   void OnListed(const TasksListed& listing, core::TimePoint now, Commands& out);
-  void OnReported(const TaskReported& report,
-                  core::TimePoint now,
-                  Commands& out);
+  void OnReported(TaskReported report, core::TimePoint now, Commands& out);
   /// Applies a `finished` report; one of an unknown task is ignored.
-  void OnFinished(const UpstreamTask& task, core::TimePoint now);
+  void OnFinished(UpstreamTask task, core::TimePoint now);
   void OnTick(core::TimePoint now, Commands& out);
 
   /// Stops a task; the first cause stays.
@@ -102,9 +100,7 @@
            model::ResultCause cause,
            std::string body,
            core::TimePoint now);
-  void EndByState(Iterator position,
-                  const UpstreamTask& task,
-                  core::TimePoint now);
+  void EndByState(Iterator position, UpstreamTask task, core::TimePoint now);
   void EndWithoutCertainty(Iterator position,
                            std::string reason,
                            core::TimePoint now);
--- a/modules/agent/upstream/upstream_messages.cc
+++ b/modules/agent/upstream/upstream_messages.cc
@@ -120,8 +120,10 @@
   return model::DumpJson(doc);
 }
 
-core::Expected<UpstreamTask> UpstreamTaskFromText(const std::string& text) {
-  const core::Expected<nlohmann::json> doc = model::ParseJson(text);
+core::Expected<UpstreamTask> UpstreamTaskFromText(std::string text) {
+  // The text, which may hold a large result, is freed before it is copied.
+  const core::Expected<nlohmann::json> doc =
+      model::ParseJson(std::exchange(text, {}));
   if (!doc) {
     return tl::unexpected<core::Error>(doc.error());
   }
--- a/modules/agent/upstream/upstream_messages.h
+++ b/modules/agent/upstream/upstream_messages.h
@@ -65,7 +65,7 @@
 /// Body of `POST /tasks`.
 std::string UpstreamStartToText(const UpstreamStart& start);
 /// Reads the body of `finished` and of `GET /tasks/JOB`.
-core::Expected<UpstreamTask> UpstreamTaskFromText(const std::string& text);
+core::Expected<UpstreamTask> UpstreamTaskFromText(std::string text);
 /// Reads the body of `GET /tasks`.
 core::Expected<std::vector<UpstreamTask>> UpstreamListFromText(
     const std::string& text);
--- a/tests/support/agent_cluster.h
+++ b/tests/support/agent_cluster.h
@@ -404,9 +404,9 @@
 
   void Do(int index, const agent::DeliverResult& command) {
     if (this->entry_answers) {
-      this->results.push_back(command.notice);
+      this->results.push_back(*command.notice);
     }
-    const model::ResultNotice& notice = command.notice;
+    const model::ResultNotice& notice = *command.notice;
     this->Return(
         index, kHop,
         agent::ResultDelivered{{notice.job, notice.attempt, notice.member},
