Hold payloads and results once while they pass through the entry

Cause: one 8 MB job raised an entry from 23 MB to 135 MB resident, and its result was not returned because payload and result together passed the byte budget. Ruled out: a larger budget, which would break the 64 MB limit.

--- a/modules/cli/roles/roles.cc
+++ b/modules/cli/roles/roles.cc
@@ -2,20 +2,12 @@
 
 #include "modules/agent/agent.h"
 #include "modules/cli/roles/run_process.h"
+#include "modules/entry/entry.h"
 #include "modules/settings/settings.h"
 
 namespace hemlockdoor::cli {
 
-namespace {
-
-ExitCode ReportMissingRole(Console& console, const std::string& role) {
-  return ReportError(console,
-                     core::Error{core::ErrorCode::kUnavailable,
-                                 "this build does not include " + role, ""},
-                     ExitCode::kFailed);
-}
-
-}  // namespace
+namespace {}  // namespace
 
 ExitCode RunEntry(Console& console, const std::string& settings_file) {
   const core::Expected<settings::EntrySettings> settings =
@@ -23,7 +15,7 @@
   if (!settings) {
     return ReportError(console, settings.error(), ExitCode::kUsage);
   }
-  return ReportMissingRole(console, "entry");
+  return RunProcess<entry::EntryProcess>(console, *settings);
 }
 
 ExitCode RunAgent(Console& console, const std::string& settings_file) {
--- a/modules/entry/api/answers.cc
+++ b/modules/entry/api/answers.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/entry/api/large_text.h"
+
 namespace hemlockdoor::entry {
 
 namespace {
@@ -63,7 +65,7 @@
   return response;
 }
 
-nlohmann::json JobToDocument(const Job& job, bool with_result) {
+nlohmann::json JobToDocument(const Job& job) {
   nlohmann::json doc;
   doc["id"] = job.description.id.Text();
   doc["class"] = job.description.job_class.Text();
@@ -78,9 +80,6 @@
   if (!job.error.empty()) {
     doc["error"] = job.error;
   }
-  if (with_result && job.result) {
-    doc["result"] = *job.result;
-  }
   return doc;
 }
 
@@ -91,9 +90,11 @@
                                 job.description.id});
   }
   const bool ended = job.phase == JobPhase::kEnded;
-  wire::HttpResponse response =
-      MakeJsonResponse(ended || !accepted ? status::kOk : status::kAccepted,
-                       JobToDocument(job, true));
+  wire::HttpResponse response;
+  response.status = ended || !accepted ? status::kOk : status::kAccepted;
+  const nlohmann::json doc = JobToDocument(job);
+  response.body = ended && job.result ? DumpWithText(doc, "result", *job.result)
+                                      : model::DumpJson(doc);
   if (accepted) {
     response.headers.Add("Location", Location(job.description.id));
   }
--- a/modules/entry/api/answers.h
+++ b/modules/entry/api/answers.h
@@ -29,9 +29,9 @@
 
 wire::HttpResponse MakeProblemResponse(const Problem& problem);
 
-/// The JSON document of a job: one `outcome` or one `state`. The result is
-/// included when `with_result` is set.
-nlohmann::json JobToDocument(const Job& job, bool with_result);
+/// The JSON document of a job, without its result: one `outcome` or one
+/// `state`.
+nlohmann::json JobToDocument(const Job& job);
 
 /// The response to a caller that waits for a job, or asks for it.
 /// `accepted`: the request submitted the job (202 while it has not ended).
--- a/modules/entry/api/request_router.cc
+++ b/modules/entry/api/request_router.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "modules/entry/api/answers.h"
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/core/job_id.h"
 #include "modules/model/model.h"
 
@@ -90,6 +91,13 @@
   return response;
 }
 
+/// Parses the body and frees it.
+core::Expected<nlohmann::json> ParseBody(wire::HttpRequest& request) {
+  core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  request.body = std::string();
+  return doc;
+}
+
 /// Reads the `Prefer` field (RFC 7240): the time to wait, zero for
 /// `respond-async`, nothing when it has neither.
 std::optional<core::Duration> ReadPrefer(const wire::HttpRequest& request) {
@@ -112,24 +120,33 @@
   return std::nullopt;
 }
 
-Routed RouteSubmit(const wire::HttpRequest& request,
+Routed RouteSubmit(wire::HttpRequest& request,
                    RequestId id,
                    const core::OrganisationId& organisation) {
-  const core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  SubmitJob event;
+  event.body_hash = HashText(request.body);
+  core::Expected<nlohmann::json> doc = ParseBody(request);
   if (!doc) {
     return BadBody(doc.error());
   }
+  const bool is_text = !doc->is_object() || !doc->contains("payload") ||
+                       (*doc)["payload"].is_string();
+  core::Expected<SharedBody> payload =
+      TakeText(*doc, "payload", model::kMaxPayloadBytes);
+  if (!payload || !is_text) {
+    return BadBody(payload ? core::Error{core::ErrorCode::kInvalidArgument,
+                                         "expected a text", "$.payload"}
+                           : payload.error());
+  }
   core::Expected<model::JobSubmission> submission =
       model::JobSubmissionFromJson(*doc);
   if (!submission) {
     return BadBody(submission.error());
   }
-  SubmitJob event;
   event.request = id;
   event.organisation = organisation;
   event.description = std::move(submission->description);
-  event.payload =
-      std::make_shared<const std::string>(std::move(submission->payload));
+  event.payload = std::move(*payload);
   event.idempotency_key = request.headers.Find("Idempotency-Key");
   const bool bad_key =
       event.idempotency_key && (event.idempotency_key->empty() ||
@@ -138,7 +155,6 @@
     return Refusal(status::kBadRequest, "invalid-idempotency-key",
                    "The Idempotency-Key must have 1 to 256 bytes.");
   }
-  event.body_hash = HashText(request.body);
   event.wait = ReadPrefer(request);
   event.traceparent =
       request.headers.Find("traceparent").value_or(std::string());
@@ -148,7 +164,7 @@
   return event;
 }
 
-Routed RouteJobs(const wire::HttpRequest& request,
+Routed RouteJobs(wire::HttpRequest& request,
                  RequestId id,
                  const std::vector<std::string>& parts,
                  const RoutingState& state) {
@@ -220,14 +236,20 @@
   return is_get ? Routed(OperatorQuery{id, *kind}) : Routed(WrongMethod());
 }
 
-Routed RouteHandover(const wire::HttpRequest& request, RequestId id) {
-  core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+Routed RouteHandover(wire::HttpRequest& request, RequestId id) {
+  core::Expected<nlohmann::json> doc = ParseBody(request);
   if (!doc) {
     return BadBody(doc.error());
   }
+  core::Expected<SharedBody> payload =
+      TakeText(*doc, "payload", model::kMaxPayloadBytes);
+  if (!payload) {
+    return BadBody(payload.error());
+  }
   model::JsonReader reader(*doc, "$");
   JobHandedOver event;
   event.request = id;
+  event.payload = std::move(*payload);
   if (const nlohmann::json* job = reader.Raw("job")) {
     core::Expected<model::JobDescription> read =
         model::JobDescriptionFromJson(*job, "$.job");
@@ -238,8 +260,6 @@
   } else {
     reader.Fail("job", "required field is missing");
   }
-  event.payload = std::make_shared<const std::string>(
-      reader.RequiredString("payload", model::kMaxPayloadBytes));
   event.reply_to = reader.RequiredString("reply_to");
   event.body_hash = reader.OptionalString("body_hash");
   event.record_revision =
@@ -252,6 +272,24 @@
   return event;
 }
 
+Routed RouteResult(wire::HttpRequest& request, RequestId id) {
+  core::Expected<nlohmann::json> doc = ParseBody(request);
+  if (!doc) {
+    return BadBody(doc.error());
+  }
+  core::Expected<SharedBody> body =
+      TakeText(*doc, "body", model::kMaxPayloadBytes);
+  if (!body) {
+    return BadBody(body.error());
+  }
+  core::Expected<model::ResultNotice> notice =
+      model::ResultNoticeFromJson(*doc);
+  if (!notice) {
+    return BadBody(notice.error());
+  }
+  return ResultDelivered{id, std::move(*notice), std::move(*body)};
+}
+
 Routed RoutePeerJob(const wire::HttpRequest& request,
                     RequestId id,
                     const std::vector<std::string>& parts) {
@@ -266,7 +304,7 @@
                   result ? JobQueryKind::kResult : JobQueryKind::kStatus, true};
 }
 
-Routed RouteInternal(const wire::HttpRequest& request,
+Routed RouteInternal(wire::HttpRequest& request,
                      RequestId id,
                      const std::vector<std::string>& parts,
                      const RoutingState& state) {
@@ -292,10 +330,7 @@
                 : Routed(BadBody(read.error()));
   }
   if (parts.at(2) == "result") {
-    core::Expected<model::ResultNotice> read =
-        model::FromText<&model::ResultNoticeFromJson>(request.body);
-    return read ? Routed(ResultDelivered{id, std::move(*read)})
-                : Routed(BadBody(read.error()));
+    return RouteResult(request, id);
   }
   if (parts.at(2) == "queued") {
     return RouteHandover(request, id);
@@ -320,7 +355,7 @@
 
 }  // namespace
 
-Routed RouteRequest(const wire::HttpRequest& request,
+Routed RouteRequest(wire::HttpRequest request,
                     RequestId id,
                     const RoutingState& state) {
   if (request.path == "/livez" || request.path == "/readyz") {
--- a/modules/entry/api/request_router.h
+++ b/modules/entry/api/request_router.h
@@ -24,8 +24,8 @@
 using Routed = std::variant<Event, wire::HttpResponse>;
 
 /// Routes, authenticates and reads one request. Has no effects; safe from any
-/// thread.
-Routed RouteRequest(const wire::HttpRequest& request,
+/// thread. Large texts are moved out of the request, never copied.
+Routed RouteRequest(wire::HttpRequest request,
                     RequestId id,
                     const RoutingState& state);
 
--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -38,6 +38,18 @@
   return nullptr;
 }
 
+SharedBody BodyOf(const model::ResultNotice& notice) {
+  return std::make_shared<const std::string>(notice.body);
+}
+
+/// Time that an agent gets to start a job.
+core::Duration StartWindowOf(const Job& job) {
+  constexpr std::int64_t kMegabyte = std::int64_t{1024} * 1024;
+  const auto size = static_cast<std::int64_t>(job.payload_bytes);
+  return kStartWindow +
+         kStartWindowPerMegabyte * ((size + kMegabyte - 1) / kMegabyte);
+}
+
 bool IsGang(const Job& job) {
   return job.description.shape.gang_size > 1;
 }
@@ -160,8 +172,8 @@
                     agent->last.endpoint, placement.accelerators};
     member.start_not_after =
         this->context.agents.EstimateClock(placement.agent, this->context.now) +
-        kStartWindow;
-    member.no_start_after = this->context.now + kStartWindow;
+        StartWindowOf(job);
+    member.no_start_after = this->context.now + StartWindowOf(job);
     attempt.members.push_back(std::move(member));
   }
   job.last_attempt = attempt.number;
@@ -483,7 +495,7 @@
   }
   const core::AttemptNumber number = job.attempt->number;
   for (const model::ResultNotice& end : task->results) {
-    if (end.attempt == number && this->TakeNotice(job, end)) {
+    if (end.attempt == number && this->TakeNotice(job, end, BodyOf(end))) {
       return;
     }
   }
@@ -551,7 +563,7 @@
             Job* current = this->context.jobs.Find(id);
             if (end.attempt == number &&
                 IsCurrent(current, number, JobPhase::kResolving)) {
-              this->TakeNotice(*current, end);
+              this->TakeNotice(*current, end, BodyOf(end));
             }
           }
         });
@@ -665,6 +677,7 @@
   this->context.jobs.DropPayload(job);
   const bool delivered = !job.waiters.empty();
   this->context.callers->AnswerWaiters(job);
+  job.delivered = delivered || !job.reply_to.empty();
   if (!job.reply_to.empty()) {
     this->context.owners->PushEnd(job);
   }
@@ -708,8 +721,9 @@
   job.unacknowledged.clear();
 }
 
-void AttemptRunner::OnResult(RequestId request,
-                             const model::ResultNotice& notice) {
+void AttemptRunner::OnResult(const ResultDelivered& event) {
+  const RequestId request = event.request;
+  const model::ResultNotice& notice = event.notice;
   Job* job = this->context.jobs.Find(notice.job);
   if (job == nullptr) {
     this->context.AnswerProblem(
@@ -721,7 +735,7 @@
   response.status = status::kOk;
   response.body = "{}";
   if (job->phase == JobPhase::kFollowing) {
-    if (this->context.owners->OnPushedEnd(*job, notice)) {
+    if (this->context.owners->OnPushedEnd(*job, notice, event.body)) {
       this->context.Answer(request, std::move(response));
     } else {
       this->context.AnswerProblem(
@@ -732,8 +746,7 @@
   }
   const bool ended = job->phase == JobPhase::kEnded;
   if (!ended && notice.outcome == model::JobOutcome::kDone &&
-      notice.body.size() + this->context.jobs.HeldBytes() >
-          this->context.options.limits.max_bytes) {
+      !this->context.jobs.MakeRoomForResult(*job, event.body->size())) {
     this->context.AnswerProblem(
         request, {status::kUnavailable, "no-room",
                   "Too many results are held; deliver it again later."});
@@ -741,7 +754,8 @@
   }
   const bool recording = job->phase == JobPhase::kRecordingEnd;
   const bool had_waiter = !job->waiters.empty() || !job->reply_to.empty();
-  const bool taken = !ended && !recording && this->TakeNotice(*job, notice);
+  const bool taken =
+      !ended && !recording && this->TakeNotice(*job, notice, event.body);
   job = this->context.jobs.Find(notice.job);
   if (job == nullptr) {
     this->context.Answer(request, std::move(response));
@@ -754,7 +768,7 @@
   }
   const bool fetched_later = taken && !had_waiter && !job->recorded &&
                              job->outcome == model::JobOutcome::kDone &&
-                             notice.body.size() <= kKeptWithAgentBytes;
+                             event.body->size() <= kKeptWithAgentBytes;
   const bool unfetched =
       fetched_later || (ended && !job->unacknowledged.empty() &&
                         job->ended_attempt == notice.attempt);
@@ -766,7 +780,9 @@
   this->context.Answer(request, std::move(response));
 }
 
-bool AttemptRunner::TakeNotice(Job& job, const model::ResultNotice& notice) {
+bool AttemptRunner::TakeNotice(Job& job,
+                               const model::ResultNotice& notice,
+                               const SharedBody& body) {
   if (!job.attempt || job.attempt->number != notice.attempt ||
       job.phase == JobPhase::kEnded || job.phase == JobPhase::kRecordingEnd ||
       notice.member >= static_cast<int>(job.attempt->members.size())) {
@@ -780,7 +796,7 @@
     return true;
   }
   if (notice.outcome == model::JobOutcome::kNotRun) {
-    this->OnNeverStarted(job, {notice.agent, notice.body});
+    this->OnNeverStarted(job, {notice.agent, *body});
     return true;
   }
   job.may_have_run = true;
@@ -790,22 +806,21 @@
     case model::JobOutcome::kDone:
       break;
     case model::JobOutcome::kCancelled:
-      this->OnMemberCancelled(job, notice);
+      this->OnMemberCancelled(job, notice, *body);
       return true;
     default:
-      this->OnMemberFailed(job, notice);
+      this->OnMemberFailed(job, notice, *body);
       return true;
   }
   if (notice.member == 0) {
-    job.attempt->result = notice.body;
+    job.attempt->result = body;
   }
   const bool all_ended =
       std::all_of(job.attempt->members.begin(), job.attempt->members.end(),
                   [](const AttemptMember& each) { return each.ended; });
   if (all_ended) {
-    auto result =
-        std::make_shared<const std::string>(std::move(job.attempt->result));
-    if (!this->context.jobs.AttachResult(job, std::move(result))) {
+    this->context.jobs.DropPayload(job);
+    if (!this->context.jobs.AttachResult(job, job.attempt->result)) {
       job.result_endpoint = job.attempt->members.front().place.endpoint;
     }
     this->End(job, model::JobOutcome::kDone, {});
@@ -814,33 +829,35 @@
 }
 
 void AttemptRunner::OnMemberFailed(Job& job,
-                                   const model::ResultNotice& notice) {
-  job.last_error = notice.body;
+                                   const model::ResultNotice& notice,
+                                   const std::string& text) {
+  job.last_error = text;
   job.attempt->fault = notice.agent;
   const bool may_retry = job.description.repeatable && !job.cancel_requested &&
                          notice.cause != model::ResultCause::kRunTimeExceeded;
   if (may_retry) {
     this->RetryElsewhere(job, notice.agent);
   } else {
-    this->End(job, notice.outcome, notice.body);
+    this->End(job, notice.outcome, text);
   }
 }
 
 void AttemptRunner::OnMemberCancelled(Job& job,
-                                      const model::ResultNotice& notice) {
+                                      const model::ResultNotice& notice,
+                                      const std::string& text) {
   if (job.deadline_passed) {
     this->End(job, model::JobOutcome::kFailed,
               "stopped because its deadline had passed");
   } else if (job.cancel_requested) {
     this->End(job, model::JobOutcome::kCancelled, "cancelled by request");
   } else if (notice.cause == model::ResultCause::kGangStopped) {
-    this->OnMemberFailed(job, notice);
+    this->OnMemberFailed(job, notice, text);
   } else if (job.description.repeatable) {
     // Stopped by a preemption or by the worker's own decision: runs again.
     this->RemoveFromScheduler(job, model::JobOutcome::kCancelled, std::nullopt);
     this->Requeue(job, kResendDelay);
   } else {
-    job.last_error = notice.body;
+    job.last_error = text;
     this->End(job, model::JobOutcome::kFailed,
               "stopped by the worker before its end");
   }
@@ -976,8 +993,12 @@
   job.phase = JobPhase::kResolving;
   job.attempt->start_sent = true;
   job.ask_again_at = this->context.now;
+  // A payload that the store keeps is smaller than 1 MB.
+  const core::Duration window = job.payload_stored
+                                    ? kStartWindow + kStartWindowPerMegabyte
+                                    : kLongestStartWindow;
   for (AttemptMember& member : job.attempt->members) {
-    member.no_start_after = this->context.now + kStartWindow;
+    member.no_start_after = this->context.now + window;
   }
   this->context.owners->AdoptIntoScheduler(job);
   const AttemptMember& lead = job.attempt->members.front();
--- a/modules/entry/core/attempt_runner.h
+++ b/modules/entry/core/attempt_runner.h
@@ -14,6 +14,12 @@
 /// message can no longer start the work.
 inline constexpr core::Duration kStartWindow =
     core::Duration::Milliseconds(5000);
+/// Added for each started MB of payload, which takes time to arrive.
+inline constexpr core::Duration kStartWindowPerMegabyte =
+    core::Duration::Milliseconds(1000);
+/// The start window of the largest payload.
+inline constexpr core::Duration kLongestStartWindow =
+    core::Duration::Milliseconds(13'000);
 /// Times that one start request is sent to the same incarnation.
 inline constexpr int kMaxSends = 3;
 /// Attempts of one repeatable job that may fail before the job fails.
@@ -54,10 +60,12 @@
 
   void OnAnnouncement(const model::Announcement& announcement);
   /// A result arrived from an agent; answers the request.
-  void OnResult(RequestId request, const model::ResultNotice& notice);
+  void OnResult(const ResultDelivered& event);
   /// Takes the end of one member's attempt; false when it does not belong to
   /// the job's present attempt.
-  bool TakeNotice(Job& job, const model::ResultNotice& notice);
+  bool TakeNotice(Job& job,
+                  const model::ResultNotice& notice,
+                  const SharedBody& body);
   /// Cancels a job that this entry holds, at whatever step it is.
   void Cancel(Job& job);
 
@@ -117,8 +125,12 @@
   void OnCancelAnswer(Job& job,
                       std::size_t member,
                       const wire::HttpResponse& response);
-  void OnMemberFailed(Job& job, const model::ResultNotice& notice);
-  void OnMemberCancelled(Job& job, const model::ResultNotice& notice);
+  void OnMemberFailed(Job& job,
+                      const model::ResultNotice& notice,
+                      const std::string& text);
+  void OnMemberCancelled(Job& job,
+                         const model::ResultNotice& notice,
+                         const std::string& text);
   void RetryElsewhere(Job& job, const std::optional<core::AgentId>& fault);
   void CheckDeadline(Job& job);
   void TickJob(Job& job);
--- a/modules/entry/core/caller_service.cc
+++ b/modules/entry/core/caller_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/core/attempt_runner.h"
 #include "modules/entry/core/job_id.h"
 #include "modules/entry/core/ownership_service.h"
@@ -374,6 +375,7 @@
 
 void CallerService::AcknowledgeHeld(const core::JobId& id) {
   if (Job* job = this->context.jobs.Find(id)) {
+    job->delivered = true;
     this->context.attempts->Acknowledge(*job);
   }
 }
@@ -429,8 +431,9 @@
   nlohmann::json doc;
   doc["id"] = query.job.Text();
   doc["outcome"] = model::JobOutcomeName(notice.outcome);
-  doc[done ? "result" : "error"] = notice.body;
-  this->context.Answer(query.request, MakeJsonResponse(status::kOk, doc));
+  wire::HttpResponse response;
+  response.body = DumpWithText(doc, done ? "result" : "error", notice.body);
+  this->context.Answer(query.request, std::move(response));
 }
 
 void CallerService::AcknowledgeFetched(const model::ResultNotice& notice,
@@ -532,7 +535,7 @@
   for (const auto& [id, job] : this->context.jobs.All()) {
     if (job.description.organisation == event.organisation &&
         doc["jobs"].size() < kMaxListedJobs) {
-      doc["jobs"].push_back(JobToDocument(job, false));
+      doc["jobs"].push_back(JobToDocument(job));
     }
   }
   for (const auto& [agent, known] : this->context.agents.All()) {
@@ -569,10 +572,9 @@
   job = this->context.jobs.Find(event.job);
   const bool ended = job != nullptr && job->phase == JobPhase::kEnded;
   this->context.Answer(
-      event.request,
-      MakeJsonResponse(ended ? status::kOk : status::kAccepted,
-                       job == nullptr ? nlohmann::json::object()
-                                      : JobToDocument(*job, false)));
+      event.request, MakeJsonResponse(ended ? status::kOk : status::kAccepted,
+                                      job == nullptr ? nlohmann::json::object()
+                                                     : JobToDocument(*job)));
 }
 
 void CallerService::CancelFollowed(Job& job) {
@@ -684,7 +686,7 @@
     if (!job.attempt || job.phase == JobPhase::kEnded) {
       continue;
     }
-    nlohmann::json reservation = JobToDocument(job, false);
+    nlohmann::json reservation = JobToDocument(job);
     reservation["organisation"] = job.description.organisation.Text();
     reservation["members"] = nlohmann::json::array();
     for (const AttemptMember& member : job.attempt->members) {
--- a/modules/entry/core/entry_context.cc
+++ b/modules/entry/core/entry_context.cc
@@ -45,10 +45,15 @@
                             OnResponse done,
                             std::string payload_field) {
   const CallId call = this->NextCall();
+  constexpr std::int64_t kMegabyte = std::int64_t{1024} * 1024;
+  const std::int64_t megabytes =
+      payload ? static_cast<std::int64_t>(payload->size()) / kMegabyte : 0;
+  const core::Duration timeout =
+      kWorkCallTimeout + kWorkCallTimePerMegabyte * megabytes;
   this->responses.emplace(call, std::move(done));
   this->commands.emplace_back(::hemlockdoor::entry::SendWork{
       call, target.endpoint, target.target, std::move(document),
-      std::move(payload), std::move(payload_field), kWorkCallTimeout});
+      std::move(payload), std::move(payload_field), timeout});
 }
 
 void EntryContext::Read(const std::string& key, OnKey done) {
--- a/modules/entry/core/entry_context.h
+++ b/modules/entry/core/entry_context.h
@@ -69,6 +69,10 @@
 inline constexpr core::Duration kWorkCallTimeout =
     core::Duration::Milliseconds(3000);
 
+/// Added for each MB of it.
+inline constexpr core::Duration kWorkCallTimePerMegabyte =
+    core::Duration::Milliseconds(500);
+
 /// What the parts of the state machine share. The parts call each other
 /// through the pointers, which EntryCore sets.
 class EntryContext {
--- a/modules/entry/core/entry_core.cc
+++ b/modules/entry/core/entry_core.cc
@@ -107,7 +107,7 @@
           [&](const OperatorQuery& query) { callers.OnOperatorQuery(query); },
           [&](const DrainWorker& drain) { callers.OnDrainWorker(drain); },
           [&](const ResultDelivered& result) {
-            this->parts->attempts.OnResult(result.request, result.notice);
+            this->parts->attempts.OnResult(result);
           },
           [&](const CatalogueChanged& change) {
             const bool newer =
--- a/modules/entry/core/events.h
+++ b/modules/entry/core/events.h
@@ -83,7 +83,9 @@
 /// An agent delivers the end of an attempt.
 struct ResultDelivered {
   RequestId request;
+  /// Without its body, which is large at times.
   model::ResultNotice notice;
+  SharedBody body;
 };
 
 /// Another entry hands a job to the planning owner.
--- a/modules/entry/core/job_table.cc
+++ b/modules/entry/core/job_table.cc
@@ -47,6 +47,29 @@
   return true;
 }
 
+bool JobTable::MakeRoomForResult(const Job& job, std::size_t result_bytes) {
+  const auto fits = [this, &job, result_bytes] {
+    return this->bytes.Held() - job.payload_bytes + result_bytes <=
+           this->limits.max_bytes;
+  };
+  while (!fits()) {
+    Job* oldest = nullptr;
+    for (auto& [id, each] : this->jobs) {
+      const bool droppable = each.phase == JobPhase::kEnded && each.delivered &&
+                             each.result_bytes > 0;
+      if (droppable &&
+          (oldest == nullptr || each.ended_at < oldest->ended_at)) {
+        oldest = &each;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
+    }
+    this->DropResult(*oldest);
+  }
+  return true;
+}
+
 void JobTable::DropPayload(Job& job) {
   this->bytes.Release(job.payload_bytes);
   job.payload_bytes = 0;
--- a/modules/entry/core/job_table.h
+++ b/modules/entry/core/job_table.h
@@ -56,7 +56,7 @@
   /// The lead was told to commit, or a single task was told to run.
   bool start_sent = false;
   /// Result of member 0, once it was reported.
-  std::string result;
+  SharedBody result;
   /// The agent that refused or failed first.
   std::optional<core::AgentId> fault;
   /// Times that the agent was asked in vain for what became of it.
@@ -151,6 +151,8 @@
   /// Result of kDone when it is held here.
   SharedBody result;
   std::size_t result_bytes = 0;
+  /// A caller or another entry got the result.
+  bool delivered = false;
   /// Endpoint of the agent that holds the result for this entry.
   std::string result_endpoint;
   /// The result was not kept here for lack of room; the record has it.
@@ -185,6 +187,9 @@
   /// Sets the payload of a job that was added without; false when the budget
   /// has no room.
   bool AttachPayload(Job& job, SharedBody payload);
+  /// Tells whether a result of this job fits, when the payload makes room for
+  /// it. Drops results that were delivered already, the oldest first.
+  bool MakeRoomForResult(const Job& job, std::size_t result_bytes);
   /// Keeps a result; false when the budget has no room.
   bool AttachResult(Job& job, SharedBody result);
   /// Gives back the payload when no attempt can need it any more.
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -167,36 +167,50 @@
   model::ResultNotice notice;
   notice.job = job.description.id;
   notice.outcome = *outcome;
-  notice.body = *outcome == model::JobOutcome::kDone
-                    ? doc->value("result", "")
-                    : doc->value("error", doc->value("detail", ""));
-  this->OnFollowedEnd(job, notice);
+  notice.attempt =
+      core::AttemptNumber(doc->value("attempts", std::uint64_t{0}));
+  const bool done = *outcome == model::JobOutcome::kDone;
+  if (done && !doc->contains("result")) {
+    // The holder has dropped the result; the record tells where it is.
+    this->OnFollowedLost(job);
+    return;
+  }
+  this->OnFollowedEnd(
+      job, notice,
+      std::make_shared<const std::string>(
+          done ? doc->value("result", "")
+               : doc->value("error", doc->value("detail", ""))));
 }
 
 bool OwnershipService::OnPushedEnd(Job& job,
-                                   const model::ResultNotice& notice) {
+                                   const model::ResultNotice& notice,
+                                   const SharedBody& body) {
   // Only the entry that holds the job knows which attempt is the present one;
   // a result that an agent brings here may be of an earlier attempt.
   if (job.followed.empty() || notice.agent != PeerName(job.followed)) {
     return false;
   }
-  this->OnFollowedEnd(job, notice);
+  this->OnFollowedEnd(job, notice, body);
   return job.phase == JobPhase::kEnded;
 }
 
 void OwnershipService::OnFollowedEnd(Job& job,
-                                     const model::ResultNotice& notice) {
+                                     const model::ResultNotice& notice,
+                                     const SharedBody& body) {
   if (notice.outcome == model::JobOutcome::kDone) {
-    auto result = std::make_shared<const std::string>(notice.body);
-    if (!this->context.jobs.AttachResult(job, std::move(result))) {
+    if (!this->context.jobs.MakeRoomForResult(job, body->size())) {
       // Asked again when there is room.
       return;
     }
+    this->context.jobs.DropPayload(job);
+    const bool attached = this->context.jobs.AttachResult(job, body);
+    HD_ASSERT(attached);
   } else {
-    job.error = notice.body;
+    job.error = *body;
   }
   job.outcome = notice.outcome;
   job.ended_attempt = notice.attempt;
+  job.last_attempt = std::max(job.last_attempt, notice.attempt);
   if (notice.outcome == model::JobOutcome::kNotRun) {
     job.problem_status = status::kUnavailable;
     job.problem_type = "not-run";
--- a/modules/entry/core/ownership_service.h
+++ b/modules/entry/core/ownership_service.h
@@ -37,9 +37,13 @@
   void Follow(Job& job, const std::string& endpoint);
   /// The entry that holds a job brought its end; false when the sender is not
   /// that entry, or there is no room for the result.
-  bool OnPushedEnd(Job& job, const model::ResultNotice& notice);
+  bool OnPushedEnd(Job& job,
+                   const model::ResultNotice& notice,
+                   const SharedBody& body);
   /// Takes over the end of a job that this entry follows.
-  void OnFollowedEnd(Job& job, const model::ResultNotice& notice);
+  void OnFollowedEnd(Job& job,
+                     const model::ResultNotice& notice,
+                     const SharedBody& body);
   /// Sends the end of a job to the entry that handed it over.
   void PushEnd(Job& job);
   void OnTick();
--- a/modules/entry/process/duty_thread.cc
+++ b/modules/entry/process/duty_thread.cc
@@ -1,12 +1,45 @@
 #include "modules/entry/process/duty_thread.h"
 
-#include <QMetaObject>
+#include <QCoreApplication>
+#include <QEvent>
+#include <future>
+#include <utility>
 
 namespace hemlockdoor::entry {
 
-DutyThread::DutyThread(const char* name) {
+namespace {
+
+/// Carries work to the thread of the object that receives it.
+class WorkEvent : public QEvent {
+ public:
+  WorkEvent(std::function<void()> event_work, std::promise<void> event_done)
+      : QEvent(QEvent::User),
+        work(std::move(event_work)),
+        done(std::move(event_done)) {}
+
+  void Run() {
+    this->work();
+    this->done.set_value();
+  }
+
+ private:
+  std::function<void()> work;
+  std::promise<void> done;
+};
+
+}  // namespace
+
+/// Runs the work of each event that it receives.
+class DutyThread::Runner : public QObject {
+ protected:
+  void customEvent(QEvent* event) override {
+    static_cast<WorkEvent*>(event)->Run();
+  }
+};
+
+DutyThread::DutyThread(const char* name) : runner(std::make_unique<Runner>()) {
   this->thread.setObjectName(QString::fromLatin1(name));
-  this->anchor.moveToThread(&this->thread);
+  this->runner->moveToThread(&this->thread);
   this->thread.start();
 }
 
@@ -14,8 +47,12 @@
   this->Stop();
 }
 
-void DutyThread::RunAndWait(const std::function<void()>& work) {
-  QMetaObject::invokeMethod(&this->anchor, work, Qt::BlockingQueuedConnection);
+void DutyThread::RunAndWait(std::function<void()> work) {
+  std::promise<void> done;
+  const std::future<void> ended = done.get_future();
+  QCoreApplication::postEvent(this->runner.get(),
+                              new WorkEvent(std::move(work), std::move(done)));
+  ended.wait();
 }
 
 void DutyThread::Stop() {
--- a/modules/entry/process/duty_thread.h
+++ b/modules/entry/process/duty_thread.h
@@ -1,9 +1,9 @@
 // One thread with a Qt event loop for one duty.
 #pragma once
 
-#include <QObject>
 #include <QThread>
 #include <functional>
+#include <memory>
 
 namespace hemlockdoor::entry {
 
@@ -16,13 +16,15 @@
   DutyThread& operator=(const DutyThread&) = delete;
 
   /// Runs `work` on the thread and waits for its end; for start and stop only.
-  void RunAndWait(const std::function<void()>& work);
+  void RunAndWait(std::function<void()> work);
   /// Ends the event loop and waits for the thread.
   void Stop();
 
  private:
+  class Runner;
+
   QThread thread;
-  QObject anchor;
+  std::unique_ptr<Runner> runner;
 };
 
 }  // namespace hemlockdoor::entry
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -1,5 +1,7 @@
 #include "modules/entry/process/entry_process.h"
 
+#include <malloc.h>
+
 #include <QAbstractEventDispatcher>
 #include <QTimer>
 #include <atomic>
@@ -216,9 +218,9 @@
           }
         });
     this->large_requests = std::make_unique<wire::Inbox<LargeRequest>>(
-        kReadRing, [this](const LargeRequest& large) {
-          this->Deliver(large.id, RouteRequest(large.request, large.id,
-                                               *this->Routing()));
+        kReadRing, [this](LargeRequest large) {
+          this->Deliver(large.id, RouteRequest(std::move(large.request),
+                                               large.id, *this->Routing()));
         });
   });
 }
@@ -294,8 +296,10 @@
   EntryOptions options;
   options.id = this->settings.id;
   options.incarnation = core::Incarnation(DrawIncarnation());
-  options.endpoint =
-      this->settings.common.address + ":" + std::to_string(this->port);
+  const std::string& advertised = this->settings.common.advertised_endpoint;
+  options.endpoint = advertised.empty() ? this->settings.common.address + ":" +
+                                              std::to_string(this->port)
+                                        : advertised;
   options.peers = this->settings.peers;
   options.drain_timeout = this->settings.common.drain_timeout;
   options.seed = DrawIncarnation();
@@ -370,7 +374,7 @@
   const RequestId id(++this->last_request);
   this->responders.emplace(id, responder);
   if (request.body.size() < kBulkBytes) {
-    this->Deliver(id, RouteRequest(request, id, *this->Routing()));
+    this->Deliver(id, RouteRequest(std::move(request), id, *this->Routing()));
     return;
   }
   if (!this->large_requests->TryPush({id, std::move(request)})) {
@@ -517,9 +521,26 @@
   }
 }
 
+namespace {
+
+/// Returns freed payloads to the kernel. By default the allocator raises its
+/// thresholds after the first large free and keeps one heap a thread, and an
+/// entry then stays at the largest size it ever had.
+void BoundFreeMemory() {
+  constexpr int kMapThresholdBytes = 128 * 1024;
+  constexpr int kTrimThresholdBytes = 256 * 1024;
+  constexpr int kHeaps = 2;
+  mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+  mallopt(M_ARENA_MAX, kHeaps);
+}
+
+}  // namespace
+
 core::Expected<std::unique_ptr<EntryProcess>> EntryProcess::Create(
     settings::EntrySettings settings,
     std::function<void()> on_stopped) {
+  BoundFreeMemory();
   auto shell =
       std::make_unique<Shell>(std::move(settings), std::move(on_stopped));
   if (core::Expected<void> started = shell->Start(); !started) {
--- a/modules/entry/process/peer_caller.cc
+++ b/modules/entry/process/peer_caller.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "modules/model/model.h"
+#include "modules/entry/api/large_text.h"
 
 namespace hemlockdoor::entry {
 
@@ -21,9 +21,8 @@
     return call->body;
   }
   const auto& work = std::get<SendWork>(message);
-  nlohmann::json document = work.document;
-  document[work.payload_field] = work.payload ? *work.payload : std::string();
-  return model::DumpJson(document);
+  return DumpWithText(work.document, work.payload_field,
+                      work.payload ? *work.payload : std::string());
 }
 
 }  // namespace
--- a/modules/entry/testing/core_harness_test.h
+++ b/modules/entry/testing/core_harness_test.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/api/request_router.h"
 #include "modules/entry/core/entry_core.h"
 #include "modules/entry/process/store_runner.h"
@@ -347,11 +348,10 @@
         this->CallOut(index, life, call->call, call->endpoint, call->method,
                       call->target, call->body);
       } else if (auto* work = std::get_if<SendWork>(&command)) {
-        work->document[work->payload_field] =
-            work->payload ? *work->payload : "";
         this->CallOut(index, life, work->call, work->endpoint,
                       wire::HttpMethod::kPost, work->target,
-                      model::DumpJson(work->document));
+                      DumpWithText(work->document, work->payload_field,
+                                   work->payload ? *work->payload : ""));
       } else if (const auto* read = std::get_if<ReadKey>(&command)) {
         this->CallStore(index, life, *read);
       } else if (const auto* list = std::get_if<ReadPrefix>(&command)) {
@@ -439,7 +439,7 @@
             const wire::HttpRequest& request,
             OnAnswer done) {
     const RequestId id(++this->last_request);
-    Routed routed = RouteRequest(request, id, this->routing);
+    Routed routed = RouteRequest(wire::HttpRequest(request), id, this->routing);
     if (const auto* response = std::get_if<wire::HttpResponse>(&routed)) {
       done(*response);
       return;
