Serve the operator API and keep the catalogue through its service

Cause: the catalogue was a file that each entry read at start. The store's thread now runs the catalogue service; edits are checked against the workers by the scheduler first, and need If-Match. Ruled out: checking guarantees on the store's thread, which would need a second scheduler fed with all workers.

--- a/modules/entry/api/request_router.cc
+++ b/modules/entry/api/request_router.cc
@@ -168,11 +168,17 @@
                  RequestId id,
                  const std::vector<std::string>& parts,
                  const RoutingState& state) {
-  const std::optional<core::OrganisationId> organisation =
-      state.tokens.OrganisationOf(BearerToken(request));
-  if (!organisation) {
+  const core::Expected<CallerIdentity> caller =
+      state.tokens.Identify(BearerToken(request));
+  if (!caller) {
     return Unauthorized();
   }
+  const std::optional<core::OrganisationId>& organisation =
+      caller->organisation;
+  if (!organisation) {
+    return Refusal(status::kForbidden, "forbidden",
+                   "This path needs an organisation's token.");
+  }
   if (parts.size() == 2) {
     if (request.method == HttpMethod::kPost) {
       return RouteSubmit(request, id, *organisation);
@@ -198,20 +204,113 @@
   return WrongMethod();
 }
 
-Routed RouteOperator(const wire::HttpRequest& request,
+/// Compares in a time that depends on the length of `expected` alone.
+bool EqualsInConstantTime(std::string_view given, std::string_view expected) {
+  unsigned difference = given.size() == expected.size() ? 0U : 1U;
+  for (std::size_t i = 0; i < expected.size(); ++i) {
+    const char other = given.empty() ? '\0' : given[i % given.size()];
+    difference |= static_cast<unsigned char>(expected[i]) ^
+                  static_cast<unsigned char>(other);
+  }
+  return difference == 0U;
+}
+
+/// The revision in `If-Match`, with or without quotes.
+std::optional<core::CatalogueRevision> ReadIfMatch(
+    const wire::HttpRequest& request) {
+  std::string tag = request.headers.Find("If-Match").value_or(std::string());
+  std::erase(tag, '"');
+  std::uint64_t number = 0;
+  const std::from_chars_result read =
+      std::from_chars(tag.data(), tag.data() + tag.size(), number);
+  if (tag.empty() || read.ec != std::errc() ||
+      read.ptr != tag.data() + tag.size()) {
+    return std::nullopt;
+  }
+  return core::CatalogueRevision(number);
+}
+
+/// The change that a request body describes; `name` when it is one entry.
+core::Expected<CatalogueChange> ReadChange(
+    wire::HttpRequest& request,
+    const std::optional<core::CatalogueEntryName>& name) {
+  if (request.method == HttpMethod::kDelete && name) {
+    return CatalogueChange(DeleteCatalogueEntry{*name});
+  }
+  if (!name) {
+    core::Expected<model::Catalogue> catalogue =
+        model::CatalogueFromText(request.body);
+    if (!catalogue) {
+      return tl::unexpected<core::Error>(catalogue.error());
+    }
+    return CatalogueChange(ReplaceCatalogue{std::move(*catalogue)});
+  }
+  const core::Expected<nlohmann::json> doc = ParseBody(request);
+  if (!doc) {
+    return tl::unexpected<core::Error>(doc.error());
+  }
+  core::Expected<model::CatalogueEntry> entry =
+      model::CatalogueEntryFromJson(*name, *doc, "$");
+  if (!entry) {
+    return tl::unexpected<core::Error>(entry.error());
+  }
+  return CatalogueChange(PutCatalogueEntry{std::move(*entry)});
+}
+
+Routed RouteCatalogue(wire::HttpRequest& request,
+                      RequestId id,
+                      const std::vector<std::string>& parts) {
+  std::optional<core::CatalogueEntryName> name;
+  if (parts.size() == 3) {
+    name = core::CatalogueEntryName(parts.at(2));
+  }
+  if (request.method == HttpMethod::kGet) {
+    return ReadCatalogue{id, name};
+  }
+  const bool check_only = parts.at(1) == "catalogue:check";
+  const bool fits = check_only
+                        ? request.method == HttpMethod::kPost
+                        : request.method == HttpMethod::kPut ||
+                              (request.method == HttpMethod::kDelete && name);
+  if (!fits) {
+    return WrongMethod();
+  }
+  const std::optional<core::CatalogueRevision> if_match = ReadIfMatch(request);
+  if (!check_only && !if_match) {
+    return Refusal(status::kPreconditionRequired, "if-match-required",
+                   "Read the catalogue and send its ETag as If-Match.");
+  }
+  core::Expected<CatalogueChange> change = ReadChange(request, name);
+  if (!change) {
+    return BadBody(change.error());
+  }
+  return EditCatalogue{id, std::move(*change),
+                       if_match.value_or(core::CatalogueRevision()),
+                       check_only};
+}
+
+Routed RouteOperator(wire::HttpRequest& request,
                      RequestId id,
                      const std::vector<std::string>& parts,
                      const RoutingState& state) {
-  if (!state.tokens.IsOperator(BearerToken(request))) {
-    const bool is_caller =
-        state.tokens.OrganisationOf(BearerToken(request)).has_value();
-    return is_caller ? Refusal(status::kForbidden, "forbidden",
-                               "This path needs an operator's token.")
-                     : Unauthorized();
+  const core::Expected<CallerIdentity> caller =
+      state.tokens.Identify(BearerToken(request));
+  if (!caller) {
+    return Unauthorized();
+  }
+  if (!caller->is_operator) {
+    return Refusal(status::kForbidden, "forbidden",
+                   "This path needs an operator's token.");
   }
   const bool is_get = request.method == HttpMethod::kGet;
   const bool is_post = request.method == HttpMethod::kPost;
   const std::string& topic = parts.at(1);
+  const bool about_catalogue =
+      (topic == "catalogue" && parts.size() <= 3) ||
+      (topic == "catalogue:check" && parts.size() == 2);
+  if (about_catalogue) {
+    return RouteCatalogue(request, id, parts);
+  }
   if (parts.size() == 4 && topic == "workers" && parts.at(3) == "drain") {
     return is_post ? Routed(DrainWorker{id, core::AgentId(parts.at(2))})
                    : Routed(WrongMethod());
@@ -363,6 +462,17 @@
                                               : Routed(WrongMethod());
   }
   const std::vector<std::string> parts = SplitPath(request.path);
+  // Without a catalogue no token can be told valid or not.
+  if (!state.has_catalogue && !parts.empty() && parts.at(0) == "v1") {
+    return MakeProblemResponse(
+        {status::kUnavailable,
+         "no-catalogue",
+         "No catalogue is loaded yet, and nothing was run. Retry after the "
+         "time in Retry-After.",
+         core::Duration::Seconds(1),
+         std::nullopt,
+         {}});
+  }
   if (parts.size() >= 2 && parts.at(0) == "v1" && parts.at(1) == "jobs") {
     return RouteJobs(request, id, parts, state);
   }
--- a/modules/entry/api/request_router.h
+++ b/modules/entry/api/request_router.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "modules/core/core.h"
-#include "modules/entry/api/token_table.h"
+#include "modules/entry/auth/token_directory.h"
 #include "modules/entry/core/events.h"
 #include "modules/wire/http/http_message.h"
 
@@ -15,7 +15,7 @@
 /// What a request needs besides itself; a snapshot that threads may share.
 struct RoutingState {
   std::string internal_key;
-  TokenTable tokens;
+  TokenDirectory tokens;
   bool has_catalogue = false;
   bool draining = false;
 };
--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -5,6 +5,7 @@
 
 #include "modules/entry/core/caller_service.h"
 #include "modules/entry/core/gang_coordinator.h"
+#include "modules/entry/core/operator_service.h"
 #include "modules/entry/core/ownership_service.h"
 #include "modules/entry/core/record_keeper.h"
 
@@ -349,8 +350,7 @@
   const AttemptMember& member = job.attempt->members.front();
   const model::RefusalReason reason =
       reply.refusal.value_or(model::RefusalReason::kNotReady);
-  this->context.seen_revision =
-      std::max(this->context.seen_revision, reply.revision);
+  this->context.operators->OnRevisionSeen(reply.revision);
   this->context.owners->OnEpochSeen(reply.epoch);
   // A refusal speaks for earlier copies of the request only when none was
   // sent, or when the agent's clock is past the latest start. An answer of
--- a/modules/entry/core/caller_service.h
+++ b/modules/entry/core/caller_service.h
@@ -1,4 +1,4 @@
-// Requests of callers, of other entries on their behalf, and of operators.
+// Requests of callers, and of other entries on their behalf.
 #pragma once
 
 #include <map>
@@ -22,8 +22,6 @@
   void OnCancel(const CancelJob& event);
   void OnRequesterGone(const RequesterGone& event);
   void OnHandedOver(const JobHandedOver& event);
-  void OnOperatorQuery(const OperatorQuery& event);
-  void OnDrainWorker(const DrainWorker& event);
 
   /// Answers all that wait for a job that has ended.
   void AnswerWaiters(Job& job);
@@ -58,9 +56,6 @@
   void CancelElsewhere(const CancelJob& event, std::size_t next_peer);
   void FetchResult(const QueryJob& query, const std::string& endpoint);
   void AnswerNotFound(RequestId request);
-  wire::HttpResponse WorkersDocument() const;
-  wire::HttpResponse ReservationsDocument() const;
-  wire::HttpResponse QuarantineDocument() const;
 
   EntryContext& context;
   std::uint64_t submissions = 0;
--- a/modules/entry/core/commands.h
+++ b/modules/entry/core/commands.h
@@ -76,6 +76,16 @@
   store::LeaseId lease;
 };
 
+/// Writes a checked catalogue edit; its end answers the request.
+struct WriteCatalogueEdit {
+  EditCatalogue edit;
+};
+
+/// Tells the catalogue service of a revision that agents know.
+struct NoteRevision {
+  core::CatalogueRevision revision;
+};
+
 /// Writes a log record.
 struct WriteLog {
   observe::LogLevel level = observe::LogLevel::kInfo;
@@ -94,6 +104,8 @@
                              CommitTransaction,
                              GrantLease,
                              KeepLease,
+                             WriteCatalogueEdit,
+                             NoteRevision,
                              WriteLog,
                              Stop>;
 
--- a/modules/entry/core/entry_context.cc
+++ b/modules/entry/core/entry_context.cc
@@ -86,6 +86,14 @@
   this->commands.emplace_back(KeepLease{call, lease});
 }
 
+void EntryContext::WriteCatalogue(const EditCatalogue& edit) {
+  this->commands.emplace_back(WriteCatalogueEdit{edit});
+}
+
+void EntryContext::ReportRevision(core::CatalogueRevision revision) {
+  this->commands.emplace_back(NoteRevision{revision});
+}
+
 void EntryContext::RequestStop() {
   this->commands.emplace_back(Stop{});
 }
--- a/modules/entry/core/entry_context.h
+++ b/modules/entry/core/entry_context.h
@@ -41,6 +41,7 @@
 class AttemptRunner;
 class CallerService;
 class GangCoordinator;
+class OperatorService;
 class OwnershipService;
 class RecordKeeper;
 
@@ -104,6 +105,7 @@
   AttemptRunner* attempts = nullptr;
   CallerService* callers = nullptr;
   GangCoordinator* gangs = nullptr;
+  OperatorService* operators = nullptr;
   OwnershipService* owners = nullptr;
   RecordKeeper* records = nullptr;
 
@@ -124,6 +126,10 @@
   void Commit(store::Transaction transaction, OnTransaction done);
   void Grant(core::Duration ttl, OnLease done);
   void Keep(store::LeaseId lease, OnKept done);
+  /// Has a checked edit written; its end answers the request.
+  void WriteCatalogue(const EditCatalogue& edit);
+  /// Tells the catalogue service of a revision that agents know.
+  void ReportRevision(core::CatalogueRevision revision);
   /// The drain is complete.
   void RequestStop();
   void Log(observe::LogLevel level,
--- a/modules/entry/core/entry_core.cc
+++ b/modules/entry/core/entry_core.cc
@@ -6,6 +6,7 @@
 #include "modules/entry/core/attempt_runner.h"
 #include "modules/entry/core/caller_service.h"
 #include "modules/entry/core/gang_coordinator.h"
+#include "modules/entry/core/operator_service.h"
 #include "modules/entry/core/ownership_service.h"
 #include "modules/entry/core/record_keeper.h"
 
@@ -37,6 +38,7 @@
     this->context.attempts = &this->attempts;
     this->context.callers = &this->callers;
     this->context.gangs = &this->gangs;
+    this->context.operators = &this->operators;
     this->context.owners = &this->owners;
     this->context.records = &this->records;
   }
@@ -45,6 +47,7 @@
   AttemptRunner attempts{context};
   CallerService callers{context};
   GangCoordinator gangs{context};
+  OperatorService operators{context};
   OwnershipService owners{context};
   RecordKeeper records{context};
 
@@ -96,6 +99,7 @@
 void EntryCore::Dispatch(const Event& event) {
   EntryContext& context = this->parts->context;
   CallerService& callers = this->parts->callers;
+  OperatorService& operators = this->parts->operators;
   std::visit(
       Overloaded{
           [&](const SubmitJob& submit) { callers.OnSubmit(submit); },
@@ -104,20 +108,15 @@
           [&](const CancelJob& cancel) { callers.OnCancel(cancel); },
           [&](const RequesterGone& gone) { callers.OnRequesterGone(gone); },
           [&](const JobHandedOver& job) { callers.OnHandedOver(job); },
-          [&](const OperatorQuery& query) { callers.OnOperatorQuery(query); },
-          [&](const DrainWorker& drain) { callers.OnDrainWorker(drain); },
+          [&](const OperatorQuery& query) { operators.OnQuery(query); },
+          [&](const ReadCatalogue& read) { operators.OnReadCatalogue(read); },
+          [&](const EditCatalogue& edit) { operators.OnEditCatalogue(edit); },
+          [&](const DrainWorker& drain) { operators.OnDrainWorker(drain); },
           [&](const ResultDelivered& result) {
             this->parts->attempts.OnResult(result);
           },
           [&](const CatalogueChanged& change) {
-            const bool newer =
-                !context.catalogue ||
-                change.catalogue->revision > context.catalogue->revision;
-            if (newer) {
-              context.catalogue = change.catalogue;
-              context.scheduler.ApplyCatalogue(*change.catalogue, context.now);
-              context.plan_needed = true;
-            }
+            operators.OnCatalogueChanged(change);
           },
           [&](const AgentAnnounced& announced) {
             this->OnAnnounced(announced);
@@ -134,8 +133,7 @@
   const AnnouncementEffect effect =
       context.agents.Announce(announcement, context.now);
   if (effect.accepted) {
-    context.seen_revision =
-        std::max(context.seen_revision, announcement.revision);
+    this->parts->operators.OnRevisionSeen(announcement.revision);
     this->parts->owners.OnEpochSeen(announcement.epoch);
     this->parts->attempts.OnAnnouncement(announcement);
     this->parts->owners.UpsertWorker(*context.agents.Find(announcement.agent));
--- a/modules/entry/core/events.h
+++ b/modules/entry/core/events.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "modules/core/core.h"
+#include "modules/entry/catalogue/catalogue_service.h"
 #include "modules/model/model.h"
 #include "modules/store/store.h"
 #include "modules/wire/http/http_message.h"
@@ -152,6 +153,21 @@
   OperatorQueryKind kind = OperatorQueryKind::kWorkers;
 };
 
+/// An operator reads the catalogue, or one entry.
+struct ReadCatalogue {
+  RequestId request;
+  std::optional<core::CatalogueEntryName> name;
+};
+
+/// An operator edits the catalogue, or has an edit checked.
+struct EditCatalogue {
+  RequestId request;
+  CatalogueChange change;
+  /// Revision that the operator has read.
+  core::CatalogueRevision if_match;
+  bool check_only = false;
+};
+
 /// An operator drains one worker.
 struct DrainWorker {
   RequestId request;
@@ -182,6 +198,8 @@
                            LeaseKept,
                            CatalogueChanged,
                            OperatorQuery,
+                           ReadCatalogue,
+                           EditCatalogue,
                            DrainWorker,
                            DrainRequested,
                            Tick>;
--- a/modules/entry/core/gang_coordinator.cc
+++ b/modules/entry/core/gang_coordinator.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "modules/entry/core/attempt_runner.h"
+#include "modules/entry/core/operator_service.h"
 #include "modules/entry/core/ownership_service.h"
 #include "modules/entry/core/record_keeper.h"
 
@@ -73,8 +74,7 @@
     return;
   }
   if (reply) {
-    this->context.seen_revision =
-        std::max(this->context.seen_revision, reply->revision);
+    this->context.operators->OnRevisionSeen(reply->revision);
     target.in_doubt = target.sends > 1;
   }
   this->OnReserveRefused(
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -15,9 +15,10 @@
 #include "modules/entry/api/answers.h"
 #include "modules/entry/api/request_router.h"
 #include "modules/entry/core/entry_core.h"
+#include "modules/entry/core/operator_service.h"
 #include "modules/entry/process/duty_thread.h"
 #include "modules/entry/process/peer_caller.h"
-#include "modules/entry/process/store_runner.h"
+#include "modules/entry/process/store_duty.h"
 #include "modules/observe/observe.h"
 #include "modules/wire/wire.h"
 
@@ -57,10 +58,10 @@
 }
 
 /// Reads the initial catalogue; an empty name means none.
-core::Expected<std::shared_ptr<const model::Catalogue>> LoadCatalogue(
+core::Expected<std::optional<model::Catalogue>> LoadCatalogue(
     const std::string& file) {
   if (file.empty()) {
-    return std::shared_ptr<const model::Catalogue>();
+    return std::optional<model::Catalogue>();
   }
   const core::Expected<std::string> text =
       settings::ReadTextFile(file, kMaxBodyBytes);
@@ -73,8 +74,7 @@
     error.path = file + ": " + error.path;
     return tl::unexpected<core::Error>(std::move(error));
   }
-  catalogue->revision = core::CatalogueRevision(1);
-  return std::make_shared<const model::Catalogue>(std::move(*catalogue));
+  return std::optional<model::Catalogue>(std::move(*catalogue));
 }
 
 }  // namespace
@@ -99,7 +99,8 @@
   };
 
   core::Expected<void> Listen();
-  core::Expected<void> OpenStore();
+  core::Expected<void> OpenStore(std::optional<model::Catalogue> initial);
+  StoreDutyCallbacks MakeStoreCallbacks();
   core::Expected<void> StartCore();
   void StartCallers();
   void Shutdown();
@@ -122,12 +123,12 @@
   void RunCommand(Command command);
   void SendWorkToPeer(SendWork work);
   void CallStore(StoreCall call);
+  void WriteEdit(WriteCatalogueEdit edit);
   void FailCall(CallId call);
 
   settings::EntrySettings settings;
   std::function<void()> on_stopped;
   std::uint16_t port = 0;
-  std::shared_ptr<const model::Catalogue> catalogue;
 
   mutable std::mutex routing_mutex;
   std::shared_ptr<const RoutingState> routing;
@@ -143,7 +144,7 @@
   std::unique_ptr<wire::Inbox<PeerCaller::Message>> calls;
   std::unique_ptr<wire::Inbox<PeerCaller::Message>> bulk_calls;
   std::unique_ptr<wire::Inbox<LargeRequest>> large_requests;
-  std::unique_ptr<wire::Inbox<StoreCall>> store_calls;
+  std::unique_ptr<wire::Inbox<StoreMessage>> store_calls;
 
   std::unique_ptr<wire::HttpServer> server;
   std::map<RequestId, wire::HttpResponder> responders;
@@ -158,38 +159,34 @@
 
   std::unique_ptr<PeerCaller> peer_caller;
   std::unique_ptr<PeerCaller> bulk_caller;
-  std::unique_ptr<store::MemoryStore> memory_store;
-  std::unique_ptr<store::EtcdGatewayStore> etcd_store;
+  std::unique_ptr<StoreDuty<store::MemoryStore>> memory_store;
+  std::unique_ptr<StoreDuty<store::EtcdGatewayStore>> etcd_store;
   std::atomic<bool> drain_begun = false;
 };
 
 core::Expected<void> EntryProcess::Shell::Start() {
-  core::Expected<std::shared_ptr<const model::Catalogue>> loaded =
+  core::Expected<std::optional<model::Catalogue>> loaded =
       LoadCatalogue(this->settings.initial_catalogue);
   if (!loaded) {
     return tl::unexpected<core::Error>(loaded.error());
   }
-  this->catalogue = std::move(*loaded);
   auto state = std::make_shared<RoutingState>();
   state->internal_key = this->settings.common.internal_key.Reveal();
-  if (this->catalogue) {
-    state->tokens = TokenTable(*this->catalogue);
-    state->has_catalogue = true;
-  }
   this->routing = std::move(state);
-  this->StartCallers();
-  if (core::Expected<void> opened = this->OpenStore(); !opened) {
-    return opened;
-  }
-  // The inbox of the state machine exists before the server accepts requests.
+  // The inbox of the state machine exists before any other part adds to it.
   this->decide.RunAndWait([this] {
     this->events = std::make_unique<wire::Inbox<SharedEvent>>(
         kEventRing,
         [this](const SharedEvent& event) { this->HandleEvent(*event); });
   });
+  this->StartCallers();
   if (core::Expected<void> listening = this->Listen(); !listening) {
     return listening;
   }
+  if (core::Expected<void> opened = this->OpenStore(std::move(*loaded));
+      !opened) {
+    return opened;
+  }
   return this->StartCore();
 }
 
@@ -225,12 +222,41 @@
   });
 }
 
-core::Expected<void> EntryProcess::Shell::OpenStore() {
+StoreDutyCallbacks EntryProcess::Shell::MakeStoreCallbacks() {
+  StoreDutyCallbacks callbacks;
+  callbacks.on_event = [this](Event event) {
+    this->Offer(std::make_shared<Event>(std::move(event)));
+  };
+  callbacks.on_answer = [this](Answer answer) {
+    this->PostAnswer(std::move(answer));
+  };
+  callbacks.on_catalogue =
+      [this](std::shared_ptr<const model::Catalogue> catalogue) {
+        this->UpdateRouting([&catalogue](RoutingState& state) {
+          state.tokens = TokenDirectory::FromCatalogue(*catalogue);
+          state.has_catalogue = true;
+        });
+        this->Offer(
+            std::make_shared<Event>(CatalogueChanged{std::move(catalogue)}));
+      };
+  return callbacks;
+}
+
+core::Expected<void> EntryProcess::Shell::OpenStore(
+    std::optional<model::Catalogue> initial) {
   core::Expected<void> outcome;
-  this->store_duty.RunAndWait([this, &outcome] {
+  this->store_duty.RunAndWait([this, &outcome, &initial] {
+    StoreDutyOptions duty_options;
+    duty_options.edit_id_prefix =
+        this->settings.id.Text() + "-" + std::to_string(DrawIncarnation());
+    duty_options.initial = std::move(initial);
+    duty_options.seed = DrawIncarnation();
     if (this->settings.store.empty()) {
-      this->memory_store = std::make_unique<store::MemoryStore>();
-      this->memory_store->DriveByTimer();
+      auto memory = std::make_unique<store::MemoryStore>();
+      memory->DriveByTimer();
+      this->memory_store = std::make_unique<StoreDuty<store::MemoryStore>>(
+          std::move(memory), std::move(duty_options),
+          this->MakeStoreCallbacks());
     } else {
       const core::Expected<wire::Endpoint> endpoint =
           wire::Endpoint::Parse(this->settings.store);
@@ -247,17 +273,16 @@
         outcome = tl::unexpected<core::Error>(created.error());
         return;
       }
-      this->etcd_store = std::move(*created);
+      this->etcd_store = std::make_unique<StoreDuty<store::EtcdGatewayStore>>(
+          std::move(*created), std::move(duty_options),
+          this->MakeStoreCallbacks());
     }
-    const auto done = [this](Event event) {
-      this->Offer(std::make_shared<Event>(std::move(event)));
-    };
-    this->store_calls = std::make_unique<wire::Inbox<StoreCall>>(
-        kStoreRing, [this, done](const StoreCall& call) {
+    this->store_calls = std::make_unique<wire::Inbox<StoreMessage>>(
+        kStoreRing, [this](StoreMessage message) {
           if (this->memory_store) {
-            RunStoreCall(*this->memory_store, call, done);
+            this->memory_store->Take(std::move(message));
           } else if (this->etcd_store) {
-            RunStoreCall(*this->etcd_store, call, done);
+            this->etcd_store->Take(std::move(message));
           }
         });
   });
@@ -316,9 +341,6 @@
     QObject::connect(this->tick_timer.get(), &QTimer::timeout,
                      [this] { this->HandleEvent(Tick{}); });
     this->tick_timer->start(static_cast<int>(kTickPeriod.InMilliseconds()));
-    if (this->catalogue) {
-      this->HandleEvent(CatalogueChanged{this->catalogue});
-    }
   });
   return outcome;
 }
@@ -497,6 +519,11 @@
     this->CallStore(*grant);
   } else if (auto* keep = std::get_if<KeepLease>(&command)) {
     this->CallStore(*keep);
+  } else if (auto* edit = std::get_if<WriteCatalogueEdit>(&command)) {
+    this->WriteEdit(std::move(*edit));
+  } else if (auto* seen = std::get_if<NoteRevision>(&command)) {
+    // When the ring is full, a later announcement tells it again.
+    static_cast<void>(this->store_calls->TryPush(*seen));
   } else if (auto* log = std::get_if<WriteLog>(&command)) {
     observe::Log(log->level, log->message, log->context);
   } else if (std::holds_alternative<Stop>(command)) {
@@ -514,6 +541,15 @@
   }
 }
 
+void EntryProcess::Shell::WriteEdit(WriteCatalogueEdit edit) {
+  const RequestId request = edit.edit.request;
+  if (!this->store_calls->TryPush(std::move(edit))) {
+    this->PostAnswer({request, MakeEditResponse(core::MakeError(
+                                   core::ErrorCode::kResourceExhausted,
+                                   "too many store calls wait"))});
+  }
+}
+
 void EntryProcess::Shell::CallStore(StoreCall call) {
   const StoreCall copy = call;
   if (!this->store_calls->TryPush(std::move(call))) {
--- a/modules/entry/process/entry_process_test.cc
+++ b/modules/entry/process/entry_process_test.cc
@@ -137,6 +137,10 @@
     BOOST_REQUIRE_MESSAGE(created.has_value(),
                           (created ? "" : created.error().message));
     this->process = std::move(*created);
+    BOOST_REQUIRE(WaitUntil([this] {
+      const auto ready = this->Call(wire::HttpMethod::kGet, "/readyz", {}, "");
+      return ready && ready->status == wire::http_status::kOk;
+    }));
   }
 
   core::Expected<wire::HttpResponse> Call(wire::HttpMethod method,
--- /dev/null
+++ b/modules/entry/process/store_duty.h
@@ -0,0 +1,141 @@
+// The store's duty: store calls of the state machine, and the catalogue.
+#pragma once
+
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "modules/core/core.h"
+#include "modules/entry/catalogue/catalogue_service.h"
+#include "modules/entry/core/commands.h"
+#include "modules/entry/core/operator_service.h"
+#include "modules/entry/process/store_runner.h"
+#include "modules/observe/observe.h"
+
+namespace hemlockdoor::entry {
+
+/// What the store's thread is asked to do.
+using StoreMessage = std::variant<StoreCall, WriteCatalogueEdit, NoteRevision>;
+
+/// Where the duty's outcomes go; called on the store's thread.
+struct StoreDutyCallbacks {
+  std::function<void(Event)> on_event;
+  std::function<void(Answer)> on_answer;
+  std::function<void(std::shared_ptr<const model::Catalogue>)> on_catalogue;
+};
+
+/// Fixed parameters of the duty.
+struct StoreDutyOptions {
+  std::string edit_id_prefix;
+  /// Written when the store has no catalogue yet.
+  std::optional<model::Catalogue> initial;
+  std::uint64_t seed = 1;
+};
+
+/// Owns a store adapter and the catalogue service on it.
+template <store::KeyValueStore Store>
+class StoreDuty {
+ public:
+  StoreDuty(std::unique_ptr<Store> store_adapter,
+            StoreDutyOptions duty_options,
+            StoreDutyCallbacks duty_callbacks)
+      : adapter(std::move(store_adapter)),
+        options(std::move(duty_options)),
+        callbacks(std::move(duty_callbacks)),
+        catalogue(
+            *this->adapter,
+            MakeServiceOptions(this->options),
+            [this](const model::Catalogue& changed) {
+              this->OnCatalogue(changed);
+            },
+            [](const model::Catalogue& candidate) {
+              return model::CheckCatalogue(candidate);
+            }) {
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->Tick(); });
+    this->timer.start(kTickMs);
+    this->Tick();
+  }
+
+  void Take(StoreMessage message) {
+    if (const auto* call = std::get_if<StoreCall>(&message)) {
+      RunStoreCall(*this->adapter, *call, this->callbacks.on_event);
+    } else if (auto* edit = std::get_if<WriteCatalogueEdit>(&message)) {
+      const RequestId request = edit->edit.request;
+      this->catalogue.Edit(
+          std::move(edit->edit.change), edit->edit.if_match,
+          [this,
+           request](const core::Expected<core::CatalogueRevision>& outcome) {
+            this->callbacks.on_answer({request, MakeEditResponse(outcome)});
+          });
+    } else {
+      this->catalogue.NoteRevisionSeen(
+          std::get<NoteRevision>(message).revision);
+    }
+  }
+
+ private:
+  static constexpr int kTickMs = 100;
+  static constexpr core::Duration kInitialRetry = core::Duration::Seconds(1);
+
+  static CatalogueServiceOptions MakeServiceOptions(
+      const StoreDutyOptions& duty_options) {
+    CatalogueServiceOptions service_options;
+    service_options.edit_id_prefix = duty_options.edit_id_prefix;
+    service_options.seed = duty_options.seed;
+    return service_options;
+  }
+
+  void OnCatalogue(const model::Catalogue& changed) {
+    // Revision 0 means that the store has no catalogue; it serves nobody.
+    if (changed.revision != core::CatalogueRevision()) {
+      this->callbacks.on_catalogue(
+          std::make_shared<const model::Catalogue>(changed));
+    }
+  }
+
+  void Tick() {
+    const core::TimePoint now = core::Clock::Now();
+    this->catalogue.Tick(now);
+    this->LogCondition();
+    const model::Catalogue* current = this->catalogue.Current();
+    const bool empty =
+        current != nullptr && current->revision == core::CatalogueRevision();
+    if (!empty || !this->options.initial || now < this->initial_due) {
+      return;
+    }
+    // Several entries may try at once; the store takes the first.
+    this->initial_due = now + kInitialRetry;
+    this->catalogue.Edit(
+        ReplaceCatalogue{*this->options.initial}, core::CatalogueRevision(),
+        [](const core::Expected<core::CatalogueRevision>& outcome) {
+          if (outcome) {
+            observe::Log(observe::LogLevel::kInfo,
+                         "the initial catalogue was stored");
+          }
+        });
+  }
+
+  void LogCondition() {
+    const CatalogueStatus& status = this->catalogue.Status();
+    if (status.text != this->logged) {
+      this->logged = status.text;
+      observe::Log(observe::LogLevel::kWarn, status.text.empty()
+                                                 ? "the catalogue is in order"
+                                                 : status.text);
+    }
+  }
+
+  std::unique_ptr<Store> adapter;
+  StoreDutyOptions options;
+  StoreDutyCallbacks callbacks;
+  CatalogueService<Store> catalogue;
+  QTimer timer;
+  core::TimePoint initial_due;
+  std::string logged;
+};
+
+}  // namespace hemlockdoor::entry
--- a/modules/entry/testing/core_harness_test.h
+++ b/modules/entry/testing/core_harness_test.h
@@ -151,6 +151,9 @@
       request.headers.Add("Idempotency-Key", key);
     }
     const std::uint64_t number = ++this->last_answer;
+    if (!this->if_match.empty()) {
+      request.headers.Add("If-Match", this->if_match);
+    }
     this->Post(index, request,
                [this, number](const core::Expected<wire::HttpResponse>& got) {
                  if (got) {
@@ -175,6 +178,11 @@
   int StatusOf(std::uint64_t number) const {
     return IsAnswered(number) ? this->answers.at(number).status : 0;
   }
+  std::string HeaderOf(std::uint64_t number, const std::string& name) const {
+    return IsAnswered(number)
+               ? this->answers.at(number).headers.Find(name).value_or("")
+               : std::string();
+  }
   nlohmann::json DocumentOf(std::uint64_t number) const {
     return IsAnswered(number)
                ? nlohmann::json::parse(this->answers.at(number).body)
@@ -256,6 +264,9 @@
           [](const std::string&, const std::string&) { return Fate::kPass; };
   /// The `Prefer` field of callers' requests.
   std::string prefer = "wait=60";
+  std::string if_match;
+  /// Edits that entries wanted written.
+  std::vector<WriteCatalogueEdit> edits;
   std::map<std::string, FakeAgent> agents;
   core::TimePoint now = core::TimePoint::FromMilliseconds(1'000'000);
 
@@ -293,9 +304,11 @@
     for (auto& [name, entry] : read->entries) {
       entry.token_sha256 = {HashOf(entry.owner.Text())};
     }
-    read->revision = core::CatalogueRevision(1);
-    this->routing.tokens = TokenTable(*read);
+    read->operator_token_sha256 = {HashOf("operator")};
+    read->revision = core::CatalogueRevision(3);
+    this->routing.tokens = TokenDirectory::FromCatalogue(*read);
     this->routing.internal_key = "key";
+    this->routing.has_catalogue = true;
     this->catalogue =
         std::make_shared<const model::Catalogue>(std::move(*read));
   }
@@ -366,6 +379,8 @@
         this->CallStore(index, life, *grant);
       } else if (const auto* keep = std::get_if<KeepLease>(&command)) {
         this->CallStore(index, life, *keep);
+      } else if (const auto* edit = std::get_if<WriteCatalogueEdit>(&command)) {
+        this->edits.push_back(*edit);
       } else if (std::holds_alternative<Stop>(command)) {
         this->stopped.insert(index);
       }
