Test job table, agent directory, planning lease and large texts

Cause: bounds and leases were only tested through whole scenarios. Found and corrected: a delivered 8 MB result blocked all further large submissions until its retention was over; delivered results now make room. Ruled out: dropping results on delivery, since a broken connection would lose them.

--- /dev/null
+++ b/modules/entry/api/large_text_test.cc
@@ -0,0 +1,53 @@
+#include "modules/entry/api/large_text.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlockdoor::entry {
+
+BOOST_AUTO_TEST_SUITE(LargeTextTest)
+
+// Guards against payloads and results that change on their way: the writer
+// escapes by itself, so every byte class is read back by a JSON parser.
+BOOST_AUTO_TEST_CASE(WrittenTextIsReadBackUnchanged) {
+  std::string all;
+  for (int code = 0; code < 128; ++code) {
+    all += static_cast<char>(code);
+  }
+  const std::string texts[] = {"",
+                               "plain",
+                               "\"",
+                               "\\",
+                               "a\"b\\c",
+                               all,
+                               "\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80",
+                               std::string(100'000, '"')};
+  for (const nlohmann::json& object :
+       {nlohmann::json::object(),
+        nlohmann::json{{"id", "x"}, {"text", "old"}}}) {
+    for (const std::string& text : texts) {
+      const std::string written = DumpWithText(object, "text", text);
+      nlohmann::json read = nlohmann::json::parse(written);
+      BOOST_TEST(read["text"].get<std::string>() == text);
+      BOOST_TEST(read.value("id", "") == object.value("id", ""));
+      const auto taken = TakeText(read, "text", text.size());
+      BOOST_REQUIRE(taken.has_value());
+      BOOST_TEST(**taken == text);
+      BOOST_TEST(read["text"].get<std::string>().empty());
+    }
+  }
+}
+
+// Guards against a text above the limit, and against a crash on other types.
+BOOST_AUTO_TEST_CASE(TakeTextChecksSizeAndType) {
+  nlohmann::json object = {{"text", "abc"}, {"number", 1}};
+  const auto too_large = TakeText(object, "text", 2);
+  BOOST_REQUIRE(!too_large.has_value());
+  BOOST_TEST((too_large.error().code == core::ErrorCode::kTooLarge));
+  BOOST_TEST((*TakeText(object, "number", 9))->empty());
+  nlohmann::json list = nlohmann::json::array();
+  BOOST_TEST((*TakeText(list, "text", 9))->empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::entry
--- /dev/null
+++ b/modules/entry/core/agent_directory_test.cc
@@ -0,0 +1,82 @@
+#include "modules/entry/core/agent_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+core::TimePoint At(std::int64_t milliseconds) {
+  return core::TimePoint::FromMilliseconds(milliseconds);
+}
+
+model::Announcement Announced(std::int64_t agent_clock_ms,
+                              std::uint64_t incarnation = 1) {
+  model::Announcement announcement;
+  announcement.agent = core::AgentId("a");
+  announcement.incarnation = core::Incarnation(incarnation);
+  announcement.agent_clock = At(agent_clock_ms);
+  announcement.shape = model::WorkerShape();
+  return announcement;
+}
+
+const core::AgentId kAgent("a");
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AgentDirectoryTest)
+
+// Guards against work for an agent that has been silent for its lease.
+BOOST_AUTO_TEST_CASE(SilentAgentIsRemovedAfterItsLease) {
+  AgentDirectory directory;
+  directory.Announce(Announced(100), At(1000));
+  BOOST_TEST(directory.MayPlaceOn(kAgent, At(3999)));
+  BOOST_TEST(!directory.MayPlaceOn(kAgent, At(4000)));
+  BOOST_TEST(directory.RemoveSilent(At(3999)).empty());
+  BOOST_TEST(directory.RemoveSilent(At(4000)).size() == 1U);
+  BOOST_TEST(directory.Find(kAgent) == nullptr);
+}
+
+// Guards against a delayed announcement that undoes a drain, and against a
+// restart that goes unnoticed.
+BOOST_AUTO_TEST_CASE(OlderAnnouncementsAreIgnored) {
+  AgentDirectory directory;
+  model::Announcement draining = Announced(200);
+  draining.draining = true;
+  directory.Announce(draining, At(1000));
+  BOOST_TEST(!directory.Announce(Announced(100), At(1001)).accepted);
+  BOOST_TEST(!directory.MayPlaceOn(kAgent, At(1002)));
+  const AnnouncementEffect restart =
+      directory.Announce(Announced(5, 2), At(1003));
+  BOOST_TEST(restart.accepted);
+  BOOST_TEST((restart.replaced == core::Incarnation(1)));
+  BOOST_TEST(directory.MayPlaceOn(kAgent, At(1004)));
+}
+
+// Guards against new work for an agent whose calls fail while its
+// announcements still arrive.
+BOOST_AUTO_TEST_CASE(TwoFailedCallsMeanSuspicion) {
+  AgentDirectory directory;
+  directory.Announce(Announced(100), At(1000));
+  BOOST_TEST(!directory.CountFailure(kAgent, At(1000)));
+  BOOST_TEST(directory.MayPlaceOn(kAgent, At(1000)));
+  BOOST_TEST(directory.CountFailure(kAgent, At(1001)));
+  directory.Announce(Announced(101), At(1002));
+  BOOST_TEST(!directory.MayPlaceOn(kAgent, At(1002)));
+  directory.CountSuccess(kAgent);
+  BOOST_TEST(directory.MayPlaceOn(kAgent, At(1003)));
+}
+
+// Guards against an estimate of the agent's clock that is late, which would
+// let delayed work start after it was reported as not run.
+BOOST_AUTO_TEST_CASE(ClockEstimateIsNeverLate) {
+  AgentDirectory directory;
+  // Sent when the agent's clock was 500; it travelled 70 ms.
+  directory.Announce(Announced(500), At(1070));
+  BOOST_TEST((directory.EstimateClock(kAgent, At(1170)) == At(600)));
+  BOOST_TEST((directory.EstimateClock(core::AgentId("b"), At(9999)) == At(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::entry
--- a/modules/entry/core/job_table.cc
+++ b/modules/entry/core/job_table.cc
@@ -14,7 +14,9 @@
                            "the job table is full");
   }
   job.payload_bytes = job.payload ? job.payload->size() : 0;
-  if (!this->bytes.TryTake(job.payload_bytes)) {
+  const bool fits = this->MakeRoom(job.payload_bytes) &&
+                    this->bytes.TryTake(job.payload_bytes);
+  if (!fits) {
     return core::MakeError(core::ErrorCode::kResourceExhausted,
                            "the byte budget for payloads is used up");
   }
@@ -29,7 +31,9 @@
 
 bool JobTable::AttachPayload(Job& job, SharedBody payload) {
   this->DropPayload(job);
-  if (!this->bytes.TryTake(payload->size())) {
+  const bool fits =
+      this->MakeRoom(payload->size()) && this->bytes.TryTake(payload->size());
+  if (!fits) {
     return false;
   }
   job.payload_bytes = payload->size();
@@ -48,11 +52,12 @@
 }
 
 bool JobTable::MakeRoomForResult(const Job& job, std::size_t result_bytes) {
-  const auto fits = [this, &job, result_bytes] {
-    return this->bytes.Held() - job.payload_bytes + result_bytes <=
-           this->limits.max_bytes;
-  };
-  while (!fits()) {
+  return result_bytes <= job.payload_bytes ||
+         this->MakeRoom(result_bytes - job.payload_bytes);
+}
+
+bool JobTable::MakeRoom(std::size_t wanted_bytes) {
+  while (this->bytes.Held() + wanted_bytes > this->limits.max_bytes) {
     Job* oldest = nullptr;
     for (auto& [id, each] : this->jobs) {
       const bool droppable = each.phase == JobPhase::kEnded && each.delivered &&
--- a/modules/entry/core/job_table.h
+++ b/modules/entry/core/job_table.h
@@ -170,7 +170,7 @@
   /// Ended jobs that are kept for questions.
   std::size_t max_ended = 20'000;
   /// Payload and result bytes in all.
-  std::size_t max_bytes = 16U * 1024U * 1024U;
+  std::size_t max_bytes = 12U * 1024U * 1024U;
 };
 
 /// All jobs of one entry, bounded in number and bytes.
@@ -209,6 +209,9 @@
   const std::unordered_map<core::JobId, Job>& All() const { return this->jobs; }
 
  private:
+  /// Drops delivered results until so many bytes fit; false when they do not.
+  bool MakeRoom(std::size_t wanted_bytes);
+
   JobTableLimits limits;
   ByteBudget bytes;
   std::unordered_map<core::JobId, Job> jobs;
--- /dev/null
+++ b/modules/entry/core/planning_ownership_test.cc
@@ -0,0 +1,114 @@
+#include "modules/entry/core/planning_ownership.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hemlockdoor::entry {
+
+namespace {
+
+core::TimePoint At(std::int64_t milliseconds) {
+  return core::TimePoint::FromMilliseconds(milliseconds);
+}
+
+core::Expected<core::Duration> Kept(std::int64_t milliseconds) {
+  return core::Duration::Milliseconds(milliseconds);
+}
+
+core::Expected<core::Duration> Failed(core::ErrorCode code) {
+  return core::MakeError(code, "failed");
+}
+
+/// An ownership that took the lease at time 1000.
+PlanningOwnership Owner() {
+  PlanningOwnership ownership(core::EntryId("e1"), "e1:1");
+  BOOST_REQUIRE((ownership.NextStep(At(1000)) == OwnershipStep::kRead));
+  ownership.OnRead(store::Listing{}, At(1000));
+  BOOST_REQUIRE((ownership.NextStep(At(1000)) == OwnershipStep::kGrant));
+  ownership.OnGranted(store::LeaseId(7), At(1000));
+  BOOST_REQUIRE((ownership.NextStep(At(1000)) == OwnershipStep::kClaim));
+  ownership.OnClaimed(store::TransactionResult{true, store::ModRevision(3)},
+                      At(1000));
+  BOOST_REQUIRE(ownership.IsOwner());
+  return ownership;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlanningOwnershipTest)
+
+// Guards against two calls at once and renewals that come too late or often.
+BOOST_AUTO_TEST_CASE(RenewsEachSecondWithOneCallAtATime) {
+  PlanningOwnership ownership = Owner();
+  BOOST_TEST((ownership.NextStep(At(1999)) == OwnershipStep::kNone));
+  BOOST_TEST((ownership.NextStep(At(2000)) == OwnershipStep::kRenew));
+  BOOST_TEST((ownership.NextStep(At(9000)) == OwnershipStep::kNone));
+  ownership.OnRenewed(Kept(5000), At(2100));
+  BOOST_TEST((ownership.NextStep(At(3100)) == OwnershipStep::kRenew));
+  BOOST_TEST((ownership.Epoch() == core::SchedulingEpoch(1)));
+}
+
+// Guards against an owner that plans after a pause longer than its lease,
+// before it knows whether it still holds it.
+BOOST_AUTO_TEST_CASE(PlansAfterAPauseOnlyWhenTheLeaseIsCertain) {
+  struct Case {
+    core::Expected<core::Duration> renewal;
+    bool owner;
+    bool may_plan;
+  };
+  const Case cases[] = {
+      {Kept(5000), true, true},
+      {Failed(core::ErrorCode::kNotFound), false, false},
+      {Failed(core::ErrorCode::kUnavailable), true, true},
+      {Failed(core::ErrorCode::kTimeout), true, true},
+  };
+  for (const Case& each : cases) {
+    PlanningOwnership ownership = Owner();
+    BOOST_TEST(ownership.MayPlan(At(5999)));
+    BOOST_TEST(!ownership.MayPlan(At(6000)));
+    BOOST_TEST((ownership.NextStep(At(9000)) == OwnershipStep::kRenew));
+    ownership.OnRenewed(each.renewal, At(9100));
+    BOOST_TEST(ownership.IsOwner() == each.owner);
+    BOOST_TEST(ownership.MayPlan(At(9200)) == each.may_plan);
+  }
+}
+
+// Guards against an owner that goes on although a higher epoch exists.
+BOOST_AUTO_TEST_CASE(HigherEpochEndsOwnership) {
+  PlanningOwnership ownership = Owner();
+  ownership.OnEpochSeen(core::SchedulingEpoch(1), At(1500));
+  BOOST_TEST(ownership.IsOwner());
+  ownership.OnEpochSeen(core::SchedulingEpoch(2), At(1500));
+  BOOST_TEST(!ownership.IsOwner());
+  BOOST_TEST((ownership.Epoch() == core::SchedulingEpoch(2)));
+  BOOST_TEST((ownership.NextStep(At(1500)) == OwnershipStep::kRead));
+}
+
+// Guards against a claim that is taken for granted when its answer is lost or
+// another entry was first.
+BOOST_AUTO_TEST_CASE(ClaimThatFailedIsReadBack) {
+  const core::Expected<store::TransactionResult> ends[] = {
+      store::TransactionResult{false, store::ModRevision(3)},
+      core::MakeError(core::ErrorCode::kTimeout, "lost")};
+  for (const auto& end : ends) {
+    PlanningOwnership ownership(core::EntryId("e1"), "e1:1");
+    ownership.NextStep(At(0));
+    ownership.OnRead(store::Listing{}, At(0));
+    ownership.NextStep(At(0));
+    ownership.OnGranted(store::LeaseId(7), At(0));
+    ownership.NextStep(At(0));
+    ownership.OnClaimed(end, At(0));
+    BOOST_TEST(!ownership.IsOwner());
+    BOOST_TEST((ownership.NextStep(At(1000)) == OwnershipStep::kRead));
+  }
+}
+
+// Guards against a draining entry that takes the lease back.
+BOOST_AUTO_TEST_CASE(ResignedEntryMakesNoMoreCalls) {
+  PlanningOwnership ownership = Owner();
+  ownership.Resign();
+  BOOST_TEST((ownership.NextStep(At(9000)) == OwnershipStep::kNone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::entry
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -294,6 +294,10 @@
   this->http.RunAndWait([this, &outcome] {
     wire::HttpServerLimits limits;
     limits.max_body_bytes = kMaxBodyBytes;
+    // One large body at a time in each direction: reading and writing one
+    // needs further copies of it, and an entry stays under 64 MB.
+    limits.max_request_bytes = kMaxBodyBytes;
+    limits.max_response_bytes = kMaxBodyBytes;
     core::Expected<std::unique_ptr<wire::HttpServer>> listening =
         wire::HttpServer::Listen(
             this->settings.common.address, this->settings.common.port, limits,
