--- a/modules/entry/api/request_router.cc
+++ b/modules/entry/api/request_router.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "modules/entry/api/answers.h"
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/core/job_id.h"
 #include "modules/model/model.h"
 
@@ -90,6 +91,13 @@
   return response;
 }
 
+/// Parses the body and frees it.
+core::Expected<nlohmann::json> ParseBody(wire::HttpRequest& request) {
+  core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  request.body = std::string();
+  return doc;
+}
+
 /// Reads the `Prefer` field (RFC 7240): the time to wait, zero for
 /// `respond-async`, nothing when it has neither.
 std::optional<core::Duration> ReadPrefer(const wire::HttpRequest& request) {
@@ -112,24 +120,33 @@
   return std::nullopt;
 }
 
-Routed RouteSubmit(const wire::HttpRequest& request,
+Routed RouteSubmit(wire::HttpRequest& request,
                    RequestId id,
                    const core::OrganisationId& organisation) {
-  const core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+  SubmitJob event;
+  event.body_hash = HashText(request.body);
+  core::Expected<nlohmann::json> doc = ParseBody(request);
   if (!doc) {
     return BadBody(doc.error());
   }
+  const bool is_text = !doc->is_object() || !doc->contains("payload") ||
+                       (*doc)["payload"].is_string();
+  core::Expected<SharedBody> payload =
+      TakeText(*doc, "payload", model::kMaxPayloadBytes);
+  if (!payload || !is_text) {
+    return BadBody(payload ? core::Error{core::ErrorCode::kInvalidArgument,
+                                         "expected a text", "$.payload"}
+                           : payload.error());
+  }
   core::Expected<model::JobSubmission> submission =
       model::JobSubmissionFromJson(*doc);
   if (!submission) {
     return BadBody(submission.error());
   }
-  SubmitJob event;
   event.request = id;
   event.organisation = organisation;
   event.description = std::move(submission->description);
-  event.payload =
-      std::make_shared<const std::string>(std::move(submission->payload));
+  event.payload = std::move(*payload);
   event.idempotency_key = request.headers.Find("Idempotency-Key");
   const bool bad_key =
       event.idempotency_key && (event.idempotency_key->empty() ||
@@ -138,7 +155,6 @@
     return Refusal(status::kBadRequest, "invalid-idempotency-key",
                    "The Idempotency-Key must have 1 to 256 bytes.");
   }
-  event.body_hash = HashText(request.body);
   event.wait = ReadPrefer(request);
   event.traceparent =
       request.headers.Find("traceparent").value_or(std::string());
@@ -148,15 +164,21 @@
   return event;
 }
 
-Routed RouteJobs(const wire::HttpRequest& request,
+Routed RouteJobs(wire::HttpRequest& request,
                  RequestId id,
                  const std::vector<std::string>& parts,
                  const RoutingState& state) {
-  const std::optional<core::OrganisationId> organisation =
-      state.tokens.OrganisationOf(BearerToken(request));
-  if (!organisation) {
+  const core::Expected<CallerIdentity> caller =
+      state.tokens.Identify(BearerToken(request));
+  if (!caller) {
     return Unauthorized();
   }
+  const std::optional<core::OrganisationId>& organisation =
+      caller->organisation;
+  if (!organisation) {
+    return Refusal(status::kForbidden, "forbidden",
+                   "This path needs an organisation's token.");
+  }
   if (parts.size() == 2) {
     if (request.method == HttpMethod::kPost) {
       return RouteSubmit(request, id, *organisation);
@@ -182,20 +204,113 @@
   return WrongMethod();
 }
 
-Routed RouteOperator(const wire::HttpRequest& request,
+/// Compares in a time that depends on the length of `expected` alone.
+bool EqualsInConstantTime(std::string_view given, std::string_view expected) {
+  unsigned difference = given.size() == expected.size() ? 0U : 1U;
+  for (std::size_t i = 0; i < expected.size(); ++i) {
+    const char other = given.empty() ? '\0' : given[i % given.size()];
+    difference |= static_cast<unsigned char>(expected[i]) ^
+                  static_cast<unsigned char>(other);
+  }
+  return difference == 0U;
+}
+
+/// The revision in `If-Match`, with or without quotes.
+std::optional<core::CatalogueRevision> ReadIfMatch(
+    const wire::HttpRequest& request) {
+  std::string tag = request.headers.Find("If-Match").value_or(std::string());
+  std::erase(tag, '"');
+  std::uint64_t number = 0;
+  const std::from_chars_result read =
+      std::from_chars(tag.data(), tag.data() + tag.size(), number);
+  if (tag.empty() || read.ec != std::errc() ||
+      read.ptr != tag.data() + tag.size()) {
+    return std::nullopt;
+  }
+  return core::CatalogueRevision(number);
+}
+
+/// The change that a request body describes; `name` when it is one entry.
+core::Expected<CatalogueChange> ReadChange(
+    wire::HttpRequest& request,
+    const std::optional<core::CatalogueEntryName>& name) {
+  if (request.method == HttpMethod::kDelete && name) {
+    return CatalogueChange(DeleteCatalogueEntry{*name});
+  }
+  if (!name) {
+    core::Expected<model::Catalogue> catalogue =
+        model::CatalogueFromText(request.body);
+    if (!catalogue) {
+      return tl::unexpected<core::Error>(catalogue.error());
+    }
+    return CatalogueChange(ReplaceCatalogue{std::move(*catalogue)});
+  }
+  const core::Expected<nlohmann::json> doc = ParseBody(request);
+  if (!doc) {
+    return tl::unexpected<core::Error>(doc.error());
+  }
+  core::Expected<model::CatalogueEntry> entry =
+      model::CatalogueEntryFromJson(*name, *doc, "$");
+  if (!entry) {
+    return tl::unexpected<core::Error>(entry.error());
+  }
+  return CatalogueChange(PutCatalogueEntry{std::move(*entry)});
+}
+
+Routed RouteCatalogue(wire::HttpRequest& request,
+                      RequestId id,
+                      const std::vector<std::string>& parts) {
+  std::optional<core::CatalogueEntryName> name;
+  if (parts.size() == 3) {
+    name = core::CatalogueEntryName(parts.at(2));
+  }
+  if (request.method == HttpMethod::kGet) {
+    return ReadCatalogue{id, name};
+  }
+  const bool check_only = parts.at(1) == "catalogue:check";
+  const bool fits = check_only
+                        ? request.method == HttpMethod::kPost
+                        : request.method == HttpMethod::kPut ||
+                              (request.method == HttpMethod::kDelete && name);
+  if (!fits) {
+    return WrongMethod();
+  }
+  const std::optional<core::CatalogueRevision> if_match = ReadIfMatch(request);
+  if (!check_only && !if_match) {
+    return Refusal(status::kPreconditionRequired, "if-match-required",
+                   "Read the catalogue and send its ETag as If-Match.");
+  }
+  core::Expected<CatalogueChange> change = ReadChange(request, name);
+  if (!change) {
+    return BadBody(change.error());
+  }
+  return EditCatalogue{id, std::move(*change),
+                       if_match.value_or(core::CatalogueRevision()),
+                       check_only};
+}
+
+Routed RouteOperator(wire::HttpRequest& request,
                      RequestId id,
                      const std::vector<std::string>& parts,
                      const RoutingState& state) {
-  if (!state.tokens.IsOperator(BearerToken(request))) {
-    const bool is_caller =
-        state.tokens.OrganisationOf(BearerToken(request)).has_value();
-    return is_caller ? Refusal(status::kForbidden, "forbidden",
-                               "This path needs an operator's token.")
-                     : Unauthorized();
+  const core::Expected<CallerIdentity> caller =
+      state.tokens.Identify(BearerToken(request));
+  if (!caller) {
+    return Unauthorized();
+  }
+  if (!caller->is_operator) {
+    return Refusal(status::kForbidden, "forbidden",
+                   "This path needs an operator's token.");
   }
   const bool is_get = request.method == HttpMethod::kGet;
   const bool is_post = request.method == HttpMethod::kPost;
   const std::string& topic = parts.at(1);
+  const bool about_catalogue =
+      (topic == "catalogue" && parts.size() <= 3) ||
+      (topic == "catalogue:check" && parts.size() == 2);
+  if (about_catalogue) {
+    return RouteCatalogue(request, id, parts);
+  }
   if (parts.size() == 4 && topic == "workers" && parts.at(3) == "drain") {
     return is_post ? Routed(DrainWorker{id, core::AgentId(parts.at(2))})
                    : Routed(WrongMethod());
@@ -220,14 +335,20 @@
   return is_get ? Routed(OperatorQuery{id, *kind}) : Routed(WrongMethod());
 }
 
-Routed RouteHandover(const wire::HttpRequest& request, RequestId id) {
-  core::Expected<nlohmann::json> doc = model::ParseJson(request.body);
+Routed RouteHandover(wire::HttpRequest& request, RequestId id) {
+  core::Expected<nlohmann::json> doc = ParseBody(request);
   if (!doc) {
     return BadBody(doc.error());
   }
+  core::Expected<SharedBody> payload =
+      TakeText(*doc, "payload", model::kMaxPayloadBytes);
+  if (!payload) {
+    return BadBody(payload.error());
+  }
   model::JsonReader reader(*doc, "$");
   JobHandedOver event;
   event.request = id;
+  event.payload = std::move(*payload);
   if (const nlohmann::json* job = reader.Raw("job")) {
     core::Expected<model::JobDescription> read =
         model::JobDescriptionFromJson(*job, "$.job");
@@ -238,8 +359,6 @@
   } else {
     reader.Fail("job", "required field is missing");
   }
-  event.payload = std::make_shared<const std::string>(
-      reader.RequiredString("payload", model::kMaxPayloadBytes));
   event.reply_to = reader.RequiredString("reply_to");
   event.body_hash = reader.OptionalString("body_hash");
   event.record_revision =
@@ -252,6 +371,24 @@
   return event;
 }
 
+Routed RouteResult(wire::HttpRequest& request, RequestId id) {
+  core::Expected<nlohmann::json> doc = ParseBody(request);
+  if (!doc) {
+    return BadBody(doc.error());
+  }
+  core::Expected<SharedBody> body =
+      TakeText(*doc, "body", model::kMaxPayloadBytes);
+  if (!body) {
+    return BadBody(body.error());
+  }
+  core::Expected<model::ResultNotice> notice =
+      model::ResultNoticeFromJson(*doc);
+  if (!notice) {
+    return BadBody(notice.error());
+  }
+  return ResultDelivered{id, std::move(*notice), std::move(*body)};
+}
+
 Routed RoutePeerJob(const wire::HttpRequest& request,
                     RequestId id,
                     const std::vector<std::string>& parts) {
@@ -266,7 +403,7 @@
                   result ? JobQueryKind::kResult : JobQueryKind::kStatus, true};
 }
 
-Routed RouteInternal(const wire::HttpRequest& request,
+Routed RouteInternal(wire::HttpRequest& request,
                      RequestId id,
                      const std::vector<std::string>& parts,
                      const RoutingState& state) {
@@ -292,10 +429,7 @@
                 : Routed(BadBody(read.error()));
   }
   if (parts.at(2) == "result") {
-    core::Expected<model::ResultNotice> read =
-        model::FromText<&model::ResultNoticeFromJson>(request.body);
-    return read ? Routed(ResultDelivered{id, std::move(*read)})
-                : Routed(BadBody(read.error()));
+    return RouteResult(request, id);
   }
   if (parts.at(2) == "queued") {
     return RouteHandover(request, id);
@@ -320,7 +454,7 @@
 
 }  // namespace
 
-Routed RouteRequest(const wire::HttpRequest& request,
+Routed RouteRequest(wire::HttpRequest request,
                     RequestId id,
                     const RoutingState& state) {
   if (request.path == "/livez" || request.path == "/readyz") {
@@ -328,6 +462,17 @@
                                               : Routed(WrongMethod());
   }
   const std::vector<std::string> parts = SplitPath(request.path);
+  // Without a catalogue no token can be told valid or not.
+  if (!state.has_catalogue && !parts.empty() && parts.at(0) == "v1") {
+    return MakeProblemResponse(
+        {status::kUnavailable,
+         "no-catalogue",
+         "No catalogue is loaded yet, and nothing was run. Retry after the "
+         "time in Retry-After.",
+         core::Duration::Seconds(1),
+         std::nullopt,
+         {}});
+  }
   if (parts.size() >= 2 && parts.at(0) == "v1" && parts.at(1) == "jobs") {
     return RouteJobs(request, id, parts, state);
   }
--- a/modules/entry/api/request_router.h
+++ b/modules/entry/api/request_router.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "modules/core/core.h"
-#include "modules/entry/api/token_table.h"
+#include "modules/entry/auth/token_directory.h"
 #include "modules/entry/core/events.h"
 #include "modules/wire/http/http_message.h"
 
@@ -15,7 +15,7 @@
 /// What a request needs besides itself; a snapshot that threads may share.
 struct RoutingState {
   std::string internal_key;
-  TokenTable tokens;
+  TokenDirectory tokens;
   bool has_catalogue = false;
   bool draining = false;
 };
@@ -24,8 +24,8 @@
 using Routed = std::variant<Event, wire::HttpResponse>;
 
 /// Routes, authenticates and reads one request. Has no effects; safe from any
-/// thread.
-Routed RouteRequest(const wire::HttpRequest& request,
+/// thread. Large texts are moved out of the request, never copied.
+Routed RouteRequest(wire::HttpRequest request,
                     RequestId id,
                     const RoutingState& state);
 
--- a/modules/entry/testing/core_harness_test.h
+++ b/modules/entry/testing/core_harness_test.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/api/request_router.h"
 #include "modules/entry/core/entry_core.h"
 #include "modules/entry/process/store_runner.h"
@@ -150,6 +151,9 @@
       request.headers.Add("Idempotency-Key", key);
     }
     const std::uint64_t number = ++this->last_answer;
+    if (!this->if_match.empty()) {
+      request.headers.Add("If-Match", this->if_match);
+    }
     this->Post(index, request,
                [this, number](const core::Expected<wire::HttpResponse>& got) {
                  if (got) {
@@ -174,6 +178,11 @@
   int StatusOf(std::uint64_t number) const {
     return IsAnswered(number) ? this->answers.at(number).status : 0;
   }
+  std::string HeaderOf(std::uint64_t number, const std::string& name) const {
+    return IsAnswered(number)
+               ? this->answers.at(number).headers.Find(name).value_or("")
+               : std::string();
+  }
   nlohmann::json DocumentOf(std::uint64_t number) const {
     return IsAnswered(number)
                ? nlohmann::json::parse(this->answers.at(number).body)
@@ -255,6 +264,9 @@
           [](const std::string&, const std::string&) { return Fate::kPass; };
   /// The `Prefer` field of callers' requests.
   std::string prefer = "wait=60";
+  std::string if_match;
+  /// Edits that entries wanted written.
+  std::vector<WriteCatalogueEdit> edits;
   std::map<std::string, FakeAgent> agents;
   core::TimePoint now = core::TimePoint::FromMilliseconds(1'000'000);
 
@@ -292,9 +304,11 @@
     for (auto& [name, entry] : read->entries) {
       entry.token_sha256 = {HashOf(entry.owner.Text())};
     }
-    read->revision = core::CatalogueRevision(1);
-    this->routing.tokens = TokenTable(*read);
+    read->operator_token_sha256 = {HashOf("operator")};
+    read->revision = core::CatalogueRevision(3);
+    this->routing.tokens = TokenDirectory::FromCatalogue(*read);
     this->routing.internal_key = "key";
+    this->routing.has_catalogue = true;
     this->catalogue =
         std::make_shared<const model::Catalogue>(std::move(*read));
   }
@@ -347,11 +361,10 @@
         this->CallOut(index, life, call->call, call->endpoint, call->method,
                       call->target, call->body);
       } else if (auto* work = std::get_if<SendWork>(&command)) {
-        work->document[work->payload_field] =
-            work->payload ? *work->payload : "";
         this->CallOut(index, life, work->call, work->endpoint,
                       wire::HttpMethod::kPost, work->target,
-                      model::DumpJson(work->document));
+                      DumpWithText(work->document, work->payload_field,
+                                   work->payload ? *work->payload : ""));
       } else if (const auto* read = std::get_if<ReadKey>(&command)) {
         this->CallStore(index, life, *read);
       } else if (const auto* list = std::get_if<ReadPrefix>(&command)) {
@@ -366,6 +379,8 @@
         this->CallStore(index, life, *grant);
       } else if (const auto* keep = std::get_if<KeepLease>(&command)) {
         this->CallStore(index, life, *keep);
+      } else if (const auto* edit = std::get_if<WriteCatalogueEdit>(&command)) {
+        this->edits.push_back(*edit);
       } else if (std::holds_alternative<Stop>(command)) {
         this->stopped.insert(index);
       }
@@ -439,7 +454,7 @@
             const wire::HttpRequest& request,
             OnAnswer done) {
     const RequestId id(++this->last_request);
-    Routed routed = RouteRequest(request, id, this->routing);
+    Routed routed = RouteRequest(wire::HttpRequest(request), id, this->routing);
     if (const auto* response = std::get_if<wire::HttpResponse>(&routed)) {
       done(*response);
       return;
