--- a/standins/store/main.cc
+++ b/standins/store/main.cc
@@ -1,6 +1,10 @@
 // Stand-in for the platform's key-value service, for tests and quick starts.
+#include <sys/signalfd.h>
+
 #include <CLI/CLI.hpp>
 #include <QCoreApplication>
+#include <QSocketNotifier>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <filesystem>
@@ -23,9 +27,21 @@
   return out.good() && !failure;
 }
 
+/// Blocks SIGTERM and SIGINT; the descriptor becomes readable instead. Called
+/// before any thread starts, since threads inherit the mask.
+int BlockShutdownSignals() {
+  sigset_t shutdown_signals;
+  sigemptyset(&shutdown_signals);
+  sigaddset(&shutdown_signals, SIGTERM);
+  sigaddset(&shutdown_signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &shutdown_signals, nullptr);
+  return signalfd(-1, &shutdown_signals, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
 }  // namespace
 
 int main(int argument_count, char** arguments) {
+  const int shutdown_descriptor = BlockShutdownSignals();
   QCoreApplication application(argument_count, arguments);
   CLI::App options("Stand-in for an etcd v3 JSON gateway");
   std::uint16_t port = 0;
@@ -46,5 +62,8 @@
   std::printf("store_standin listens on 127.0.0.1:%u\n",
               unsigned{server.Port()});
   std::fflush(stdout);
+  QSocketNotifier shutdown(shutdown_descriptor, QSocketNotifier::Read);
+  QObject::connect(&shutdown, &QSocketNotifier::activated, &application,
+                   &QCoreApplication::quit);
   return QCoreApplication::exec();
 }
--- a/standins/upstream/main.cc
+++ b/standins/upstream/main.cc
@@ -31,10 +31,11 @@
 
 void AddOptions(QCommandLineParser& parser) {
   parser.addHelpOption();
-  const std::array<std::array<const char*, 3>, 11> rows = {{
+  const std::array<std::array<const char*, 3>, 12> rows = {{
       {"port", "Port to listen on; 0: any.", "0"},
       {"port-file", "File to write the port to.", ""},
       {"agent", "ADDRESS:PORT of the agent.", ""},
+      {"agent-port-file", "File that will hold the port of the agent.", ""},
       {"slots", "Slots to announce.", "8"},
       {"connections", "Connections to announce.", "64"},
       {"accelerators", "Accelerators to announce.", "8"},
@@ -76,8 +77,12 @@
   QCommandLineParser parser;
   AddOptions(parser);
   parser.process(application);
-  const auto agent =
-      hemlockdoor::wire::Endpoint::Parse(parser.value("agent").toStdString());
+  const std::string agent_port_file =
+      parser.value("agent-port-file").toStdString();
+  const auto agent = agent_port_file.empty()
+                         ? hemlockdoor::wire::Endpoint::Parse(
+                               parser.value("agent").toStdString())
+                         : hemlockdoor::wire::Endpoint{"127.0.0.1", 0};
   if (!agent) {
     std::fprintf(stderr, "upstream_standin: --agent: %s\n",
                  agent.error().message.c_str());
@@ -86,6 +91,7 @@
   hemlockdoor::standin::UpstreamOptions options;
   options.port = static_cast<std::uint16_t>(parser.value("port").toUInt());
   options.agent = *agent;
+  options.agent_port_file = agent_port_file;
   options.shape = ReadShape(parser);
   options.log_file = parser.value("log").toStdString();
   auto standin =
--- a/standins/upstream/upstream_standin.cc
+++ b/standins/upstream/upstream_standin.cc
@@ -3,6 +3,7 @@
 #include <QUrlQuery>
 #include <algorithm>
 #include <charconv>
+#include <fstream>
 #include <utility>
 
 namespace hemlockdoor::standin {
@@ -12,6 +13,7 @@
 namespace status = wire::http_status;
 
 constexpr int kAnnounceMilliseconds = 1000;
+constexpr int kAgentPortPollMilliseconds = 20;
 constexpr int kReportRetryMilliseconds = 300;
 constexpr int kReverseHoldMilliseconds = 200;
 constexpr int kCheckpointMilliseconds = 20;
@@ -68,7 +70,7 @@
   QObject::connect(&standin->announce_timer, &QTimer::timeout, standin.get(),
                    [owner = standin.get()] { owner->Announce(); });
   standin->announce_timer.start(kAnnounceMilliseconds);
-  standin->Announce();
+  standin->AwaitAgentPort();
   return standin;
 }
 
@@ -85,8 +87,22 @@
   std::fflush(this->log);
 }
 
+void UpstreamStandin::AwaitAgentPort() {
+  std::uint16_t& port = this->options.agent.port;
+  if (port == 0) {
+    std::ifstream(this->options.agent_port_file) >> port;
+  }
+  if (port == 0) {
+    QTimer::singleShot(kAgentPortPollMilliseconds, this,
+                       [this] { this->AwaitAgentPort(); });
+    return;
+  }
+  this->Announce();
+}
+
 void UpstreamStandin::Announce() {
-  if (this->faults.freeze || this->on_withdrawn) {
+  if (this->faults.freeze || this->on_withdrawn ||
+      this->options.agent.port == 0) {
     return;
   }
   wire::HttpCall call;
--- a/standins/upstream/upstream_standin.h
+++ b/standins/upstream/upstream_standin.h
@@ -20,7 +20,11 @@
 /// What the stand-in is told on its command line.
 struct UpstreamOptions {
   std::uint16_t port = 0;
+  /// Port 0: read from `agent_port_file` once that file exists.
   wire::Endpoint agent;
+  /// Lets an upstream start before its agent, whose settings name the
+  /// upstream's port.
+  std::string agent_port_file;
   model::WorkerShape shape;
   std::string log_file;
 };
@@ -92,6 +96,8 @@
   void Answer(const wire::HttpResponder& responder,
               wire::HttpResponse response);
   void Announce();
+  /// Reads the agent's port; tries again soon while there is none.
+  void AwaitAgentPort();
   /// Ends a running task; deferred while frozen.
   void EndTask(const Key& key, const std::string& state);
   void ReportSoon(const Key& key);
