--- a/modules/agent/process/http_front.cc
+++ b/modules/agent/process/http_front.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "modules/observe/observe.h"
+
 namespace hemlockdoor::agent {
 
 namespace {
@@ -89,6 +91,10 @@
     this->Respond(responder, this->Liveness(this->board.ready.load()));
     return;
   }
+  if (request.path == "/metrics" && request.method == wire::HttpMethod::kGet) {
+    this->Respond(responder, observe::ProcessMetrics().ToResponse());
+    return;
+  }
   const CallId call = this->next_call++;
   Routed routed = this->router.Route(request, call);
   if (const auto* answer = std::get_if<wire::HttpResponse>(&routed)) {
--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "modules/entry/core/caller_service.h"
+#include "modules/entry/core/entry_metrics.h"
 #include "modules/entry/core/gang_coordinator.h"
 #include "modules/entry/core/ownership_service.h"
 #include "modules/entry/core/record_keeper.h"
@@ -410,6 +411,9 @@
   attempt.lost_since.reset();
   attempt.questions = 0;
   attempt.started_at = this->context.now;
+  if (!job.may_have_run) {
+    CountJobStart(job, this->context.now);
+  }
   job.may_have_run = true;
   job.phase = JobPhase::kRunning;
   if (job.in_scheduler) {
@@ -661,6 +665,7 @@
 }
 
 void AttemptRunner::Finalize(Job& job) {
+  CountJobEnd(job, this->context.now);
   this->context.jobs.MarkEnded(job, this->context.now);
   this->context.jobs.DropPayload(job);
   const bool delivered = !job.waiters.empty();
--- a/modules/entry/core/entry_core.cc
+++ b/modules/entry/core/entry_core.cc
@@ -5,6 +5,7 @@
 
 #include "modules/entry/core/attempt_runner.h"
 #include "modules/entry/core/caller_service.h"
+#include "modules/entry/core/entry_metrics.h"
 #include "modules/entry/core/gang_coordinator.h"
 #include "modules/entry/core/ownership_service.h"
 #include "modules/entry/core/record_keeper.h"
@@ -51,6 +52,7 @@
   bool started = false;
   bool stopped = false;
   core::TimePoint next_plan;
+  core::TimePoint next_gauges;
   core::TimePoint next_job_pass;
   core::TimePoint drain_until;
 };
@@ -81,6 +83,10 @@
     this->parts->started = true;
     context.started_at = now;
     this->parts->owners.OnTick();
+    if (context.now >= this->parts->next_gauges) {
+      this->parts->next_gauges = context.now + kGaugePeriod;
+      PublishGauges(context);
+    }
   }
   this->Dispatch(event);
   if (context.plan_needed) {
@@ -116,6 +122,7 @@
             if (newer) {
               context.catalogue = change.catalogue;
               context.scheduler.ApplyCatalogue(*change.catalogue, context.now);
+              PublishCatalogueNames(*change.catalogue);
               context.plan_needed = true;
             }
           },
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -367,6 +367,10 @@
 
 void EntryProcess::Shell::OnRequest(wire::HttpRequest request,
                                     const wire::HttpResponder& responder) {
+  if (request.path == "/metrics" && request.method == wire::HttpMethod::kGet) {
+    responder.Respond(observe::ProcessMetrics().ToResponse());
+    return;
+  }
   const RequestId id(++this->last_request);
   this->responders.emplace(id, responder);
   if (request.body.size() < kBulkBytes) {
--- a/modules/observe/metrics/metrics.cc
+++ b/modules/observe/metrics/metrics.cc
@@ -171,8 +171,8 @@
   HistogramFamily short_wait{
       Histogram(registry,
                 "hemlockdoor_short_job_wait_seconds",
-                "Wait of short work; rises when it is blocked behind long "
-                "work.")};
+                "Wait of work without accelerators; rises when it is blocked "
+                "behind long work.")};
   CounterFamily refusals{Counter(registry,
                                  "hemlockdoor_refusals_total",
                                  "Requests and jobs refused, by reason.")};
@@ -192,7 +192,8 @@
   GaugeFamily fragmentation{
       Gauge(registry,
             "hemlockdoor_free_accelerator_fragmentation_ratio",
-            "Share of free accelerators outside the largest free blocks.")};
+            "Share of free accelerators that are not in a wholly free block of "
+            "adjacent ones.")};
   CounterFamily store_calls{Counter(registry,
                                     "hemlockdoor_store_calls_total",
                                     "Calls to the store, by kind and result.")};
--- a/modules/observe/metrics/metrics.h
+++ b/modules/observe/metrics/metrics.h
@@ -79,7 +79,8 @@
   void SetGuaranteeShortfall(const core::OrganisationId& organisation,
                              int missing_gangs);
   void SetQuarantinedWorkers(std::size_t workers);
-  /// Share of free accelerators outside the largest free blocks, 0 to 1.
+  /// Share of free accelerators that are not in a wholly free block of adjacent
+  /// ones, 0 to 1.
   void SetFragmentation(double ratio);
   void CountStoreCall(StoreCallLabel kind, StoreResultLabel result);
   void AddControlBytes(TrafficLabel direction, std::uint64_t bytes);
