--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -87,13 +87,29 @@
     get_filename_component(name ${test} NAME_WE)
     add_executable(${name} ${test})
     target_link_libraries(${name} PRIVATE hemlockdoor_test_support)
-    add_dependencies(${name} hemlockdoor upstream_standin store_standin)
+    foreach(program hemlockdoor upstream_standin store_standin)
+      if(TARGET ${program})
+        add_dependencies(${name} ${program})
+      endif()
+    endforeach()
     add_test(NAME ${name} COMMAND ${name})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300
       ENVIRONMENT "HEMLOCKDOOR_BIN=${CMAKE_BINARY_DIR}")
   endforeach()
 endfunction()
 
+# hemlockdoor_measures(FOLDER): programs that print figures from running
+# processes; they use the test support but are no tests.
+function(hemlockdoor_measures folder)
+  file(GLOB measures CONFIGURE_DEPENDS ${folder}/*.cc)
+  foreach(measure ${measures})
+    get_filename_component(name ${measure} NAME_WE)
+    add_executable(${name} ${measure})
+    target_link_libraries(${name} PRIVATE hemlockdoor_test_support)
+    add_dependencies(${name} hemlockdoor upstream_standin store_standin)
+  endforeach()
+endfunction()
+
 # hemlockdoor_benches(FOLDER modules...): one program for each FOLDER/*.cc.
 function(hemlockdoor_benches folder)
   file(GLOB benches CONFIGURE_DEPENDS ${folder}/*.cc)
