--- a/bench/measure.cc
+++ b/bench/measure.cc
@@ -64,7 +64,7 @@
   }
   std::sort(values.begin(), values.end());
   const auto at = static_cast<std::size_t>(
-      share * static_cast<double>(values.size() - 1) + 0.5);
+      std::lround(share * static_cast<double>(values.size() - 1)));
   return values[at];
 }
 
--- a/modules/decide/fleet/fleet.cc
+++ b/modules/decide/fleet/fleet.cc
@@ -319,14 +319,6 @@
   return total;
 }
 
-int Fleet::TotalAccelerators() const {
-  int total = 0;
-  for (const WorkerRecord& worker : this->workers) {
-    total += worker.Usable() ? worker.shape.accelerators : 0;
-  }
-  return total;
-}
-
 int Fleet::FreeAccelerators(CapacityView view) const {
   int total = 0;
   for (const Rack& rack : this->racks) {
@@ -346,6 +338,8 @@
   }
   group.short_slots -= this->counted[index].short_slots;
   this->counted[index].short_slots = 0;
+  this->usable_accelerators -= this->counted[index].accelerators;
+  this->counted[index].accelerators = 0;
   for (auto& by_lane : group.slots) {
     by_lane[0].Set(index, 0);
     by_lane[1].Set(index, 0);
@@ -362,6 +356,10 @@
     return;
   }
   Group& group = this->groups[worker.service_group];
+  this->usable_accelerators +=
+      worker.shape.accelerators - this->counted[index].accelerators;
+  this->counted[index].accelerators =
+      static_cast<std::uint8_t>(worker.shape.accelerators);
   for (std::size_t i = 0; i < kCapacityViews; ++i) {
     const auto view = static_cast<CapacityView>(i);
     const AcceleratorSet free = worker.FreeAccelerators(view);
--- a/modules/decide/fleet/fleet.h
+++ b/modules/decide/fleet/fleet.h
@@ -188,7 +188,7 @@
     return this->racks[rack].free[static_cast<std::size_t>(view)];
   }
   /// Accelerators of usable workers, all of them and the free ones.
-  int TotalAccelerators() const;
+  int TotalAccelerators() const { return this->usable_accelerators; }
   int FreeAccelerators(CapacityView view) const;
 
  private:
@@ -213,6 +213,7 @@
   struct Counted {
     std::array<std::uint8_t, kCapacityViews> free{};
     std::int16_t short_slots = 0;
+    std::uint8_t accelerators = 0;
   };
   /// What was last added to the sums of the worker's rack and group.
   std::vector<Counted> counted;
@@ -224,6 +225,7 @@
   std::vector<Rack> racks;
   std::vector<WorkerIndex> changed_cell_workers;
   std::uint64_t shape_generation = 0;
+  int usable_accelerators = 0;
 };
 
 }  // namespace hemlockdoor::decide
