Bound the responses that the HTTP client takes

Cause: a peer could send a response of any size, which Qt buffers whole. Ruled out: setReadBufferSize on the reply, which stalls instead of failing. Measured: wire_test, 20 cases, and the store, contract, catalogue and entry tests pass; no timing was taken. Conclusion: 16 MB for each call; a write to the store whose answer is cut off counts as in doubt.

--- a/modules/store/etcd/gateway_caller.cc
+++ b/modules/store/etcd/gateway_caller.cc
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// A listing may hold many values of up to 1 MB each, in base64.
-constexpr model::JsonLimits kAnswerLimits = {.max_bytes = 64U * 1024U * 1024U,
+/// A listing may hold many values of up to 1 MB each, in base64; the whole
+/// process is to stay under 64 MB.
+constexpr model::JsonLimits kAnswerLimits = {.max_bytes = 16U * 1024U * 1024U,
                                              .max_depth = 16,
                                              .allow_comments = false};
 
@@ -102,6 +103,7 @@
   http.body = job->call.body;
   http.timeout = this->options.call_timeout;
   http.single_send = job->call.kind == CallKind::kWrite;
+  http.max_response_bytes = kAnswerLimits.max_bytes;
   this->client.Send(http, [this, job](auto response) {
     this->OnResponse(job, std::move(response));
   });
@@ -117,7 +119,13 @@
   } else {
     this->breaker.OnFailure(core::Clock::Now());
   }
-  if (!response) {
+  const bool cut_off =
+      !response && response.error().code == core::ErrorCode::kTooLarge;
+  if (cut_off && job->call.kind == CallKind::kWrite) {
+    // The write may have taken effect although its answer was cut off.
+    this->RetryOrEnd(job,
+                     {core::ErrorCode::kTimeout, response.error().message, ""});
+  } else if (!response) {
     this->RetryOrEnd(job, response.error());
   } else if (response->status != wire::http_status::kOk) {
     this->RetryOrEnd(job, ErrorFromStatus(*response));
--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -56,6 +56,7 @@
 /// What is known of an exchange besides its reply.
 struct ExchangeState {
   bool timed_out = false;
+  bool too_large = false;
   /// The whole request was put on the wire at least once.
   bool sent = false;
 };
@@ -75,6 +76,10 @@
   const QVariant status =
       reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
   const QNetworkReply::NetworkError error = reply->error();
+  if (exchange.too_large) {
+    return core::MakeError(core::ErrorCode::kTooLarge,
+                           "the response is larger than accepted");
+  }
   if (exchange.timed_out) {
     return core::MakeError(core::ErrorCode::kTimeout, "no answer in time");
   }
@@ -201,6 +206,14 @@
   auto exchange = std::make_shared<ExchangeState>();
   QObject::connect(reply, &QNetworkReply::requestSent, owner,
                    [exchange] { exchange->sent = true; });
+  const auto max_bytes = static_cast<qint64>(call.max_response_bytes);
+  QObject::connect(reply, &QNetworkReply::readyRead, owner,
+                   [reply, exchange, max_bytes] {
+                     if (reply->bytesAvailable() > max_bytes) {
+                       exchange->too_large = true;
+                       reply->abort();
+                     }
+                   });
   QObject::connect(timer, &QTimer::timeout, reply, [reply, exchange] {
     exchange->timed_out = true;
     reply->abort();
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -1,6 +1,7 @@
 // HTTP client on Qt's network access.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,6 +38,10 @@
   /// a request again, whatever its method, when the peer closes the connection
   /// before it answers; a start of non-repeatable work must not be repeated.
   bool single_send = false;
+  /// Above this the exchange ends with kTooLarge, so that a peer cannot fill
+  /// the memory of this process. Twice the largest body, since a result may
+  /// grow when it is escaped as JSON.
+  std::size_t max_response_bytes = 16U * 1024U * 1024U;
 };
 
 /// Sends requests from the thread that owns it. At most six exchanges run at
@@ -46,8 +51,9 @@
  public:
   /// Receives the response, or an error: kUnavailable when the request provably
   /// never reached the peer (connection refused and nothing sent), kTimeout
-  /// when it may have (no answer in time, connection lost). Any HTTP status is
-  /// a response, not an error.
+  /// when it may have (no answer in time, connection lost), kTooLarge when the
+  /// response is larger than the call accepts. Any HTTP status is a response,
+  /// not an error.
   using Done = std::function<void(core::Expected<HttpResponse>)>;
 
   HttpClient();
--- a/modules/wire/client/http_client_test.cc
+++ b/modules/wire/client/http_client_test.cc
@@ -132,6 +132,26 @@
   }
 }
 
+// Guards against a peer that fills the memory of this process.
+BOOST_AUTO_TEST_CASE(ResponseAboveItsLimitIsCutOff) {
+  auto server = HttpServer::Listen(
+      "127.0.0.1", 0, {}, [](const HttpRequest&, HttpResponder responder) {
+        HttpResponse response;
+        response.body.assign(500'000, 'x');
+        responder.Respond(std::move(response));
+      });
+  BOOST_REQUIRE(server.has_value());
+  HttpClient client;
+  HttpCall call;
+  call.endpoint = {"127.0.0.1", (*server)->Port()};
+  call.max_response_bytes = 500'000;
+  BOOST_TEST(SendAndWait(client, call).has_value());
+  call.max_response_bytes = 499'999;
+  const Answer answer = SendAndWait(client, call);
+  BOOST_REQUIRE(!answer.has_value());
+  BOOST_TEST((answer.error().code == core::ErrorCode::kTooLarge));
+}
+
 // Guards against a call that waits for ever for a silent peer.
 BOOST_AUTO_TEST_CASE(SilentPeerEndsInTimeout) {
   QTcpServer silent;
