--- a/modules/entry/core/entry_context.h
+++ b/modules/entry/core/entry_context.h
@@ -41,6 +41,7 @@
 class AttemptRunner;
 class CallerService;
 class GangCoordinator;
+class OperatorService;
 class OwnershipService;
 class RecordKeeper;
 
@@ -69,6 +70,10 @@
 inline constexpr core::Duration kWorkCallTimeout =
     core::Duration::Milliseconds(3000);
 
+/// Added for each MB of it.
+inline constexpr core::Duration kWorkCallTimePerMegabyte =
+    core::Duration::Milliseconds(500);
+
 /// What the parts of the state machine share. The parts call each other
 /// through the pointers, which EntryCore sets.
 class EntryContext {
@@ -100,6 +105,7 @@
   AttemptRunner* attempts = nullptr;
   CallerService* callers = nullptr;
   GangCoordinator* gangs = nullptr;
+  OperatorService* operators = nullptr;
   OwnershipService* owners = nullptr;
   RecordKeeper* records = nullptr;
 
@@ -120,6 +126,10 @@
   void Commit(store::Transaction transaction, OnTransaction done);
   void Grant(core::Duration ttl, OnLease done);
   void Keep(store::LeaseId lease, OnKept done);
+  /// Has a checked edit written; its end answers the request.
+  void WriteCatalogue(const EditCatalogue& edit);
+  /// Tells the catalogue service of a revision that agents know.
+  void ReportRevision(core::CatalogueRevision revision);
   /// The drain is complete.
   void RequestStop();
   void Log(observe::LogLevel level,
