--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr core::Duration kReservationPeriod = core::Duration::Seconds(1);
+/// Time in which a job that can write a checkpoint leaves a reserved place.
+constexpr core::Duration kMoveTime = core::Duration::Seconds(60);
 /// A move must save at least this many times what it costs.
 constexpr double kCompactionGain = 2.0;
 
@@ -123,6 +125,18 @@
   return this->TryOrdinary(handle, now);
 }
 
+bool Starter::TryBeside(JobHandle handle,
+                        GuaranteeUse use,
+                        core::TimePoint now) {
+  std::optional<std::vector<MemberPlace>> places = this->FindInView(
+      this->state.jobs.At(handle), CapacityView::kHard, nullptr);
+  if (!places) {
+    return false;
+  }
+  this->lifecycle.GrantBeside(handle, use, std::move(*places), now);
+  return true;
+}
+
 Starter::Attempt Starter::TryGuaranteed(JobHandle handle, core::TimePoint now) {
   const JobRecord& job = this->state.jobs.At(handle);
   const std::optional<GuaranteeUse> use =
@@ -130,6 +144,12 @@
   if (!use) {
     return Attempt::kNoCapacity;
   }
+  // A job smaller than the guaranteed shape would break up a cell; room beside
+  // all cells costs nobody anything, and the cell stays whole where it is.
+  const bool smaller = !(job.shape == this->state.cells.ShapeAt(use->shape));
+  if (smaller && this->TryBeside(handle, *use, now)) {
+    return Attempt::kDone;
+  }
   std::optional<CellHandle> cell =
       this->state.cells.FindClean(*use, job.service);
   if (!cell) {
@@ -139,13 +159,6 @@
     this->lifecycle.GrantCell(handle, *use, *cell, now);
     return Attempt::kDone;
   }
-  // Room beside all cells costs nobody anything; the cell stays where it is.
-  std::optional<std::vector<MemberPlace>> beside =
-      this->FindInView(job, CapacityView::kHard, nullptr);
-  if (beside) {
-    this->lifecycle.GrantBeside(handle, *use, std::move(*beside), now);
-    return Attempt::kDone;
-  }
   return this->preemption.ReclaimCell(handle, *use, now) ? Attempt::kDone
                                                          : Attempt::kNoCapacity;
 }
@@ -294,7 +307,7 @@
   core::Duration saved;
   for (const JobHandle victim : choice->victims) {
     const JobRecord& job = this->state.jobs.At(victim);
-    if (job.started >= reservation.created) {
+    if (job.started > reservation.created) {
       continue;
     }
     only_backfill = false;
@@ -309,7 +322,7 @@
   const JobRecord& gang = this->state.jobs.At(reservation.job);
   const double gain = static_cast<double>(saved.InMilliseconds()) *
                       gang.shape.TotalAccelerators();
-  const int free = this->state.fleet.FreeAccelerators(CapacityView::kHard);
+  const int free = this->state.fleet.FreeAccelerators(CapacityView::kLent);
   return can_move && gain > kCompactionGain * cost && free >= accelerators;
 }
 
@@ -321,6 +334,21 @@
         worker.held.Intersects(place.accelerators)) {
       return true;
     }
+    // Work within a guarantee has taken the place; its end may be far away.
+    const bool taken = std::any_of(
+        worker.jobs.begin(), worker.jobs.end(), [&](JobHandle other) {
+          const JobRecord& running = this->state.jobs.At(other);
+          return running.hard && running.started > reservation.created &&
+                 std::any_of(running.members.begin(), running.members.end(),
+                             [&place](const MemberPlace& member) {
+                               return member.worker == place.worker &&
+                                      member.accelerators.Intersects(
+                                          place.accelerators);
+                             });
+        });
+    if (taken) {
+      return true;
+    }
     if (job.stoppable) {
       continue;
     }
@@ -412,8 +440,11 @@
       chosen, request,
       [this, now](JobHandle other) {
         const JobRecord& running = this->state.jobs.At(other);
-        return std::max(core::Duration(),
-                        running.started + running.expected_run - now);
+        const core::Duration remaining = std::max(
+            core::Duration(), running.started + running.expected_run - now);
+        const bool can_move = this->state.Rules().compaction &&
+                              running.checkpointable && !running.hard;
+        return can_move ? std::min(remaining, kMoveTime) : remaining;
       },
       now);
 }
