--- a/modules/decide/scheduler/starter.cc
+++ b/modules/decide/scheduler/starter.cc
@@ -139,6 +139,13 @@
     this->lifecycle.GrantCell(handle, *use, *cell, now);
     return Attempt::kDone;
   }
+  // Room beside all cells costs nobody anything; the cell stays where it is.
+  std::optional<std::vector<MemberPlace>> beside =
+      this->FindInView(job, CapacityView::kHard, nullptr);
+  if (beside) {
+    this->lifecycle.GrantBeside(handle, *use, std::move(*beside), now);
+    return Attempt::kDone;
+  }
   return this->preemption.ReclaimCell(handle, *use, now) ? Attempt::kDone
                                                          : Attempt::kNoCapacity;
 }
@@ -165,7 +172,8 @@
 }
 
 std::optional<std::vector<MemberPlace>> Starter::FindPlaces(
-    const JobRecord& job) {
+    const JobRecord& job,
+    core::TimePoint now) {
   const JobPast* past = this->state.history.Find(job.id);
   const bool has_failed = past != nullptr && !past->failed_on.empty();
   const std::vector<WorkerIndex>* excluded =
@@ -176,11 +184,18 @@
   const bool may_borrow =
       job.stoppable && rules.lending &&
       (this->state.options.plans_accelerators || job.lane == Lane::kShort);
+  // Backfill into a reserved place is stopped when the gang can start, which
+  // pays only for work that loses little by it.
+  const bool may_backfill =
+      job.checkpointable || job.lane == Lane::kShort ||
+      now + job.expected_run <= this->state.reservations.EarliestExpected();
+  const CapacityView borrowed =
+      may_backfill ? CapacityView::kSoft : CapacityView::kLent;
   while (true) {
     std::optional<std::vector<MemberPlace>> places =
         this->FindInView(job, CapacityView::kHard, excluded);
     if (!places && may_borrow) {
-      places = this->FindInView(job, CapacityView::kSoft, excluded);
+      places = this->FindInView(job, borrowed, excluded);
     }
     if (places || excluded == nullptr) {
       return places;
@@ -224,12 +239,13 @@
     return Attempt::kDone;
   }
   const JobRecord& job = this->state.jobs.At(handle);
-  const FailedSearch search{job.shape, job.service, job.stoppable, job.lane};
+  const FailedSearch search{job.shape, job.service, job.stoppable,
+                            job.checkpointable, job.lane};
   const bool known =
       std::find(this->failed_searches.begin(), this->failed_searches.end(),
                 search) != this->failed_searches.end();
   if (!known) {
-    std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job);
+    std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job, now);
     if (places) {
       this->lifecycle.Grant(handle, std::move(*places), now);
       return Attempt::kDone;
@@ -337,7 +353,7 @@
   for (const MemberPlace& place : reservation.members) {
     this->state.fleet.Unreserve(place);
   }
-  std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job);
+  std::optional<std::vector<MemberPlace>> places = this->FindPlaces(job, now);
   for (const MemberPlace& place : reservation.members) {
     this->state.fleet.Reserve(place);
   }
@@ -357,8 +373,7 @@
 }
 
 void Starter::MakeReservation(core::TimePoint now) {
-  if (!this->state.Rules().reservations || now < this->state.next_reservation ||
-      !this->state.reservations.HasRoom()) {
+  if (!this->state.Rules().reservations || now < this->state.next_reservation) {
     return;
   }
   this->state.next_reservation = now + kReservationPeriod;
@@ -372,6 +387,9 @@
       continue;
     }
     const JobRecord& job = this->state.jobs.At(bucket.first);
+    if (!this->state.reservations.HasRoom(job.shape.TotalAccelerators())) {
+      continue;
+    }
     const double claim =
         static_cast<double>((now - job.submitted).InMilliseconds() + 1) *
         job.shape.TotalAccelerators();
--- a/modules/entry/core/caller_service.cc
+++ b/modules/entry/core/caller_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/entry/api/large_text.h"
 #include "modules/entry/core/attempt_runner.h"
 #include "modules/entry/core/job_id.h"
 #include "modules/entry/core/ownership_service.h"
@@ -374,6 +375,7 @@
 
 void CallerService::AcknowledgeHeld(const core::JobId& id) {
   if (Job* job = this->context.jobs.Find(id)) {
+    job->delivered = true;
     this->context.attempts->Acknowledge(*job);
   }
 }
@@ -429,8 +431,9 @@
   nlohmann::json doc;
   doc["id"] = query.job.Text();
   doc["outcome"] = model::JobOutcomeName(notice.outcome);
-  doc[done ? "result" : "error"] = notice.body;
-  this->context.Answer(query.request, MakeJsonResponse(status::kOk, doc));
+  wire::HttpResponse response;
+  response.body = DumpWithText(doc, done ? "result" : "error", notice.body);
+  this->context.Answer(query.request, std::move(response));
 }
 
 void CallerService::AcknowledgeFetched(const model::ResultNotice& notice,
@@ -532,7 +535,7 @@
   for (const auto& [id, job] : this->context.jobs.All()) {
     if (job.description.organisation == event.organisation &&
         doc["jobs"].size() < kMaxListedJobs) {
-      doc["jobs"].push_back(JobToDocument(job, false));
+      doc["jobs"].push_back(JobToDocument(job));
     }
   }
   for (const auto& [agent, known] : this->context.agents.All()) {
@@ -569,10 +572,9 @@
   job = this->context.jobs.Find(event.job);
   const bool ended = job != nullptr && job->phase == JobPhase::kEnded;
   this->context.Answer(
-      event.request,
-      MakeJsonResponse(ended ? status::kOk : status::kAccepted,
-                       job == nullptr ? nlohmann::json::object()
-                                      : JobToDocument(*job, false)));
+      event.request, MakeJsonResponse(ended ? status::kOk : status::kAccepted,
+                                      job == nullptr ? nlohmann::json::object()
+                                                     : JobToDocument(*job)));
 }
 
 void CallerService::CancelFollowed(Job& job) {
@@ -640,118 +642,4 @@
                        {{"id", event.job.Text()}, {"state", "running"}}));
 }
 
-void CallerService::OnOperatorQuery(const OperatorQuery& event) {
-  switch (event.kind) {
-    case OperatorQueryKind::kWorkers:
-      this->context.Answer(event.request, this->WorkersDocument());
-      return;
-    case OperatorQueryKind::kReservations:
-      this->context.Answer(event.request, this->ReservationsDocument());
-      return;
-    case OperatorQueryKind::kQuarantine:
-      this->context.Answer(event.request, this->QuarantineDocument());
-      return;
-  }
-}
-
-wire::HttpResponse CallerService::WorkersDocument() const {
-  nlohmann::json doc;
-  doc["workers"] = nlohmann::json::array();
-  for (const auto& [id, known] : this->context.agents.All()) {
-    nlohmann::json worker;
-    worker["id"] = id.Text();
-    worker["endpoint"] = known.last.endpoint;
-    worker["placeable"] =
-        this->context.agents.MayPlaceOn(id, this->context.now);
-    worker["draining"] = known.last.draining || known.operator_drain;
-    worker["free_slots"] = known.last.free_slots;
-    worker["free_accelerators"] = known.last.free_accelerators.Count();
-    worker["running"] = known.last.running.size();
-    worker["held_results"] = known.last.held_results.size();
-    if (known.last.shape) {
-      worker["shape"] = model::WorkerShapeToJson(*known.last.shape);
-    }
-    doc["workers"].push_back(std::move(worker));
-  }
-  return MakeJsonResponse(status::kOk, doc);
-}
-
-wire::HttpResponse CallerService::ReservationsDocument() const {
-  nlohmann::json doc;
-  doc["planning_owner"] = this->context.ownership.IsOwner();
-  doc["reservations"] = nlohmann::json::array();
-  for (const auto& [id, job] : this->context.jobs.All()) {
-    if (!job.attempt || job.phase == JobPhase::kEnded) {
-      continue;
-    }
-    nlohmann::json reservation = JobToDocument(job, false);
-    reservation["organisation"] = job.description.organisation.Text();
-    reservation["members"] = nlohmann::json::array();
-    for (const AttemptMember& member : job.attempt->members) {
-      reservation["members"].push_back(
-          {{"worker", member.place.agent.Text()},
-           {"accelerators", member.place.accelerators.Count()}});
-    }
-    doc["reservations"].push_back(std::move(reservation));
-  }
-  doc["short_guarantees"] = nlohmann::json::array();
-  for (const decide::ShortGuarantee& guarantee :
-       this->context.scheduler.ShortGuarantees()) {
-    doc["short_guarantees"].push_back(
-        {{"entry", guarantee.entry.Text()},
-         {"missing_gangs", guarantee.missing_gangs},
-         {"detail", guarantee.text}});
-  }
-  return MakeJsonResponse(status::kOk, doc);
-}
-
-wire::HttpResponse CallerService::QuarantineDocument() const {
-  nlohmann::json doc;
-  doc["quarantined"] = nlohmann::json::array();
-  for (const decide::QuarantinedWorker& worker :
-       this->context.scheduler.Quarantined()) {
-    const core::Duration left = worker.next_trial - this->context.now;
-    doc["quarantined"].push_back({{"worker", worker.agent.Text()},
-                                  {"reason", worker.reason},
-                                  {"next_trial_ms", left.InMilliseconds()}});
-  }
-  return MakeJsonResponse(status::kOk, doc);
-}
-
-void CallerService::OnDrainWorker(const DrainWorker& event) {
-  const KnownAgent* agent = this->context.agents.Find(event.agent);
-  if (agent == nullptr) {
-    this->context.AnswerProblem(event.request,
-                                {status::kNotFound,
-                                 "unknown-worker",
-                                 "No worker of this id announces itself. See "
-                                 "GET /v1/workers.",
-                                 {},
-                                 std::nullopt,
-                                 {}});
-    return;
-  }
-  this->context.agents.MarkDraining(event.agent);
-  this->context.owners->UpsertWorker(*agent);
-  this->context.Call(
-      {agent->last.endpoint, wire::HttpMethod::kPost, "/internal/v1/drain"},
-      "{}", [this, event](const core::Expected<wire::HttpResponse>& answer) {
-        if (answer && answer->status < status::kBadRequest) {
-          this->context.Answer(
-              event.request,
-              MakeJsonResponse(status::kAccepted, {{"draining", true}}));
-          return;
-        }
-        this->context.AnswerProblem(
-            event.request,
-            {status::kUnavailable,
-             "worker-not-reachable",
-             "This entry gives the worker no new work, but the worker did not "
-             "confirm the drain. Repeat the request.",
-             core::Duration::Seconds(1),
-             std::nullopt,
-             {}});
-      });
-}
-
 }  // namespace hemlockdoor::entry
