Test a gang over three agent processes

Cause: the gang protocol was tested over the state machines only. Ruled out: a cluster simulator; three agents, three stand-ins, one test.

--- a/tests/agent_upstream_test.cc
+++ b/tests/agent_upstream_test.cc
@@ -40,7 +40,7 @@
 /// started again.
 class Worker {
  public:
-  Worker() {
+  explicit Worker(std::string agent_id = "agent-1") : id(std::move(agent_id)) {
     this->entry_server = ListenAsEntry();
     this->entry_relay.SetTarget(this->entry_server->Port());
     this->WriteSettings();
@@ -138,6 +138,48 @@
     return *reply;
   }
 
+  /// Reserves one member of a gang on this agent; true when granted.
+  bool Reserve(const std::string& job,
+               const std::string& payload,
+               const std::vector<model::GangMember>& members,
+               int member) {
+    model::ReservationRequest request;
+    request.reservation = core::ReservationId(job + std::to_string(member));
+    request.incarnation = this->last_seen->incarnation;
+    request.job.id = core::JobId(job);
+    request.job.organisation = core::OrganisationId("north");
+    request.job.job_class = core::JobClass("batch");
+    request.job.service = core::ServiceName("echo");
+    request.job.shape.gang_size = static_cast<int>(members.size());
+    request.job.shape.accelerators_per_member = 1;
+    request.attempt = core::AttemptNumber(1);
+    request.payload = payload;
+    request.start_not_after =
+        this->last_seen->agent_clock + Duration::Seconds(30);
+    request.member = member;
+    request.members = members;
+    request.reply_to = this->entry_relay.Endpoint();
+    return this->Grants("reserve", model::ToJson(request));
+  }
+
+  bool Commit(const std::string& job) {
+    model::AttemptReference reference;
+    reference.job = core::JobId(job);
+    reference.attempt = core::AttemptNumber(1);
+    reference.incarnation = this->last_seen->incarnation;
+    return this->Grants("commit", model::ToJson(reference));
+  }
+
+  bool Grants(const std::string& call, const nlohmann::json& document) {
+    const auto answer =
+        this->Send(this->agent_relay.Port(), wire::HttpMethod::kPost,
+                   "/internal/v1/" + call, model::DumpJson(document));
+    BOOST_REQUIRE(answer.has_value());
+    auto reply = model::FromText<&model::GrantReplyFromJson>(answer->body);
+    BOOST_REQUIRE(reply.has_value());
+    return reply->granted;
+  }
+
   bool WaitForResults(std::size_t count) {
     return WaitUntil([this, count] { return this->results.size() >= count; },
                      kPatience);
@@ -181,6 +223,7 @@
     return this->folder.filePath(QString::fromStdString(name)).toStdString();
   }
 
+  std::string id;
   QTemporaryDir folder;
   wire::HttpClient client;
   std::unique_ptr<wire::HttpServer> entry_server;
@@ -229,7 +272,7 @@
   void WriteSettings() {
     test_support::WriteFile(this->Path("key"), kKey);
     nlohmann::json settings;
-    settings["id"] = "agent-1";
+    settings["id"] = this->id;
     settings["data_centre"] = "dc1";
     settings["internal_key_file"] = this->Path("key");
     settings["port_file"] = this->Path("agent.port");
@@ -368,6 +411,58 @@
   worker.CheckAgainstLog();
 }
 
+// Guards against a gang over several processes that does not start whole, or
+// that goes on after its lead was killed.
+BOOST_AUTO_TEST_CASE(GangOverThreeAgents) {
+  Worker first("agent-1");
+  Worker second("agent-2");
+  Worker third("agent-3");
+  const std::vector<Worker*> workers = {&first, &second, &third};
+  for (const bool kills_lead : {false, true}) {
+    const std::string job = kills_lead ? "killed" : "whole";
+    std::vector<model::GangMember> members;
+    for (Worker* worker : workers) {
+      const model::Announcement& seen = *worker->last_seen;
+      members.push_back({seen.agent, seen.incarnation, seen.endpoint,
+                         model::AcceleratorSet(1)});
+    }
+    const std::string payload = Payload(job, kills_lead ? 60'000 : 300);
+    for (int member = 0; member < 3; ++member) {
+      BOOST_TEST(workers[member]->Reserve(job, payload, members, member));
+    }
+    BOOST_TEST(first.Commit(job));
+    for (Worker* worker : workers) {
+      BOOST_TEST(WaitUntil(
+          [&] { return worker->LogLines("start").contains(job); }, kPatience));
+    }
+    if (!kills_lead) {
+      for (Worker* worker : workers) {
+        BOOST_TEST(WaitUntil([&] { return worker->results.contains(job); },
+                             kPatience));
+        BOOST_TEST((worker->results[job].outcome == JobOutcome::kDone));
+        BOOST_TEST(worker->WaitUntilReady());
+      }
+      continue;
+    }
+    first.agent->Kill();
+    for (Worker* worker : {&second, &third}) {
+      BOOST_TEST(
+          WaitUntil([&] { return worker->LogLines("end").contains(job); },
+                    Duration::Seconds(6)));
+      BOOST_TEST(
+          WaitUntil([&] { return worker->results.contains(job); }, kPatience));
+      BOOST_TEST(
+          (worker->results[job].cause == model::ResultCause::kGangStopped));
+    }
+    first.StartAgent();
+    BOOST_TEST(first.WaitUntilReady());
+    BOOST_TEST(first.LogLines("end").contains(job));
+  }
+  for (Worker* worker : workers) {
+    worker->CheckAgainstLog();
+  }
+}
+
 // Guards against results that are lost or blow up the agent's memory when
 // many large ones end at once. Prints the peak.
 BOOST_AUTO_TEST_CASE(LargeResultsStayWithinMemory) {
