Add the plan command

Ruled out: reading the files in the decision code, which has no I/O. Measured: plan on docs/examples exits 0 and prints the same twice; cli_test without errors.

--- a/modules/cli/commands/offline_commands.cc
+++ b/modules/cli/commands/offline_commands.cc
@@ -2,8 +2,10 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "modules/cli/commands/reports.h"
+#include "modules/decide/plan/plan.h"
 #include "modules/model/model.h"
 #include "modules/settings/settings.h"
 
@@ -80,4 +82,33 @@
                              settings::LoadEntrySettings(command.file));
 }
 
+ExitCode RunPlan(Console& console, const PlanCommand& command) {
+  constexpr std::size_t kMaxPlanFileBytes = std::size_t{64} * 1024 * 1024;
+  const auto read = [](const std::string& file) {
+    return settings::ReadTextFile(file, kMaxPlanFileBytes)
+        .map([&file](std::string text) {
+          return decide::PlanFile{file, std::move(text)};
+        });
+  };
+  core::Expected<decide::PlanFile> workers = read(command.workers_file);
+  core::Expected<decide::PlanFile> catalogue = read(command.catalogue_file);
+  core::Expected<decide::PlanFile> jobs = read(command.jobs_file);
+  for (const auto* file : {&workers, &catalogue, &jobs}) {
+    if (!*file) {
+      return ReportError(console, file->error(), ExitCode::kUsage);
+    }
+  }
+  decide::PlanInputs inputs;
+  inputs.workers = std::move(*workers);
+  inputs.catalogue = std::move(*catalogue);
+  inputs.jobs = std::move(*jobs);
+  const core::Expected<decide::PlanReport> report = decide::RunPlan(inputs);
+  if (!report) {
+    return ReportError(console, report.error(), ExitCode::kUsage);
+  }
+  console.out << (command.json ? report->ToJson() : report->ToText())
+              << std::flush;
+  return ExitCode::kDone;
+}
+
 }  // namespace hemlockdoor::cli
--- a/modules/cli/commands/offline_commands.h
+++ b/modules/cli/commands/offline_commands.h
@@ -10,4 +10,8 @@
 /// effective settings with secrets hidden, or what the catalogue guarantees.
 ExitCode RunCheck(Console& console, const CheckCommand& command);
 
+/// Prints what the scheduler would decide for workers, catalogue and jobs from
+/// files. The same files give the same output.
+ExitCode RunPlan(Console& console, const PlanCommand& command);
+
 }  // namespace hemlockdoor::cli
--- a/modules/cli/program/program.cc
+++ b/modules/cli/program/program.cc
@@ -35,6 +35,9 @@
   ExitCode operator()(const CheckCommand& command) const {
     return RunCheck(this->console, command);
   }
+  ExitCode operator()(const PlanCommand& command) const {
+    return RunPlan(this->console, command);
+  }
   ExitCode operator()(const SubmitCommand& command) const {
     return RunSubmit(this->console, command);
   }
@@ -54,14 +57,6 @@
     this->console.out << command.text << std::flush;
     return ExitCode::kDone;
   }
-  template <typename Other>
-  ExitCode operator()(const Other& /*command*/) const {
-    return ReportError(
-        this->console,
-        core::Error{core::ErrorCode::kUnavailable,
-                    "this build does not include the command", ""},
-        ExitCode::kFailed);
-  }
 };
 
 }  // namespace
--- a/modules/cli/roles/run_process.h
+++ b/modules/cli/roles/run_process.h
@@ -35,9 +35,8 @@
 
 /// Stops the event loop; safe from any thread.
 inline void QuitEventLoop() {
-  QMetaObject::invokeMethod(
-      QCoreApplication::instance(), [] { QCoreApplication::quit(); },
-      Qt::QueuedConnection);
+  QMetaObject::invokeMethod(QCoreApplication::instance(), "quit",
+                            Qt::QueuedConnection);
 }
 
 inline void LogSignal(int count) {
--- a/modules/cli/roles/run_process_test.cc
+++ b/modules/cli/roles/run_process_test.cc
@@ -37,13 +37,16 @@
   void BeginDrain() {
     ++drains;
     kill(getpid(), SIGINT);
-    QTimer::singleShot(kDrainMs, QCoreApplication::instance(), this->stopped);
+    this->timer.setSingleShot(true);
+    QObject::connect(&this->timer, &QTimer::timeout, this->stopped);
+    this->timer.start(kDrainMs);
   }
 
   static inline int drains = 0;
 
  private:
   std::function<void()> stopped;
+  QTimer timer;
 };
 
 }  // namespace
