decide: cells that others' tasks took while in use are placed again

Cause: the random worlds now also report foreign tasks. A cell that came back into the unused state could overlap slots or accelerators that another entry had taken meanwhile; its guarantee was counted as reclaimable although it was not.

--- a/modules/decide/guarantees/guarantee_cells.cc
+++ b/modules/decide/guarantees/guarantee_cells.cc
@@ -517,6 +517,11 @@
     this->ClearMembers(handle);
   }
   this->ListUnused(handle);
+  // Tasks of others may have taken slots or accelerators of the cell meanwhile.
+  const std::vector<MemberPlace> members = this->cells[handle].members;
+  for (const MemberPlace& place : members) {
+    this->EvictConflicts(place.worker);
+  }
 }
 
 int GuaranteeCells::MissingOfShape(const GangShape& shape) const {
--- a/modules/decide/scheduler/scheduler_property_test.cc
+++ b/modules/decide/scheduler/scheduler_property_test.cc
@@ -44,6 +44,8 @@
       this->ChangeWorker();
     } else if (event < 92) {
       this->EditCatalogue();
+    } else if (event < 94) {
+      this->ReportForeign();
     } else {
       this->LeaveVictims();
     }
@@ -128,6 +130,23 @@
         fails ? std::optional(agent) : std::nullopt);
   }
 
+  /// An agent reports slots and accelerators that another entry uses.
+  void ReportForeign() {
+    const auto worker = this->Any(this->cluster.workers);
+    WorkerView view = worker->second;
+    const model::AcceleratorSet used = this->cluster.UsedOn(view.agent);
+    const int free_slots =
+        view.shape.slots - this->cluster.SlotsUsedOn(view.agent);
+    view.foreign_slots = this->Draw(0, std::max(0, free_slots));
+    view.foreign_accelerators =
+        model::AcceleratorSet(this->random()).Without(used);
+    view.foreign_accelerators = model::AcceleratorSet(
+        view.foreign_accelerators.Mask() &
+        model::AcceleratorSet::First(view.shape.accelerators).Mask());
+    worker->second = view;
+    this->cluster.scheduler.UpsertWorker(view, this->cluster.now);
+  }
+
   void CancelOne() {
     if (this->cluster.queued.empty()) {
       return;
@@ -295,8 +314,9 @@
 
   OracleWorker OracleOf(const WorkerView& worker) const {
     OracleWorker row;
-    row.free = model::AcceleratorSet::First(worker.shape.accelerators);
-    row.slots = worker.shape.slots;
+    row.free = model::AcceleratorSet::First(worker.shape.accelerators)
+                   .Without(worker.foreign_accelerators);
+    row.slots = worker.shape.slots - worker.foreign_slots;
     row.accelerators = worker.shape.accelerators;
     row.per_group = worker.shape.accelerators_per_group;
     row.rack = worker.shape.rack.Text() == "r0" ? 0 : 1;
