Refuse large submissions that will not fit before they are parsed

Cause: 64 submissions of 8 MB at once raised an entry to 75 MB resident. Ruled out: holding the server's body share until the job ends, since the result's delivery needs a share too and could not get one.

--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -677,7 +677,9 @@
   this->context.jobs.DropPayload(job);
   const bool delivered = !job.waiters.empty();
   this->context.callers->AnswerWaiters(job);
-  job.delivered = delivered || !job.reply_to.empty();
+  if (delivered || !job.reply_to.empty()) {
+    this->context.jobs.MarkDelivered(job);
+  }
   if (!job.reply_to.empty()) {
     this->context.owners->PushEnd(job);
   }
--- a/modules/entry/core/caller_service.cc
+++ b/modules/entry/core/caller_service.cc
@@ -375,7 +375,7 @@
 
 void CallerService::AcknowledgeHeld(const core::JobId& id) {
   if (Job* job = this->context.jobs.Find(id)) {
-    job->delivered = true;
+    this->context.jobs.MarkDelivered(*job);
     this->context.attempts->Acknowledge(*job);
   }
 }
--- a/modules/entry/core/entry_core.cc
+++ b/modules/entry/core/entry_core.cc
@@ -261,6 +261,10 @@
   return this->parts->context.jobs.HeldBytes();
 }
 
+std::size_t EntryCore::NeededBytes() const {
+  return this->parts->context.jobs.NeededBytes();
+}
+
 std::uint64_t EntryCore::RecordWrites() const {
   return this->parts->context.record_writes;
 }
--- a/modules/entry/core/entry_core.h
+++ b/modules/entry/core/entry_core.h
@@ -28,6 +28,8 @@
   /// Numbers for metrics and tests.
   std::size_t OpenJobs() const;
   std::size_t HeldBytes() const;
+  /// Held bytes that cannot be dropped for room.
+  std::size_t NeededBytes() const;
   std::uint64_t RecordWrites() const;
   std::uint64_t RecordReads() const;
   bool IsPlanningOwner() const;
--- a/modules/entry/core/job_table.cc
+++ b/modules/entry/core/job_table.cc
@@ -47,6 +47,9 @@
     return false;
   }
   job.result_bytes = result->size();
+  if (job.delivered) {
+    this->delivered_bytes += job.result_bytes;
+  }
   job.result = std::move(result);
   return true;
 }
@@ -81,7 +84,17 @@
   job.payload.reset();
 }
 
+void JobTable::MarkDelivered(Job& job) {
+  if (!job.delivered) {
+    job.delivered = true;
+    this->delivered_bytes += job.result_bytes;
+  }
+}
+
 void JobTable::DropResult(Job& job) {
+  if (job.delivered) {
+    this->delivered_bytes -= job.result_bytes;
+  }
   this->bytes.Release(job.result_bytes);
   job.result_bytes = 0;
   job.result.reset();
--- a/modules/entry/core/job_table.h
+++ b/modules/entry/core/job_table.h
@@ -195,6 +195,8 @@
   /// Gives back the payload when no attempt can need it any more.
   void DropPayload(Job& job);
   void DropResult(Job& job);
+  /// A caller or another entry got the result: it may be dropped for room.
+  void MarkDelivered(Job& job);
   /// Marks a job as ended, for the bound on ended jobs.
   void MarkEnded(Job& job, core::TimePoint now);
   void Remove(const core::JobId& id);
@@ -206,6 +208,10 @@
   std::vector<core::JobId> Removable(core::TimePoint limit) const;
   std::size_t OpenCount() const { return this->jobs.size() - this->ended; }
   std::size_t HeldBytes() const { return this->bytes.Held(); }
+  /// Held bytes that cannot be dropped for room.
+  std::size_t NeededBytes() const {
+    return this->bytes.Held() - this->delivered_bytes;
+  }
   const std::unordered_map<core::JobId, Job>& All() const { return this->jobs; }
 
  private:
@@ -216,6 +222,7 @@
   ByteBudget bytes;
   std::unordered_map<core::JobId, Job> jobs;
   std::size_t ended = 0;
+  std::size_t delivered_bytes = 0;
 };
 
 }  // namespace hemlockdoor::entry
--- a/modules/entry/core/job_table_test.cc
+++ b/modules/entry/core/job_table_test.cc
@@ -59,7 +59,10 @@
     BOOST_TEST(table.MakeRoomForResult(done, 8));
     table.DropPayload(done);
     BOOST_TEST(table.AttachResult(done, Bytes(8)));
-    done.delivered = delivered;
+    if (delivered) {
+      table.MarkDelivered(done);
+    }
+    BOOST_TEST(table.NeededBytes() == (delivered ? 0U : 8U));
     table.MarkEnded(done, At(1));
     BOOST_TEST(table.Add(MakeJob("b", 5)).has_value() == delivered);
     BOOST_TEST((done.result == nullptr) == delivered);
--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -162,6 +162,8 @@
   std::unique_ptr<StoreDuty<store::MemoryStore>> memory_store;
   std::unique_ptr<StoreDuty<store::EtcdGatewayStore>> etcd_store;
   std::atomic<bool> drain_begun = false;
+  /// Bytes that the state machine holds and needs.
+  std::atomic<std::size_t> needed_bytes = 0;
 };
 
 core::Expected<void> EntryProcess::Shell::Start() {
@@ -403,7 +405,13 @@
     this->Deliver(id, RouteRequest(std::move(request), id, *this->Routing()));
     return;
   }
-  if (!this->large_requests->TryPush({id, std::move(request)})) {
+  // A submission that will not fit is refused before it is parsed, since
+  // parsing needs several times its size.
+  const bool is_submission = request.path == "/v1/jobs";
+  const bool fits =
+      this->needed_bytes + request.body.size() <= JobTableLimits().max_bytes;
+  if ((is_submission && !fits) ||
+      !this->large_requests->TryPush({id, std::move(request)})) {
     this->OnAnswer(
         {id, MakeProblemResponse({status::kUnavailable,
                                   "busy",
@@ -482,6 +490,7 @@
     return;
   }
   Commands commands = this->core->Handle(event, core::Clock::Now());
+  this->needed_bytes = this->core->NeededBytes();
   for (Command& command : commands) {
     this->RunCommand(std::move(command));
   }
