--- a/modules/agent/process/request_router.cc
+++ b/modules/agent/process/request_router.cc
@@ -15,7 +15,7 @@
 constexpr std::string_view kUpstreamPrefix = "/upstream/v1/";
 constexpr std::string_view kTasksPrefix = "/internal/v1/tasks/";
 
-using Reader = Routed (*)(const std::string& body, CallId call);
+using Reader = Routed (*)(std::string body, CallId call);
 
 struct PostRoute {
   std::string_view path;
@@ -30,8 +30,13 @@
 
 /// Reads a message and makes the event `E`, whose second field is it.
 template <typename E, auto FromJson>
-Routed ReadMessage(const std::string& body, CallId call) {
-  auto message = model::FromText<FromJson>(body);
+Routed ReadMessage(std::string body, CallId call) {
+  const core::Expected<nlohmann::json> doc =
+      model::ParseJson(std::exchange(body, {}));
+  if (!doc) {
+    return BadRequest(doc.error());
+  }
+  auto message = FromJson(*doc);
   if (!message) {
     return BadRequest(message.error());
   }
@@ -39,7 +44,7 @@
 }
 
 template <GangMessageKind kind>
-Routed ReadGangMessage(const std::string& body, CallId call) {
+Routed ReadGangMessage(std::string body, CallId call) {
   auto message = model::FromText<&model::GangMessageFromJson>(body);
   if (!message) {
     return BadRequest(message.error());
@@ -47,7 +52,7 @@
   return Event(GangMessageReceived{call, kind, std::move(*message)});
 }
 
-Routed ReadRevision(const std::string& body, CallId call) {
+Routed ReadRevision(std::string body, CallId call) {
   const core::Expected<nlohmann::json> doc = model::ParseJson(body);
   if (!doc) {
     return BadRequest(doc.error());
@@ -63,12 +68,12 @@
   return Event(event);
 }
 
-Routed ReadDrain(const std::string& /*body*/, CallId call) {
+Routed ReadDrain(std::string /*body*/, CallId call) {
   return Event(DrainRequested{call});
 }
 
-Routed ReadFinished(const std::string& body, CallId call) {
-  core::Expected<UpstreamTask> task = UpstreamTaskFromText(body);
+Routed ReadFinished(std::string body, CallId call) {
+  core::Expected<UpstreamTask> task = UpstreamTaskFromText(std::move(body));
   if (!task) {
     return BadRequest(task.error());
   }
@@ -79,7 +84,7 @@
   return Event(TaskFinished{call, std::move(*task)});
 }
 
-Routed ReadAnnounce(const std::string& body, CallId call) {
+Routed ReadAnnounce(std::string body, CallId call) {
   const core::Expected<nlohmann::json> doc = model::ParseJson(body);
   if (!doc) {
     return BadRequest(doc.error());
@@ -116,18 +121,7 @@
                            "this path or method is not served here");
 }
 
-/// Compares in a time that depends on the length of `expected` alone.
-bool EqualInConstantTime(std::string_view expected, std::string_view given) {
-  unsigned difference = expected.size() == given.size() ? 0U : 1U;
-  for (std::size_t index = 0; index < expected.size(); ++index) {
-    const char other = given.empty() ? '\0' : given[index % given.size()];
-    difference |= static_cast<unsigned char>(expected[index]) ^
-                  static_cast<unsigned char>(other);
-  }
-  return difference == 0;
-}
-
-Routed RouteInternal(const wire::HttpRequest& request, CallId call) {
+Routed RouteInternal(wire::HttpRequest& request, CallId call) {
   if (request.method == wire::HttpMethod::kGet &&
       request.path.starts_with(kTasksPrefix)) {
     return Event(TasksQueried{
@@ -140,23 +134,23 @@
       std::string_view(request.path).substr(kInternalPrefix.size());
   for (const PostRoute& route : kInternalPosts) {
     if (route.path == name) {
-      return route.read(request.body, call);
+      return route.read(std::move(request.body), call);
     }
   }
   return NotFound();
 }
 
-Routed RouteUpstream(const wire::HttpRequest& request, CallId call) {
+Routed RouteUpstream(wire::HttpRequest& request, CallId call) {
   const std::string_view name =
       std::string_view(request.path).substr(kUpstreamPrefix.size());
   if (name == "announce" && request.method == wire::HttpMethod::kPut) {
-    return ReadAnnounce(request.body, call);
+    return ReadAnnounce(std::move(request.body), call);
   }
   if (name == "announce" && request.method == wire::HttpMethod::kDelete) {
     return Event(UpstreamWithdrawn{call});
   }
   if (name == "finished" && request.method == wire::HttpMethod::kPost) {
-    return ReadFinished(request.body, call);
+    return ReadFinished(std::move(request.body), call);
   }
   return NotFound();
 }
@@ -207,14 +201,7 @@
 
 RequestRouter::RequestRouter(std::string internal_key,
                              std::string upstream_address)
-    : authorization("Bearer " + internal_key),
-      upstream(std::move(upstream_address)) {}
-
-bool RequestRouter::HasKey(const wire::HttpRequest& request) const {
-  return EqualInConstantTime(
-      this->authorization,
-      request.headers.Find("Authorization").value_or(std::string()));
-}
+    : key(std::move(internal_key)), upstream(std::move(upstream_address)) {}
 
 bool RequestRouter::IsFromUpstream(const wire::HttpRequest& request) const {
   constexpr std::string_view kMappedPrefix = "::ffff:";
@@ -225,10 +212,9 @@
   return address == this->upstream;
 }
 
-Routed RequestRouter::Route(const wire::HttpRequest& request,
-                            CallId call) const {
+Routed RequestRouter::Route(wire::HttpRequest& request, CallId call) const {
   if (request.path.starts_with(kInternalPrefix)) {
-    if (!this->HasKey(request)) {
+    if (!wire::HasBearer(request.headers, this->key)) {
       return wire::MakeProblem(status::kUnauthorized, "unauthorized",
                                "the internal API needs the deployment's key");
     }
