--- a/modules/agent/process/http_front.cc
+++ b/modules/agent/process/http_front.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "modules/observe/observe.h"
+
 namespace hemlockdoor::agent {
 
 namespace {
@@ -35,6 +37,9 @@
   std::unique_ptr<HttpFront> front(new HttpFront(options, board));
   wire::HttpServerLimits limits;
   limits.max_body_bytes = kMaxRequestBytes;
+  // One large body at a time; the others wait unread.
+  limits.max_request_bytes = kMaxRequestBytes;
+  limits.max_response_bytes = kMaxRequestBytes;
   auto server = wire::HttpServer::Listen(
       options.address, options.port, limits,
       [owner = front.get()](wire::HttpRequest request,
@@ -89,6 +94,10 @@
     this->Respond(responder, this->Liveness(this->board.ready.load()));
     return;
   }
+  if (request.path == "/metrics" && request.method == wire::HttpMethod::kGet) {
+    this->Respond(responder, observe::ProcessMetrics().ToResponse());
+    return;
+  }
   const CallId call = this->next_call++;
   const std::size_t request_bytes = request.path.size() + request.body.size();
   Routed routed = this->router.Route(request, call);
--- a/modules/entry/core/operator_service.cc
+++ b/modules/entry/core/operator_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "modules/entry/core/entry_metrics.h"
 #include "modules/entry/core/ownership_service.h"
 
 namespace hemlockdoor::entry {
@@ -139,6 +140,7 @@
   }
   this->context.catalogue = event.catalogue;
   this->context.scheduler.ApplyCatalogue(*event.catalogue, this->context.now);
+  PublishCatalogueNames(*event.catalogue);
   this->context.plan_needed = true;
   this->context.Log(observe::LogLevel::kInfo,
                     "catalogue revision " +
