Replace single-shot timer functors that clang-analyzer reports

Cause: lint reported possible leaks inside Qt headers for two functor calls in standalone code. Ruled out: suppressing the check. Measured: cli_test without errors; standalone drains with exit code 0. Conclusion: owned timers and invokeMethod by name are used instead.

--- a/modules/cli/standalone/demo_upstream.cc
+++ b/modules/cli/standalone/demo_upstream.cc
@@ -90,6 +90,17 @@
   this->Announce();
 }
 
+void DemoUpstream::RunAfter(int milliseconds, std::function<void()> action) {
+  auto* timer = new QTimer(&this->timers);
+  timer->setSingleShot(true);
+  QObject::connect(timer, &QTimer::timeout, timer,
+                   [timer, run = std::move(action)] {
+                     timer->deleteLater();
+                     run();
+                   });
+  timer->start(milliseconds);
+}
+
 void DemoUpstream::Announce() {
   wire::HttpCall call;
   call.endpoint = this->agent_endpoint;
@@ -141,7 +152,7 @@
       service == kSleep ? SleepTime(task.payload) : 0;
   task.error = run_ms ? "" : "the payload is not a number of milliseconds";
   this->tasks.emplace(key, std::move(task));
-  QTimer::singleShot(run_ms.value_or(0), &this->timers, [this, key, run_ms] {
+  this->RunAfter(run_ms.value_or(0), [this, key, run_ms] {
     this->EndTask(key, run_ms ? "done" : "failed");
   });
   return Json(status::kAccepted, nlohmann::json::object());
@@ -227,8 +238,8 @@
           this->tasks.erase(key);
           return;
         }
-        QTimer::singleShot(ToMilliseconds(kReportRetry), &this->timers,
-                           [this, key] { this->Report(key); });
+        this->RunAfter(ToMilliseconds(kReportRetry),
+                       [this, key] { this->Report(key); });
       });
 }
 
--- a/modules/cli/standalone/demo_upstream.h
+++ b/modules/cli/standalone/demo_upstream.h
@@ -4,6 +4,7 @@
 #include <QObject>
 #include <QTimer>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -55,6 +56,8 @@
   wire::HttpResponse StopTask(const TaskKey& key);
   wire::HttpResponse ListTasks() const;
   void Announce();
+  /// Runs `action` once after `milliseconds`, unless this object is gone.
+  void RunAfter(int milliseconds, std::function<void()> action);
   void EndTask(const TaskKey& key, const std::string& state);
   void Report(const TaskKey& key);
   static nlohmann::json Describe(const TaskKey& key, const Task& task);
--- a/modules/cli/standalone/standalone.cc
+++ b/modules/cli/standalone/standalone.cc
@@ -90,15 +90,17 @@
 
 core::Expected<void> Standalone::StartEntry(
     const StandaloneSettings& settings) {
+  this->agent_drain.setSingleShot(true);
+  QObject::connect(&this->agent_drain, &QTimer::timeout,
+                   [this] { this->agent->BeginDrain(); });
   settings::EntrySettings options;
   options.id = settings.id;
   options.common = this->common;
   options.initial_catalogue = this->catalogue_file;
   // The entry calls back on a thread of its own.
   auto created = entry::EntryProcess::Create(options, [this] {
-    QMetaObject::invokeMethod(
-        &this->home, [this] { this->agent->BeginDrain(); },
-        Qt::QueuedConnection);
+    QMetaObject::invokeMethod(&this->agent_drain, "start",
+                              Qt::QueuedConnection);
   });
   if (!created) {
     return tl::unexpected<core::Error>(created.error());
--- a/modules/cli/standalone/standalone.h
+++ b/modules/cli/standalone/standalone.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <QTemporaryDir>
+#include <QTimer>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -59,8 +60,9 @@
   std::string operator_token;
   settings::CommonSettings common;
   std::function<void()> stopped;
-  /// Owner of the calls that come back from the entry's threads.
-  QObject home;
+  /// Started from the entry's thread; its time-out drains the agent on this
+  /// one.
+  QTimer agent_drain;
   std::unique_ptr<DemoUpstream> upstream;
   std::unique_ptr<agent::AgentProcess> agent;
   std::unique_ptr<entry::EntryProcess> entry;
