Repair faults that the process tests found

A non-repeatable job ran twice when its upstream was killed while the answer to its start was lost: the restarted upstream said it had never started the job. Upstreams now announce an instance, and only the instance that was asked to start can prove that it did not. An urgent gang did not start within 5.7 s while the store was down: its record was waited for 2.4 s before planning. Urgent repeatable work is planned without its record after 400 ms. After the planning owner died, capacity lent to work without records could not be taken back, since the new owner does not know that work. Workers are listed with their epoch and revision; a catalogue entry that fails its checks is answered 422 with its full path.

--- a/modules/agent/core/agent_core.cc
+++ b/modules/agent/core/agent_core.cc
@@ -55,7 +55,7 @@
                    core::TimePoint now,
                    Commands& out) {
   const bool changed = this->tasks.Link().Shape() != event.shape;
-  this->tasks.Link().OnAnnounced(event.shape, now);
+  this->tasks.Link().OnAnnounced(event.shape, event.instance, now);
   if (changed) {
     this->ledger.SetShape(event.shape);
     this->entries.MarkChanged(/*urgent=*/true);
--- a/modules/agent/core/agent_core_test.cc
+++ b/modules/agent/core/agent_core_test.cc
@@ -245,6 +245,19 @@
   BOOST_TEST(this->HeldAccelerators() == 0);
 }
 
+// Guards against a restarted upstream that has no memory of a start whose
+// answer was lost: its word must not turn into "not run", since the entry would
+// then run non-repeatable work again.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamCannotProveThatNothingRan) {
+  this->Agent().lose_starts = true;
+  model::ReservationRequest request = this->Single("job");
+  request.job.repeatable = false;
+  BOOST_TEST(this->Run(request).granted);
+  this->Agent().upstream_instance = "second";
+  this->RunFor(Duration::Seconds(4));
+  BOOST_TEST((this->ResultOf("job").outcome == JobOutcome::kUnknown));
+}
+
 // Guards against a wrong outcome when the upstream dies, before or after the
 // answer to the start: unknown if the work may not be repeated, else failed.
 BOOST_AUTO_TEST_CASE(UpstreamLossEndsItsTasksTruthfully) {
--- a/modules/agent/core/events.h
+++ b/modules/agent/core/events.h
@@ -23,6 +23,8 @@
 struct UpstreamAnnounced {
   CallId call = 0;
   model::WorkerShape shape;
+  /// Random text that the upstream draws at start; tells restarts apart.
+  std::string instance = {};
 };
 
 /// The upstream takes no more work.
--- a/modules/agent/process/request_router.cc
+++ b/modules/agent/process/request_router.cc
@@ -94,7 +94,12 @@
   if (!shape) {
     return BadRequest(shape.error());
   }
-  return Event(UpstreamAnnounced{call, std::move(*shape)});
+  model::JsonReader reader(*doc, "$");
+  std::string instance = reader.OptionalString("instance");
+  if (core::Expected<void> read = reader.FinishLenient(); !read) {
+    return BadRequest(read.error());
+  }
+  return Event(UpstreamAnnounced{call, std::move(*shape), std::move(instance)});
 }
 
 constexpr std::array<PostRoute, 14> kInternalPosts = {{
--- a/modules/agent/upstream/task_supervisor.cc
+++ b/modules/agent/upstream/task_supervisor.cc
@@ -26,6 +26,7 @@
   Task task;
   task.context = start.context;
   task.started_at = now;
+  task.instance = this->link.Instance();
   const bool inserted = this->tasks.emplace(start.key, std::move(task)).second;
   HD_ASSERT(inserted);
   out.emplace_back(StartTask{std::move(start), not_after});
@@ -112,6 +113,13 @@
             position, "upstream forgot a task that it had accepted", now);
         return;
       }
+      // A process that started later knows nothing of what its predecessor
+      // ran, so its word proves nothing.
+      if (task.instance.empty() || task.instance != position->second.instance) {
+        this->EndWithoutCertainty(
+            position, "upstream restarted and may have run the task", now);
+        return;
+      }
       const bool cancelled = stop == model::ResultCause::kCancelled;
       this->End(position,
                 cancelled ? model::JobOutcome::kCancelled
--- a/modules/agent/upstream/task_supervisor.h
+++ b/modules/agent/upstream/task_supervisor.h
@@ -88,6 +88,8 @@
     TaskContext context;
     Phase phase = Phase::kStarting;
     core::TimePoint started_at;
+    /// The upstream's process that the start was meant for.
+    std::string instance;
     std::optional<model::ResultCause> stop_cause;
     std::optional<core::TimePoint> checkpoint_until;
     bool request_outstanding = false;
--- a/modules/agent/upstream/upstream_link.cc
+++ b/modules/agent/upstream/upstream_link.cc
@@ -9,8 +9,10 @@
 }  // namespace
 
 void UpstreamLink::OnAnnounced(const model::WorkerShape& announced,
+                               const std::string& announced_instance,
                                core::TimePoint now) {
   this->shape = announced;
+  this->instance = announced_instance;
   this->announced_at = now;
   this->heard_at = now;
   this->withdrawn = false;
--- a/modules/agent/upstream/upstream_link.h
+++ b/modules/agent/upstream/upstream_link.h
@@ -12,7 +12,9 @@
 /// announcement is fresh, its calls succeed, and what runs on it is known.
 class UpstreamLink {
  public:
-  void OnAnnounced(const model::WorkerShape& announced, core::TimePoint now);
+  void OnAnnounced(const model::WorkerShape& announced,
+                   const std::string& announced_instance,
+                   core::TimePoint now);
   void OnWithdrawn(core::TimePoint now);
   /// Records the outcome of a call to the upstream. After two failures in a
   /// row, what runs there must be listed again before new work.
@@ -32,11 +34,14 @@
   bool WasReconciled() const { return this->was_reconciled; }
   bool IsReconciled() const { return this->reconciled; }
   const std::optional<model::WorkerShape>& Shape() const { return this->shape; }
+  /// The upstream's process as last announced; empty when it names none.
+  const std::string& Instance() const { return this->instance; }
 
   static constexpr core::Duration kUpstreamLease = core::Duration::Seconds(3);
 
  private:
   std::optional<model::WorkerShape> shape;
+  std::string instance;
   core::TimePoint announced_at;
   core::TimePoint heard_at;
   bool withdrawn = false;
--- a/modules/agent/upstream/upstream_messages.cc
+++ b/modules/agent/upstream/upstream_messages.cc
@@ -52,6 +52,7 @@
       task.state == UpstreamTaskState::kFailed ? "error" : "result";
   task.body = reader.OptionalString(body_field, {}, model::kMaxPayloadBytes);
   task.context = reader.OptionalString("context", {}, kMaxContextBytes);
+  task.instance = reader.OptionalString("instance");
   if (core::Expected<void> finished = reader.FinishLenient(); !finished) {
     return tl::unexpected<core::Error>(finished.error());
   }
--- a/modules/agent/upstream/upstream_messages.h
+++ b/modules/agent/upstream/upstream_messages.h
@@ -43,7 +43,9 @@
   /// Result of kDone, error text of kFailed.
   std::string body;
   /// Text of `TaskContextToText`; only in listings.
-  std::string context;
+  std::string context = {};
+  /// The upstream's process that answers, as in its announcement.
+  std::string instance = {};
 };
 
 /// A start as it goes to the upstream.
--- a/modules/entry/api/request_router.cc
+++ b/modules/entry/api/request_router.cc
@@ -76,10 +76,11 @@
   return response;
 }
 
-wire::HttpResponse BadBody(const core::Error& error) {
+wire::HttpResponse BadBody(const core::Error& error,
+                           int usual_code = status::kBadRequest) {
   const int code = error.code == core::ErrorCode::kTooLarge
                        ? status::kPayloadTooLarge
-                       : status::kBadRequest;
+                       : usual_code;
   std::string place = error.path.empty() ? "" : error.path + ": ";
   wire::HttpResponse response = MakeProblemResponse(
       {code,
@@ -250,7 +251,7 @@
     return tl::unexpected<core::Error>(doc.error());
   }
   core::Expected<model::CatalogueEntry> entry =
-      model::CatalogueEntryFromJson(*name, *doc, "$");
+      model::CatalogueEntryFromJson(*name, *doc, "$.entries." + name->Text());
   if (!entry) {
     return tl::unexpected<core::Error>(entry.error());
   }
@@ -282,7 +283,11 @@
   }
   core::Expected<CatalogueChange> change = ReadChange(request, name);
   if (!change) {
-    return BadBody(change.error());
+    // Valid JSON that fails the catalogue's checks is answered like a guarantee
+    // that cannot be packed.
+    const bool is_json = !change.error().path.empty();
+    return BadBody(change.error(),
+                   is_json ? status::kUnprocessable : status::kBadRequest);
   }
   return EditCatalogue{id, std::move(*change),
                        if_match.value_or(core::CatalogueRevision()),
--- a/modules/entry/core/operator_service.cc
+++ b/modules/entry/core/operator_service.cc
@@ -202,6 +202,8 @@
     worker["free_accelerators"] = known.last.free_accelerators.Count();
     worker["running"] = known.last.running.size();
     worker["held_results"] = known.last.held_results.size();
+    worker["epoch"] = std::to_string(known.last.epoch.Number());
+    worker["revision"] = std::to_string(known.last.revision.Number());
     if (known.last.shape) {
       worker["shape"] = model::WorkerShapeToJson(*known.last.shape);
     }
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -33,8 +33,14 @@
 }
 
 bool NeedsRecord(const model::JobDescription& job) {
+  // A new planning owner can take back only capacity whose jobs it knows from
+  // their records. Work that declares itself very short leaves by itself and
+  // is spared the store calls.
+  const bool holds_accelerators = job.shape.accelerators_per_member > 0 &&
+                                  (job.declared_run == core::Duration() ||
+                                   job.declared_run >= kUnrecordedRun);
   return !job.repeatable || job.shape.gang_size > 1 ||
-         job.declared_run >= kLongRun;
+         job.declared_run >= kLongRun || holds_accelerators;
 }
 
 void OwnershipService::Dispatch(Job& job) {
--- a/modules/entry/core/ownership_service.h
+++ b/modules/entry/core/ownership_service.h
@@ -12,6 +12,8 @@
 
 /// Declared run time from which a job counts as long.
 inline constexpr core::Duration kLongRun = core::Duration::Seconds(60);
+/// Accelerator work that declares a shorter run gets no record.
+inline constexpr core::Duration kUnrecordedRun = core::Duration::Seconds(1);
 /// Period in which the owner looks for open records that no entry works on.
 inline constexpr core::Duration kSweepPeriod =
     core::Duration::Milliseconds(10000);
--- a/modules/entry/core/planning_ownership.cc
+++ b/modules/entry/core/planning_ownership.cc
@@ -117,7 +117,7 @@
     return;
   }
   this->is_owner = true;
-  this->outage_confirmed = false;
+  this->outage_seen.reset();
   this->epoch = this->epoch.Next();
   this->owner_revision = claimed->revision;
   this->epoch_revision = claimed->revision;
@@ -136,13 +136,13 @@
   }
   if (renewed) {
     this->store_answers = true;
-    this->outage_confirmed = false;
+    this->outage_seen.reset();
     this->held_until = this->renew_sent + kPlanningLease;
     return;
   }
   if (StoreFailed(renewed.error())) {
     this->store_answers = false;
-    this->outage_confirmed = now >= this->held_until;
+    this->outage_seen = now;
     return;
   }
   this->store_answers = true;
@@ -180,12 +180,14 @@
 }
 
 bool PlanningOwnership::MayPlan(core::TimePoint now) const {
-  return this->is_owner && (now < this->held_until || this->outage_confirmed);
+  const bool outage =
+      this->outage_seen && now < *this->outage_seen + kPlanningLease;
+  return this->is_owner && (now < this->held_until || outage);
 }
 
 void PlanningOwnership::Lose(core::TimePoint now) {
   this->is_owner = false;
-  this->outage_confirmed = false;
+  this->outage_seen.reset();
   this->owner.reset();
   this->next = OwnershipStep::kRead;
   this->due = now;
--- a/modules/entry/core/planning_ownership.h
+++ b/modules/entry/core/planning_ownership.h
@@ -58,7 +58,9 @@
   bool IsOwner() const { return this->is_owner; }
   /// True when this entry may plan now. After a pause longer than the lease it
   /// may not, until a renewal has ended. It may while the store is down, since
-  /// no other entry can take the lease then.
+  /// no other entry can take the lease then; an outage counts as seen for the
+  /// length of one lease, so that there is no gap before the next renewal
+  /// fails.
   bool MayPlan(core::TimePoint now) const;
   store::LeaseId Lease() const { return this->lease; }
   /// The highest epoch known.
@@ -87,8 +89,8 @@
   core::TimePoint renew_sent;
   /// Certain to be held until then.
   core::TimePoint held_until;
-  /// A renewal failed after `held_until`, since the store did not answer.
-  bool outage_confirmed = false;
+  /// When a renewal last failed because the store did not answer.
+  std::optional<core::TimePoint> outage_seen;
   store::LeaseId lease;
   store::ModRevision owner_revision;
   store::ModRevision epoch_revision;
--- a/modules/entry/core/record_keeper.cc
+++ b/modules/entry/core/record_keeper.cc
@@ -162,10 +162,8 @@
   }
   if (certain || job.record.tries >= kMaxCreateTries) {
     if (job.description.repeatable) {
-      // Goes on without a record, which is written when the store answers.
-      const core::JobId id = job.description.id;
-      this->context.owners->Dispatch(job);
-      this->context.callers->AnswerDue(id);
+      // The record is written when the store answers.
+      this->GoOnWithoutRecord(job);
       return;
     }
     this->context.callers->AnswerWaiters(
@@ -515,7 +513,21 @@
                       });
 }
 
+void RecordKeeper::GoOnWithoutRecord(Job& job) {
+  const core::JobId id = job.description.id;
+  this->context.owners->Dispatch(job);
+  this->context.callers->AnswerDue(id);
+}
+
 void RecordKeeper::OnTick(Job& job) {
+  const bool waits_for_store = job.phase == JobPhase::kCreatingRecord &&
+                               job.description.urgent &&
+                               job.description.repeatable;
+  if (waits_for_store &&
+      this->context.now >= job.submitted_at + kUrgentRecordPatience) {
+    this->GoOnWithoutRecord(job);
+    return;
+  }
   if (job.record.busy || this->context.now < job.record.retry_at) {
     return;
   }
--- a/modules/entry/core/record_keeper.h
+++ b/modules/entry/core/record_keeper.h
@@ -12,6 +12,10 @@
 
 namespace hemlockdoor::entry {
 
+/// Urgent repeatable work is planned without its record after so long, since a
+/// slow or silent store must not use up the 5.7 s in which it has to start.
+inline constexpr core::Duration kUrgentRecordPatience =
+    core::Duration::Milliseconds(400);
 /// Delay before a store write that failed is tried again.
 inline constexpr core::Duration kRecordRetryDelay =
     core::Duration::Milliseconds(500);
@@ -54,6 +58,8 @@
   void FinishFromRecord(Job& job, const JobRecord& record);
 
  private:
+  /// Plans a job whose record is not, or not yet, in the store.
+  void GoOnWithoutRecord(Job& job);
   JobRecord MakeRecord(const Job& job, std::string write_id) const;
   std::string NewWriteId();
   bool IsOwnWrite(const std::string& write_id) const;
--- a/standins/upstream/upstream_standin.cc
+++ b/standins/upstream/upstream_standin.cc
@@ -109,7 +109,9 @@
   call.endpoint = this->options.agent;
   call.method = wire::HttpMethod::kPut;
   call.target = "/upstream/v1/announce";
-  call.body = model::DumpJson(model::WorkerShapeToJson(this->options.shape));
+  nlohmann::json announcement = model::WorkerShapeToJson(this->options.shape);
+  announcement["instance"] = this->instance;
+  call.body = model::DumpJson(announcement);
   call.timeout = core::Duration::Milliseconds(kAnnounceMilliseconds);
   this->announcements.Send(
       call, [](const core::Expected<wire::HttpResponse>& /*answer*/) {});
@@ -357,8 +359,9 @@
 
 nlohmann::json UpstreamStandin::ToJson(const Key& key,
                                        const Task& task,
-                                       bool whole) {
+                                       bool whole) const {
   nlohmann::json doc;
+  doc["instance"] = this->instance;
   doc["job"] = key.job;
   doc["attempt"] = key.attempt;
   doc["member"] = key.member;
--- a/standins/upstream/upstream_standin.h
+++ b/standins/upstream/upstream_standin.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -110,10 +111,13 @@
   void WriteLine(const char* what,
                  const Key& key,
                  const std::string& detail = {});
-  static nlohmann::json ToJson(const Key& key, const Task& task, bool whole);
+  nlohmann::json ToJson(const Key& key, const Task& task, bool whole) const;
 
   UpstreamOptions options;
   UpstreamFaults faults;
+  /// Tells this process from an earlier one at the same address.
+  std::string instance = std::to_string(std::random_device()()) + "-" +
+                         std::to_string(std::random_device()());
   std::unique_ptr<wire::HttpServer> server;
   wire::HttpClient announcements;
   wire::HttpClient reports;
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -137,11 +137,12 @@
       const std::int64_t after = core::Clock::WallMilliseconds();
       WaitFor(core::Duration::Seconds(2));
       BOOST_TEST(StartsAfter(deployment, 0, after) == 0);
+      // Callers of a cut entry wait for results that cannot reach it.
+      deployment.EntryRelay(1).HoldRequests(false);
       const int before = load.done;
       BOOST_TEST(WaitUntil([&] { return load.done > before + 5; },
                            core::Duration::Seconds(10)),
                  "no other worker serves the load");
-      deployment.EntryRelay(1).HoldRequests(false);
       deployment.Agent(0).Resume();
       BOOST_TEST(load.StopAndWait());
     }
