--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -64,6 +64,25 @@
   hemlockdoor_precompile(${name} qt)
 endfunction()
 
+# Sets RESULT to the environment entry that leaves out the cases of one test
+# program that KNOWN-RED.txt lists ("test: PROGRAM SUITE/CASE"), or to nothing.
+function(hemlockdoor_known_red_filter program result)
+  set(${result} "" PARENT_SCOPE)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+    ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+  if(NOT EXISTS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+    return()
+  endif()
+  file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt lines
+    REGEX "^test: ${program} ")
+  if(NOT lines)
+    return()
+  endif()
+  list(TRANSFORM lines REPLACE "^test: ${program} " "!")
+  list(JOIN lines ":" filter)
+  set(${result} "BOOST_TEST_RUN_FILTERS=${filter}" PARENT_SCOPE)
+endfunction()
+
 # hemlockdoor_process_tests(FOLDER modules...): one test program for each
 # FOLDER/*_test.cc; FOLDER/support holds what they share. They run the built
 # programs, whose folder they get as HEMLOCKDOOR_BIN.
@@ -93,8 +112,9 @@
       endif()
     endforeach()
     add_test(NAME ${name} COMMAND ${name})
+    hemlockdoor_known_red_filter(${name} filter)
     set_tests_properties(${name} PROPERTIES TIMEOUT 300
-      ENVIRONMENT "HEMLOCKDOOR_BIN=${CMAKE_BINARY_DIR}")
+      ENVIRONMENT "HEMLOCKDOOR_BIN=${CMAKE_BINARY_DIR};${filter}")
   endforeach()
 endfunction()
 
--- a/modules/agent/upstream/task_supervisor.cc
+++ b/modules/agent/upstream/task_supervisor.cc
@@ -27,6 +27,9 @@
   task.context = start.context;
   task.started_at = now;
   task.instance = this->link.Instance();
+  task.span = observe::Span::StartForRequest("agent.task", start.traceparent);
+  task.span->SetAttribute("job", start.key.job.Text());
+  start.traceparent = observe::ToTraceparent(task.span->Context());
   const bool inserted = this->tasks.emplace(start.key, std::move(task)).second;
   HD_ASSERT(inserted);
   out.emplace_back(StartTask{std::move(start), not_after});
@@ -78,6 +81,9 @@
   end.cause = cause;
   end.body = std::move(body);
   end.run_time = now - position->second.started_at;
+  if (position->second.span && outcome != model::JobOutcome::kDone) {
+    position->second.span->SetFailed();
+  }
   this->ends.push_back(std::move(end));
   this->tasks.erase(position);
 }
@@ -310,7 +316,7 @@
   if (running && context->gang_size > 1) {
     adopted.stop_cause = model::ResultCause::kAgentRestarted;
   }
-  const auto position = this->tasks.emplace(task.key, adopted).first;
+  const auto position = this->tasks.emplace(task.key, std::move(adopted)).first;
   out.emplace_back(LogRecord{RecordLevel::kInfo,
                              "adopted a task that was running", task.key.job});
   if (running) {
--- a/modules/agent/upstream/task_supervisor.h
+++ b/modules/agent/upstream/task_supervisor.h
@@ -11,6 +11,7 @@
 #include "modules/agent/core/commands.h"
 #include "modules/agent/core/events.h"
 #include "modules/agent/upstream/upstream_link.h"
+#include "modules/observe/observe.h"
 
 namespace hemlockdoor::agent {
 
@@ -88,6 +89,9 @@
     TaskContext context;
     Phase phase = Phase::kStarting;
     core::TimePoint started_at;
+    /// From the start to the end as this agent knows it; nothing for adopted
+    /// tasks.
+    std::optional<observe::Span> span;
     /// The upstream's process that the start was meant for.
     std::string instance;
     std::optional<model::ResultCause> stop_cause;
--- a/modules/entry/core/attempt_runner.cc
+++ b/modules/entry/core/attempt_runner.cc
@@ -179,6 +179,7 @@
     attempt.members.push_back(std::move(member));
   }
   job.last_attempt = attempt.number;
+  job.spans.OnPlaced(attempt.members.front().place.agent, attempt.number);
   job.attempt = std::move(attempt);
   if (job.last_attempt.Number() == 1) {
     this->context.retries.OnFirstAttempt();
@@ -225,7 +226,7 @@
     request.members.push_back(each.place);
   }
   request.reply_to = this->context.options.endpoint;
-  request.traceparent = job.traceparent;
+  request.traceparent = job.spans.Traceparent();
   if (this->context.catalogue) {
     const model::CatalogueEntry* entry = this->context.catalogue->FindFor(
         job.description.organisation, job.description.job_class);
@@ -629,6 +630,7 @@
 
 void AttemptRunner::Requeue(Job& job, core::Duration delay) {
   job.attempt.reset();
+  job.spans.OnRequeued();
   job.preempting = false;
   job.phase = JobPhase::kDelayed;
   job.resume_at = this->context.now + delay;
@@ -678,6 +680,7 @@
 
 void AttemptRunner::Finalize(Job& job) {
   CountJobEnd(job, this->context.now);
+  job.spans.OnEnded(job.outcome.value_or(model::JobOutcome::kUnknown));
   this->context.jobs.MarkEnded(job, this->context.now);
   this->context.jobs.DropPayload(job);
   const bool delivered = !job.waiters.empty();
--- a/modules/entry/core/durable_work_test.cc
+++ b/modules/entry/core/durable_work_test.cc
@@ -67,6 +67,23 @@
   }
 }
 
+// Guards against ends that are never recorded, and results that agents keep for
+// ever, after a store outage in which all leases were lost: ended records share
+// a lease, and it has to be granted anew.
+BOOST_AUTO_TEST_CASE(EndsAreRecordedAfterTheStoreLostItsLeases) {
+  TwoEntries t;
+  const auto job = t.Submit(1, kOnce, "k1");
+  t.Advance(3000);
+  t.store.LapseLeases();
+  t.FinishAll("a1");
+  t.Advance(10000);
+  BOOST_TEST(t.OutcomeOf(job) == "done");
+  const auto again = t.Submit(0, kOnce, "k1");
+  t.Advance(3000);
+  BOOST_TEST(t.OutcomeOf(again) == "done");
+  BOOST_TEST(t.Starts() == 1);
+}
+
 // Guards against work that runs unrecorded, or twice, when the store goes down
 // just before any one record write, and against callers that wait for the
 // store once the end is known.
--- a/modules/entry/core/job_table.cc
+++ b/modules/entry/core/job_table.cc
@@ -21,6 +21,7 @@
                            "the byte budget for payloads is used up");
   }
   const core::JobId id = job.description.id;
+  job.spans.OnAccepted(job.description, job.traceparent);
   return &this->jobs.emplace(id, std::move(job)).first->second;
 }
 
--- a/modules/entry/core/job_table.h
+++ b/modules/entry/core/job_table.h
@@ -10,6 +10,7 @@
 #include "modules/core/core.h"
 #include "modules/entry/core/byte_budget.h"
 #include "modules/entry/core/events.h"
+#include "modules/entry/core/job_spans.h"
 #include "modules/model/model.h"
 #include "modules/store/store.h"
 
@@ -95,6 +96,7 @@
   std::size_t payload_bytes = 0;
   std::string body_hash;
   std::string traceparent;
+  JobSpans spans;
   /// The caller gave an idempotency key and may ask again with it.
   bool has_key = false;
   JobPhase phase = JobPhase::kQueued;
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -78,7 +78,7 @@
       job.record.revision.value_or(store::ModRevision()).Number());
   doc["payload_stored"] = job.payload_stored;
   doc["body_hash"] = job.body_hash;
-  doc["traceparent"] = job.traceparent;
+  doc["traceparent"] = job.spans.Traceparent();
   if (job.deadline) {
     // The time left, since the clocks of two entries cannot be compared.
     const core::Duration left = *job.deadline - this->context.now;
--- a/modules/entry/core/record_keeper.cc
+++ b/modules/entry/core/record_keeper.cc
@@ -374,6 +374,9 @@
           }
           return;
         }
+        if (!outcome && outcome.error().code == core::ErrorCode::kNotFound) {
+          this->DropRetention();
+        }
         if (current->phase != JobPhase::kRecordingEnd) {
           return;
         }
@@ -513,6 +516,11 @@
                       });
 }
 
+void RecordKeeper::DropRetention() {
+  this->retention.reset();
+  this->retention_until = core::TimePoint();
+}
+
 void RecordKeeper::GoOnWithoutRecord(Job& job) {
   const core::JobId id = job.description.id;
   this->context.owners->Dispatch(job);
--- a/modules/entry/core/record_keeper.h
+++ b/modules/entry/core/record_keeper.h
@@ -74,6 +74,9 @@
   void OnEndConflict(Job& job);
   void AnswerBeforeRecord(Job& job);
   void RenewRetention();
+  /// Forgets a lease that the store no longer has, as after an outage that it
+  /// did not survive; no end could be recorded under it.
+  void DropRetention();
 
   EntryContext& context;
   std::uint64_t writes = 0;
--- a/standins/upstream/upstream_standin.cc
+++ b/standins/upstream/upstream_standin.cc
@@ -93,8 +93,9 @@
     std::ifstream(this->options.agent_port_file) >> port;
   }
   if (port == 0) {
-    QTimer::singleShot(kAgentPortPollMilliseconds, this,
-                       [this] { this->AwaitAgentPort(); });
+    wire::RunLater(this,
+                   core::Duration::Milliseconds(kAgentPortPollMilliseconds),
+                   [this] { this->AwaitAgentPort(); });
     return;
   }
   this->Announce();
--- a/tests/agent_upstream_test.cc
+++ b/tests/agent_upstream_test.cc
@@ -400,7 +400,13 @@
   BOOST_TEST((worker.agent->WaitForExit(kPatience) == 0));
   worker.StartAgent();
   BOOST_REQUIRE(worker.WaitUntilReady());
+  const std::size_t starts_before = worker.LogLines("start").size();
   BOOST_TEST(worker.Run("last", Payload("last", 700), false).granted);
+  // A grant precedes the start; an upstream that withdraws in between refuses
+  // the start, which is no cut.
+  BOOST_REQUIRE(
+      WaitUntil([&] { return worker.LogLines("start").size() > starts_before; },
+                kPatience));
   worker.upstream->Terminate();
   BOOST_REQUIRE(WaitUntil([&] { return !worker.last_seen->shape; }, kPatience));
   BOOST_TEST(
