Share the name tables of JSON enumerators

Cause: the same table type and two look-ups stood in job.cc, gang_messages.cc, messages.cc and upstream_messages.cc (found by a scan for repeated lines). They are in modules/model/json/named_values.h now.

--- a/modules/agent/upstream/upstream_messages.cc
+++ b/modules/agent/upstream/upstream_messages.cc
@@ -8,12 +8,7 @@
 
 namespace {
 
-struct NamedState {
-  UpstreamTaskState state;
-  std::string_view name;
-};
-
-constexpr std::array<NamedState, 6> kStateNames = {{
+constexpr std::array<model::NamedValue<UpstreamTaskState>, 6> kStateNames = {{
     {UpstreamTaskState::kRunning, "running"},
     {UpstreamTaskState::kDone, "done"},
     {UpstreamTaskState::kFailed, "failed"},
@@ -25,15 +20,6 @@
 constexpr std::size_t kMaxContextBytes = 4096;
 constexpr std::size_t kMaxListedTasks = 10'000;
 
-std::optional<UpstreamTaskState> StateFromName(std::string_view name) {
-  for (const NamedState& row : kStateNames) {
-    if (row.name == name) {
-      return row.state;
-    }
-  }
-  return std::nullopt;
-}
-
 core::Expected<UpstreamTask> ReadTask(const nlohmann::json& doc,
                                       const std::string& path) {
   model::JsonReader reader(doc, path);
@@ -43,7 +29,8 @@
   task.key.member = static_cast<int>(
       reader.OptionalInteger("member", 0, {0, model::kMaxGangSize - 1}));
   const std::string name = reader.RequiredString("state");
-  const std::optional<UpstreamTaskState> state = StateFromName(name);
+  const std::optional<UpstreamTaskState> state =
+      model::ValueOf(kStateNames, name);
   if (!state) {
     reader.Fail("state", "unknown task state \"" + name + "\"");
   }
@@ -62,12 +49,7 @@
 }  // namespace
 
 std::string_view UpstreamTaskStateName(UpstreamTaskState state) {
-  for (const NamedState& row : kStateNames) {
-    if (row.state == state) {
-      return row.name;
-    }
-  }
-  return "";
+  return model::NameOf(kStateNames, state);
 }
 
 std::string TaskContextToText(const TaskContext& context) {
--- a/modules/model/job/job.cc
+++ b/modules/model/job/job.cc
@@ -4,17 +4,12 @@
 #include <utility>
 
 #include "modules/model/json/json_reader.h"
+#include "modules/model/json/named_values.h"
 
 namespace hemlockdoor::model {
 
 namespace {
 
-template <typename Value>
-struct NamedValue {
-  Value value;
-  std::string_view name;
-};
-
 constexpr std::array<NamedValue<Adjacency>, 4> kAdjacencyNames = {{
     {Adjacency::kAny, "any"},
     {Adjacency::kWorker, "worker"},
@@ -36,27 +31,6 @@
     {JobState::kEnded, "ended"},
 }};
 
-template <typename Table, typename Value>
-std::string_view NameOf(const Table& table, Value value) {
-  for (const auto& row : table) {
-    if (row.value == value) {
-      return row.name;
-    }
-  }
-  return "";
-}
-
-template <typename Table>
-auto ValueOf(const Table& table, std::string_view name)
-    -> std::optional<decltype(table[0].value)> {
-  for (const auto& row : table) {
-    if (row.name == name) {
-      return row.value;
-    }
-  }
-  return std::nullopt;
-}
-
 constexpr std::int64_t kMaxDurationMilliseconds =
     std::int64_t{90} * 24 * 3600 * 1000;
 
--- a/modules/model/messages/gang_messages.cc
+++ b/modules/model/messages/gang_messages.cc
@@ -5,17 +5,12 @@
 #include <utility>
 
 #include "modules/model/json/json_reader.h"
+#include "modules/model/json/named_values.h"
 
 namespace hemlockdoor::model {
 
 namespace {
 
-template <typename Value>
-struct NamedValue {
-  Value value;
-  std::string_view name;
-};
-
 constexpr std::array<NamedValue<GangState>, 7> kStateNames = {{
     {GangState::kUnknown, "unknown"},
     {GangState::kReserved, "reserved"},
@@ -32,27 +27,6 @@
     {PreemptAction::kStop, "stop"},
 }};
 
-template <typename Table, typename Value>
-std::string_view NameOf(const Table& table, Value value) {
-  for (const auto& row : table) {
-    if (row.value == value) {
-      return row.name;
-    }
-  }
-  return "";
-}
-
-template <typename Table>
-auto ValueOf(const Table& table, std::string_view name)
-    -> std::optional<decltype(table[0].value)> {
-  for (const auto& row : table) {
-    if (row.name == name) {
-      return row.value;
-    }
-  }
-  return std::nullopt;
-}
-
 template <typename Number>
 std::string Counter(Number number) {
   return std::to_string(number.Number());
--- a/modules/model/messages/messages.cc
+++ b/modules/model/messages/messages.cc
@@ -4,16 +4,13 @@
 #include <string>
 #include <utility>
 
+#include "modules/model/json/named_values.h"
+
 namespace hemlockdoor::model {
 
 namespace {
 
-struct NamedReason {
-  RefusalReason reason;
-  std::string_view name;
-};
-
-constexpr std::array<NamedReason, 9> kReasonNames = {{
+constexpr std::array<NamedValue<RefusalReason>, 9> kReasonNames = {{
     {RefusalReason::kWrongIncarnation, "wrong_incarnation"},
     {RefusalReason::kStaleEpoch, "stale_epoch"},
     {RefusalReason::kStaleRevision, "stale_revision"},
@@ -165,21 +162,11 @@
 }
 
 std::string_view RefusalReasonName(RefusalReason reason) {
-  for (const NamedReason& row : kReasonNames) {
-    if (row.reason == reason) {
-      return row.name;
-    }
-  }
-  return "";
+  return NameOf(kReasonNames, reason);
 }
 
 std::optional<RefusalReason> RefusalReasonFromName(std::string_view name) {
-  for (const NamedReason& row : kReasonNames) {
-    if (row.name == name) {
-      return row.reason;
-    }
-  }
-  return std::nullopt;
+  return ValueOf(kReasonNames, name);
 }
 
 std::string_view ResultCauseName(ResultCause cause) {
--- a/modules/model/model.h
+++ b/modules/model/model.h
@@ -5,6 +5,7 @@
 #include "modules/model/catalogue/catalogue.h"     // IWYU pragma: export
 #include "modules/model/job/job.h"                 // IWYU pragma: export
 #include "modules/model/json/json_reader.h"        // IWYU pragma: export
+#include "modules/model/json/named_values.h"       // IWYU pragma: export
 #include "modules/model/messages/gang_messages.h"  // IWYU pragma: export
 #include "modules/model/messages/messages.h"       // IWYU pragma: export
 #include "modules/model/worker/worker.h"           // IWYU pragma: export
