Name the instance of the demo upstream

Cause: agents believe that a task was never started only from the instance they started it on, and the demo upstream named none, so a lost start ended as unknown.

--- a/modules/cli/standalone/demo_upstream.cc
+++ b/modules/cli/standalone/demo_upstream.cc
@@ -13,6 +13,9 @@
 
 constexpr core::Duration kReportRetry = core::Duration::Milliseconds(300);
 constexpr std::string_view kTasksPrefix = "/tasks/";
+/// Agent and upstream are one process here, so a restart of the upstream alone
+/// cannot happen and the instance needs no random part.
+constexpr const char* kInstance = "standalone";
 constexpr const char* kEcho = "echo";
 constexpr const char* kSleep = "sleep";
 constexpr int kMaxSleepMs = 3'600'000;
@@ -106,7 +109,9 @@
   call.endpoint = this->agent_endpoint;
   call.method = wire::HttpMethod::kPut;
   call.target = "/upstream/v1/announce";
-  call.body = model::DumpJson(model::WorkerShapeToJson(Shape()));
+  nlohmann::json announcement = model::WorkerShapeToJson(Shape());
+  announcement["instance"] = kInstance;
+  call.body = model::DumpJson(announcement);
   call.timeout = model::kAnnouncePeriod;
   // A lost announcement is made good by the next one.
   this->client.Send(call, [](const core::Expected<wire::HttpResponse>&) {});
@@ -245,6 +250,7 @@
 
 nlohmann::json DemoUpstream::Describe(const TaskKey& key, const Task& task) {
   nlohmann::json document;
+  document["instance"] = kInstance;
   document["job"] = key.job;
   document["attempt"] = std::to_string(key.attempt);
   document["member"] = key.member;
