--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -13,11 +13,15 @@
   target_precompile_headers(${target} PRIVATE ${headers})
 endfunction()
 
-# hemlockdoor_module(NAME [DEPENDS modules...] [LIBRARIES libs...] [PCH kind]
-#   [QT]): static library of modules/NAME and its unit test program.
+# hemlockdoor_module(NAME [FOLDER folder] [DEPENDS modules...] [LIBRARIES
+#   libs...] [PCH kind] [QT]): static library of FOLDER (modules/NAME) and its
+#   unit test program.
 function(hemlockdoor_module name)
-  cmake_parse_arguments(arg "QT" "PCH" "DEPENDS;LIBRARIES" ${ARGN})
-  file(GLOB_RECURSE sources CONFIGURE_DEPENDS modules/${name}/*.cc)
+  cmake_parse_arguments(arg "QT" "PCH;FOLDER" "DEPENDS;LIBRARIES" ${ARGN})
+  if(NOT arg_FOLDER)
+    set(arg_FOLDER modules/${name})
+  endif()
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${arg_FOLDER}/*.cc)
   set(tests ${sources})
   list(FILTER sources EXCLUDE REGEX "_test\\.cc$")
   list(FILTER tests INCLUDE REGEX "_test\\.cc$")
@@ -34,7 +38,7 @@
     add_library(hemlockdoor_${name} INTERFACE)
     target_link_libraries(hemlockdoor_${name} INTERFACE ${libraries})
   endif()
-  if(tests)
+  if(tests AND HEMLOCKDOOR_TESTS)
     set(main tests/support/plain_test_main.cc)
     if(arg_QT)
       set(main tests/support/qt_test_main.cc)
--- /dev/null
+++ b/modules/batch/batch.h
@@ -0,0 +1,17 @@
+// Jobs of steps: model, planner, agents' state, and the processes' flows.
+#pragma once
+
+#include "modules/batch/agent/worker_supervisor.h"
+#include "modules/batch/model/configuration.h"
+#include "modules/batch/model/ids.h"
+#include "modules/batch/model/job_spec.h"
+#include "modules/batch/model/messages.h"
+#include "modules/batch/planner/fleet.h"
+#include "modules/batch/planner/job_state.h"
+#include "modules/batch/planner/placement.h"
+#include "modules/batch/planner/planner.h"
+#include "modules/batch/process/agent_service.h"
+#include "modules/batch/process/configuration_watch.h"
+#include "modules/batch/process/entry_service.h"
+#include "modules/batch/process/hosted_settings.h"
+#include "modules/batch/process/planner_service.h"
--- /dev/null
+++ b/modules/batch/planner/fleet.cc
@@ -0,0 +1,18 @@
+#include "modules/batch/planner/fleet.h"
+
+namespace hemlockdoor::batch {
+
+bool AgentView::IsUsable(core::TimePoint now) const {
+  return this->worker && this->worker->state == WorkerState::kReady &&
+         this->worker_reachable && this->is_recorded && this->has_reported &&
+         !this->is_lost && !this->needs_probe &&
+         now < this->last_contact + kContactTimeout &&
+         now >= this->suspended_until;
+}
+
+std::uint64_t AgentView::Acknowledgeable() const {
+  return this->pending_ends.empty() ? this->applied_end
+                                    : this->pending_ends.front().number - 1;
+}
+
+}  // namespace hemlockdoor::batch
--- /dev/null
+++ b/modules/batch/planner/job_state.cc
@@ -0,0 +1,110 @@
+#include "modules/batch/planner/job_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockdoor::batch {
+
+Job Job::Create(JobRecord job_record, const ProgressRecord* progress) {
+  Job job;
+  job.record = std::move(job_record);
+  const int occurrences = std::max(1, job.record.spec.occurrences);
+  const auto steps = static_cast<int>(job.record.spec.steps.size());
+  for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
+    for (int step = 0; step < steps; ++step) {
+      const StepSpec& spec =
+          job.record.spec.steps[static_cast<std::size_t>(step)];
+      job.first_units[{occurrence, step}] = job.units.size();
+      const int size = spec.gang ? spec.count : 1;
+      for (int first = 0; first < spec.count; first += size) {
+        Unit unit;
+        unit.occurrence = occurrence;
+        unit.step = step;
+        unit.first = first;
+        unit.size = size;
+        job.units.push_back(unit);
+      }
+    }
+  }
+  if (progress == nullptr) {
+    return job;
+  }
+  job.outcome = progress->outcome;
+  job.started = progress->highest_run > 0;
+  for (Unit& unit : job.units) {
+    unit.highest_run = progress->highest_run;
+  }
+  for (const TaskName& task : progress->done) {
+    if (Unit* unit = job.FindUnit(task)) {
+      unit->phase = UnitPhase::kDone;
+    }
+  }
+  for (const FailedRuns& failed : progress->failed) {
+    if (Unit* unit = job.FindUnit(failed.task)) {
+      unit->failed_runs.insert(failed.runs.begin(), failed.runs.end());
+    }
+  }
+  for (const SavedCheckpoint& saved : progress->checkpoints) {
+    if (Unit* unit = job.FindUnit(saved.task)) {
+      unit->checkpoint = saved.checkpoint;
+    }
+  }
+  return job;
+}
+
+Unit* Job::FindUnit(const TaskName& task) {
+  const auto found = this->first_units.find({task.occurrence, task.step});
+  if (found == this->first_units.end()) {
+    return nullptr;
+  }
+  const StepSpec& step =
+      this->record.spec.steps[static_cast<std::size_t>(task.step)];
+  if (task.index < 0 || task.index >= step.count) {
+    return nullptr;
+  }
+  const std::size_t offset =
+      step.gang ? 0 : static_cast<std::size_t>(task.index);
+  return &this->units[found->second + offset];
+}
+
+ProgressRecord Job::Progress(std::int64_t wall_ms) const {
+  ProgressRecord progress;
+  progress.job = this->record.spec.id;
+  progress.outcome = this->outcome;
+  progress.ended_wall_ms = this->outcome == JobOutcome::kOpen ? 0 : wall_ms;
+  for (const Unit& unit : this->units) {
+    const TaskName task = this->NameOf(unit, unit.first);
+    progress.highest_run = std::max(progress.highest_run, unit.highest_run);
+    if (unit.phase == UnitPhase::kDone) {
+      progress.done.push_back(task);
+      continue;
+    }
+    if (!unit.failed_runs.empty()) {
+      progress.failed.push_back(
+          {task, {unit.failed_runs.begin(), unit.failed_runs.end()}});
+    }
+    if (!unit.checkpoint.empty()) {
+      progress.checkpoints.push_back({task, unit.checkpoint});
+    }
+  }
+  return progress;
+}
+
+bool Job::IsStepDone(int occurrence, int step) const {
+  const auto found = this->first_units.find({occurrence, step});
+  if (found == this->first_units.end()) {
+    return false;
+  }
+  for (std::size_t i = found->second; i < this->units.size(); ++i) {
+    const Unit& unit = this->units[i];
+    if (unit.occurrence != occurrence || unit.step != step) {
+      break;
+    }
+    if (unit.phase != UnitPhase::kDone) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace hemlockdoor::batch
--- /dev/null
+++ b/modules/batch/planner/planner.h
@@ -0,0 +1,169 @@
+// The planner: which task starts where, what is stopped, what is recorded.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/batch/model/configuration.h"
+#include "modules/batch/model/messages.h"
+#include "modules/batch/planner/fleet.h"
+#include "modules/batch/planner/job_state.h"
+#include "modules/batch/planner/placement.h"
+#include "modules/core/core.h"
+
+namespace hemlockdoor::batch {
+
+/// Times that depend on the deployment.
+struct PlannerOptions {
+  /// How long an agent may keep a worker's lease alive without the planner.
+  core::Duration term = core::Duration::Seconds(5);
+  /// How long the state of an ended job is kept.
+  core::Duration retention = core::Duration::Seconds(150);
+  /// Internal endpoint of this planner.
+  std::string endpoint;
+};
+
+/// One decision, for the log.
+struct DecisionNote {
+  std::string event;
+  core::JobId job;
+  /// "name=value" pairs: what decided it.
+  std::string detail;
+};
+
+/// Orders for one agent.
+struct AgentOrders {
+  core::AgentId agent;
+  std::string endpoint;
+  OrderBatch batch;
+};
+
+/// Progress to be stored, with the version that it brings up to date.
+struct ProgressWrite {
+  ProgressRecord record;
+  std::uint64_t version = 0;
+};
+
+/// What callers see of a job.
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+
+/// The decisions of one term: pure, driven by events with their time. The
+/// owner carries out what `Decide` and the `Take` functions return.
+class Planner {
+ public:
+  explicit Planner(PlannerOptions planner_options)
+      : options(std::move(planner_options)) {}
+
+  /// Starts a term. Tasks of jobs known now may run on any of `members`; they
+  /// start again only when each has reported or its leases are over.
+  void BeginTerm(core::SchedulingEpoch new_epoch,
+                 const std::vector<MemberRecord>& members,
+                 core::TimePoint now);
+  /// A job found in the store when the term began.
+  void LoadJob(JobRecord record,
+               const ProgressRecord* progress,
+               bool cancelled,
+               core::TimePoint now,
+               std::int64_t wall_ms);
+  /// A job accepted since; known ones are ignored.
+  void AddJob(JobRecord record, core::TimePoint now);
+  void CancelJob(const core::JobId& job, core::TimePoint now);
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+
+  /// An agent's report, brought by itself or as the answer to orders.
+  ReportAnswer OnReport(const AgentReport& report, core::TimePoint now);
+  /// Orders to an agent got no answer: what they did is not known.
+  void OnOrdersUnanswered(const core::AgentId& agent, core::TimePoint now);
+  /// The agent answered the batch that was open.
+  void OnOrdersAnswered(const core::AgentId& agent);
+  /// The stored member list now holds these agents.
+  void OnMembersRecorded(const std::vector<MemberRecord>& members);
+  void OnProgressRecorded(const core::JobId& job, std::uint64_t version);
+
+  /// Decides what to do now; `wall_ms` is for due times. At most one batch an
+  /// agent is open at a time.
+  std::vector<AgentOrders> Decide(core::TimePoint now, std::int64_t wall_ms);
+  /// Progress that is due to be stored, at most `limit` records.
+  std::vector<ProgressWrite> TakeProgress(core::TimePoint now,
+                                          std::int64_t wall_ms,
+                                          std::size_t limit);
+  /// Ended jobs that nobody needs any more; they are forgotten here.
+  std::vector<core::JobId> TakeExpired(core::TimePoint now);
+  /// The member list when it differs from the stored one.
+  std::optional<std::vector<MemberRecord>> ChangedMembers(
+      core::TimePoint now) const;
+  std::vector<DecisionNote> TakeNotes() {
+    return std::exchange(this->notes, {});
+  }
+
+  std::optional<JobState> StateOf(const core::JobId& job) const;
+  /// Accepted jobs of the queue, without due times, that have not begun.
+  std::size_t Waiting(const QueueName& queue) const;
+  core::SchedulingEpoch Epoch() const { return this->epoch; }
+  const Fleet& Agents() const { return this->fleet; }
+  const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
+
+ private:
+  AgentView& ViewOf(const AgentReport& report, core::TimePoint now);
+  void TakeWorker(AgentView& view, const AgentReport& report);
+  void TakeEnds(AgentView& view,
+                const AgentReport& report,
+                core::TimePoint now);
+  void TakeActive(AgentView& view,
+                  const AgentReport& report,
+                  core::TimePoint now);
+  void TakeMissing(AgentView& view,
+                   const AgentReport& report,
+                   core::TimePoint now);
+  void ApplyEnd(AgentView& view, const RunEnd& end, core::TimePoint now);
+  void OnDone(Job& job, Unit& unit, core::TimePoint now);
+  void OnFailedRun(Job& job,
+                   Unit& unit,
+                   AgentView& view,
+                   const RunEnd& end,
+                   core::TimePoint now);
+  void RemoveMembers(AgentView& view, bool all, core::TimePoint now);
+  void AfterMembersLeft(Job& job, Unit& unit, core::TimePoint now);
+  void StopUnit(Unit& unit);
+  void EndJob(Job& job, JobOutcome outcome, core::TimePoint now);
+  void Change(Job& job, core::TimePoint now);
+  void DropLost(core::TimePoint now);
+  void ReleaseReservation(Unit& unit);
+  void UpdatePhases(core::TimePoint now, std::int64_t wall_ms);
+  void CheckGangs();
+  void Schedule(core::TimePoint now);
+  bool TryStart(Job& job, Unit& unit, core::TimePoint now);
+  bool TryPreempt(Job& job,
+                  Unit& unit,
+                  const PlacementRequest& request,
+                  core::TimePoint now);
+  PlacementRequest RequestFor(const Job& job,
+                              const Unit& unit,
+                              core::TimePoint now) const;
+  void Assign(Job& job,
+              Unit& unit,
+              const std::vector<core::AgentId>& agents,
+              core::TimePoint now);
+  std::vector<Victim> VictimsFor(const Job& job, core::TimePoint now);
+  std::vector<AgentOrders> CollectOrders(core::TimePoint now);
+  void RecountUsage();
+  bool IsRecovering(core::TimePoint now) const;
+  void Note(std::string event, const core::JobId& job, std::string detail);
+
+  PlannerOptions options;
+  core::SchedulingEpoch epoch;
+  core::TimePoint recovery_ends;
+  std::shared_ptr<const Configuration> configuration =
+      std::make_shared<const Configuration>();
+  Fleet fleet;
+  std::map<core::JobId, Job> jobs;
+  std::vector<MemberRecord> recorded_members;
+  std::vector<DecisionNote> notes;
+};
+
+}  // namespace hemlockdoor::batch
--- /dev/null
+++ b/modules/batch/process/entry_service.h
@@ -0,0 +1,394 @@
+// What an entry does for callers and for the other instances.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "modules/batch/process/planner_service.h"
+
+namespace hemlockdoor::batch {
+
+/// How a job was taken.
+enum class SubmitResult {
+  kAccepted,   ///< Stored; also when it was stored before.
+  kNotStored,  ///< Provably not stored: it will never run.
+  kUnknown,    ///< May be stored; the caller asks again with the same id.
+  kConflict,   ///< The id belongs to another organisation's job.
+};
+
+/// How a cancellation was taken.
+enum class CancelResult { kCancelled, kNoSuchJob, kUnavailable };
+
+/// State of a job, or why it is not known.
+enum class LookupError { kNoSuchJob, kUnavailable };
+
+/// Callers' requests against the store and the planner. Lives on one event
+/// loop.
+template <store::KeyValueStore Store>
+class EntryService {
+ public:
+  EntryService(PlannerServiceOptions options, Store& store_adapter)
+      : adapter(store_adapter), planning(std::move(options), store_adapter) {}
+
+  PlannerService<Store>& Planning() { return this->planning; }
+
+  /// Stores the job. Commits again after a lost answer until `deadline`: the
+  /// condition lets only one of the commits take effect.
+  void Submit(std::shared_ptr<const JobRecord> record,
+              core::TimePoint deadline,
+              std::function<void(SubmitResult)> done) {
+    this->TrySubmit(std::move(record), deadline, false, std::move(done));
+  }
+
+  /// Stores the cancellation of a job that exists.
+  void Cancel(const core::JobId& job, std::function<void(CancelResult)> done) {
+    this->adapter.Get(
+        store_keys::JobKey(job),
+        [this, job, done = std::move(done)](
+            const core::Expected<std::optional<store::KeyValue>>& item) {
+          if (!item) {
+            done(CancelResult::kUnavailable);
+          } else if (!*item) {
+            done(CancelResult::kNoSuchJob);
+          } else {
+            this->StoreCancellation(job, done);
+          }
+        });
+  }
+
+  /// The state as the planner knows it, else as the store does.
+  void FindState(
+      const core::JobId& job,
+      std::function<void(tl::expected<JobState, LookupError>)> done) {
+    this->AskPlanner(
+        internal_api::kState + std::string("?") + job.Text(),
+        [job](Planner& planner) -> std::optional<std::string> {
+          const std::optional<JobState> state = planner.StateOf(job);
+          return state ? std::optional(StateText(*state)) : std::nullopt;
+        },
+        [this, job, done = std::move(done)](std::optional<std::string> text) {
+          const std::optional<JobState> state =
+              text ? StateFromText(*text) : std::nullopt;
+          if (state) {
+            done(*state);
+          } else {
+            this->ReadState(job, done);
+          }
+        });
+  }
+
+  /// Length of a queue; nothing while no planner answers.
+  void CountWaiting(const QueueName& queue,
+                    std::function<void(std::optional<std::size_t>)> done) {
+    this->AskPlanner(
+        internal_api::kWaiting + std::string("?") + queue.Text(),
+        [queue](Planner& planner) -> std::optional<std::string> {
+          return std::to_string(planner.Waiting(queue));
+        },
+        [done = std::move(done)](std::optional<std::string> text) {
+          done(text ? std::optional<std::size_t>(
+                          std::strtoull(text->c_str(), nullptr, 10))
+                    : std::nullopt);
+        });
+  }
+
+  /// Answers a call of another instance; false when the path is not one of
+  /// the internal ones.
+  bool HandleInternal(const wire::HttpRequest& request,
+                      const wire::HttpResponder& responder) {
+    wire::HttpResponse response;
+    if (request.path == internal_api::kReport) {
+      response = this->AnswerReport(request);
+    } else if (request.path == internal_api::kSubmitted) {
+      const core::Expected<JobRecord> record = JobRecordFromText(request.body);
+      if (record) {
+        this->planning.OnSubmitted(*record);
+      }
+      response.status =
+          record ? wire::http_status::kOk : wire::http_status::kBadRequest;
+    } else if (request.path == internal_api::kCancelled) {
+      this->planning.OnCancelled(core::JobId(request.body));
+    } else if (request.path == internal_api::kState) {
+      response = this->AnswerFromPlanner(
+          [&request](Planner& planner) -> std::optional<std::string> {
+            const auto state = planner.StateOf(core::JobId(request.query));
+            return state ? std::optional(StateText(*state)) : std::nullopt;
+          });
+    } else if (request.path == internal_api::kWaiting) {
+      response = this->AnswerFromPlanner(
+          [&request](Planner& planner) -> std::optional<std::string> {
+            return std::to_string(planner.Waiting(QueueName(request.query)));
+          });
+    } else {
+      return false;
+    }
+    responder.Respond(std::move(response));
+    return true;
+  }
+
+  static std::string StateText(JobState state) {
+    switch (state) {
+      case JobState::kQueued:
+        return "queued";
+      case JobState::kRunning:
+        return "running";
+      case JobState::kCompleted:
+        return "completed";
+      case JobState::kFailed:
+        return "failed";
+      case JobState::kCancelled:
+        break;
+    }
+    return "cancelled";
+  }
+
+ private:
+  using Query = std::function<std::optional<std::string>(Planner&)>;
+  using TextDone = std::function<void(std::optional<std::string>)>;
+
+  /// The planner answers from memory.
+  static constexpr core::Duration kPlannerTimeout =
+      core::Duration::Milliseconds(400);
+  static constexpr core::Duration kCommitPause =
+      core::Duration::Milliseconds(100);
+
+  static std::optional<JobState> StateFromText(const std::string& text) {
+    for (const JobState state :
+         {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
+          JobState::kFailed, JobState::kCancelled}) {
+      if (StateText(state) == text) {
+        return state;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void TrySubmit(std::shared_ptr<const JobRecord> record,
+                 core::TimePoint deadline,
+                 bool may_be_stored,
+                 std::function<void(SubmitResult)> done) {
+    const std::string key = store_keys::JobKey(record->spec.id);
+    store::Transaction transaction;
+    transaction.compares = {{key, store::ModRevision()}};
+    transaction.writes = {{key, ToText(*record), std::nullopt}};
+    this->adapter.Commit(
+        transaction,
+        [this, record, deadline, may_be_stored, done = std::move(done)](
+            const core::Expected<store::TransactionResult>& outcome) mutable {
+          if (outcome && outcome->succeeded) {
+            this->Announce(internal_api::kSubmitted, ToText(*record));
+            this->planning.OnSubmitted(*record);
+            done(SubmitResult::kAccepted);
+          } else if (outcome) {
+            this->CompareStored(record, std::move(done));
+          } else {
+            const bool lost = may_be_stored ||
+                              outcome.error().code == core::ErrorCode::kTimeout;
+            this->AfterFailedSubmit(record, deadline, lost, std::move(done));
+          }
+        });
+  }
+
+  void AfterFailedSubmit(std::shared_ptr<const JobRecord> record,
+                         core::TimePoint deadline,
+                         bool may_be_stored,
+                         std::function<void(SubmitResult)> done) {
+    if (!may_be_stored) {
+      done(SubmitResult::kNotStored);
+      return;
+    }
+    if (core::Clock::Now() + kCommitPause >= deadline) {
+      done(SubmitResult::kUnknown);
+      return;
+    }
+    wire::RunLater(&this->context, kCommitPause,
+                   [this, record, deadline, done = std::move(done)]() mutable {
+                     this->TrySubmit(record, deadline, true, std::move(done));
+                   });
+  }
+
+  /// The key exists: the same job again, or another organisation's.
+  void CompareStored(std::shared_ptr<const JobRecord> record,
+                     std::function<void(SubmitResult)> done) {
+    this->adapter.Get(
+        store_keys::JobKey(record->spec.id),
+        [record, done = std::move(done)](
+            const core::Expected<std::optional<store::KeyValue>>& item) {
+          if (!item || !*item) {
+            done(SubmitResult::kUnknown);
+            return;
+          }
+          const core::Expected<JobRecord> stored =
+              JobRecordFromText((*item)->value);
+          const bool same =
+              stored && stored->organisation == record->organisation;
+          done(same ? SubmitResult::kAccepted : SubmitResult::kConflict);
+        });
+  }
+
+  void StoreCancellation(const core::JobId& job,
+                         const std::function<void(CancelResult)>& done) {
+    store::Transaction transaction;
+    transaction.writes = {
+        {store_keys::CancellationKey(job), "1", std::nullopt}};
+    this->adapter.Commit(
+        transaction,
+        [this, job, done](const core::Expected<store::TransactionResult>& end) {
+          if (!end) {
+            done(CancelResult::kUnavailable);
+            return;
+          }
+          this->Announce(internal_api::kCancelled, job.Text());
+          this->planning.OnCancelled(job);
+          done(CancelResult::kCancelled);
+        });
+  }
+
+  /// Tells the planner at once; its watch is the second way.
+  void Announce(const char* path, const std::string& body) {
+    const std::string planner = this->planning.PlannerEndpoint();
+    const core::Expected<wire::Endpoint> endpoint =
+        wire::Endpoint::Parse(planner);
+    if (!endpoint || this->planning.IsSelf(planner)) {
+      return;
+    }
+    wire::HttpCall call;
+    call.endpoint = *endpoint;
+    call.method = wire::HttpMethod::kPost;
+    call.target = path;
+    call.body = body;
+    call.timeout = kPlannerTimeout;
+    this->client.Send(call, [](const core::Expected<wire::HttpResponse>& end) {
+      if (!end) {
+        observe::Log(observe::LogLevel::kWarn,
+                     "planner not told: " + end.error().message, {},
+                     {{"event", "announce_failed"}});
+      }
+    });
+  }
+
+  void AskPlanner(const std::string& target,
+                  const Query& query,
+                  TextDone done) {
+    if (Planner* active = this->planning.Active()) {
+      done(query(*active));
+      return;
+    }
+    const std::string planner = this->planning.PlannerEndpoint();
+    const core::Expected<wire::Endpoint> endpoint =
+        wire::Endpoint::Parse(planner);
+    if (!endpoint || this->planning.IsSelf(planner)) {
+      done(std::nullopt);
+      return;
+    }
+    wire::HttpCall call;
+    call.endpoint = *endpoint;
+    call.target = target;
+    call.timeout = kPlannerTimeout;
+    this->client.Send(call, [done = std::move(done)](
+                                const core::Expected<wire::HttpResponse>& end) {
+      const bool ok = end && end->status == wire::http_status::kOk;
+      done(ok ? std::optional(end->body) : std::nullopt);
+    });
+  }
+
+  void ReadState(
+      const core::JobId& job,
+      const std::function<void(tl::expected<JobState, LookupError>)>& done) {
+    this->adapter.Get(
+        store_keys::JobKey(job),
+        [this, job,
+         done](const core::Expected<std::optional<store::KeyValue>>& item) {
+          if (!item || !*item) {
+            done(tl::unexpected(item ? LookupError::kNoSuchJob
+                                     : LookupError::kUnavailable));
+            return;
+          }
+          // The planner may have missed it; telling it again is harmless.
+          this->Announce(internal_api::kSubmitted, (*item)->value);
+          this->ReadProgress(job, done);
+        });
+  }
+
+  void ReadProgress(
+      const core::JobId& job,
+      const std::function<void(tl::expected<JobState, LookupError>)>& done) {
+    this->adapter.Get(
+        store_keys::ProgressKey(job),
+        [done](const core::Expected<std::optional<store::KeyValue>>& item) {
+          if (!item) {
+            done(tl::unexpected(LookupError::kUnavailable));
+            return;
+          }
+          if (!*item) {
+            done(JobState::kQueued);
+            return;
+          }
+          const core::Expected<ProgressRecord> progress =
+              ProgressFromText((*item)->value);
+          done(progress ? StateOfOutcome(progress->outcome)
+                        : JobState::kRunning);
+        });
+  }
+
+  static JobState StateOfOutcome(JobOutcome outcome) {
+    switch (outcome) {
+      case JobOutcome::kOpen:
+        break;
+      case JobOutcome::kCompleted:
+        return JobState::kCompleted;
+      case JobOutcome::kFailed:
+        return JobState::kFailed;
+      case JobOutcome::kCancelled:
+        return JobState::kCancelled;
+    }
+    return JobState::kRunning;
+  }
+
+  wire::HttpResponse AnswerReport(const wire::HttpRequest& request) {
+    const core::Expected<AgentReport> report = ReportFromText(request.body);
+    wire::HttpResponse response;
+    if (!report) {
+      response.status = wire::http_status::kBadRequest;
+      return response;
+    }
+    const std::optional<ReportAnswer> answer = this->planning.OnReport(*report);
+    if (!answer) {
+      return this->NotPlanner();
+    }
+    response.body = ToText(*answer);
+    return response;
+  }
+
+  wire::HttpResponse AnswerFromPlanner(const Query& query) {
+    Planner* active = this->planning.Active();
+    if (active == nullptr) {
+      return this->NotPlanner();
+    }
+    const std::optional<std::string> text = query(*active);
+    wire::HttpResponse response;
+    response.status =
+        text ? wire::http_status::kOk : wire::http_status::kNotFound;
+    response.body = text.value_or("");
+    return response;
+  }
+
+  wire::HttpResponse NotPlanner() {
+    wire::HttpResponse response;
+    response.status = internal_api::kNotPlanner;
+    response.body = this->planning.PlannerEndpoint();
+    return response;
+  }
+
+  Store& adapter;
+  PlannerService<Store> planning;
+  wire::HttpClient client;
+  QObject context;
+};
+
+}  // namespace hemlockdoor::batch
--- /dev/null
+++ b/modules/batch/process/hosted_settings.cc
@@ -0,0 +1,112 @@
+#include "modules/batch/process/hosted_settings.h"
+
+#include "modules/model/model.h"
+#include "modules/observe/observe.h"
+#include "modules/settings/settings.h"
+#include "modules/wire/wire.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+constexpr std::size_t kMaxSettingsBytes = 256U * 1024U;
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::int64_t kMaxMilliseconds = 600'000;
+
+std::string RequiredEndpoint(model::JsonReader& reader,
+                             const std::string& name) {
+  std::string text = reader.RequiredString(name);
+  const core::Expected<wire::Endpoint> endpoint = wire::Endpoint::Parse(text);
+  if (!endpoint) {
+    reader.Fail(name, endpoint.error().message);
+  }
+  return text;
+}
+
+core::Duration RequiredMilliseconds(model::JsonReader& reader,
+                                    const std::string& name) {
+  return core::Duration::Milliseconds(
+      reader.RequiredInteger(name, {1, kMaxMilliseconds}));
+}
+
+void ReadCommon(model::JsonReader& reader, HostedCommonSettings& common) {
+  common.node = reader.RequiredString("node");
+  common.data_centre = core::DataCentreId(reader.RequiredString("data_centre"));
+  common.address = reader.RequiredString("address");
+  common.metrics_port = static_cast<std::uint16_t>(
+      reader.OptionalInteger("metrics_port", 0, {0, kMaxPort}));
+  common.log_level = reader.OptionalString("log_level", "info");
+  if (!observe::LogLevelFromName(common.log_level)) {
+    reader.Fail("log_level", "expected debug, info, warn or error, got \"" +
+                                 common.log_level + "\"");
+  }
+  common.stop_grace = RequiredMilliseconds(reader, "stop_grace_ms");
+  reader.EachElement(
+      "entries",
+      [&common](const nlohmann::json& element,
+                const std::string& path) -> core::Expected<void> {
+        if (!element.is_string() ||
+            !wire::Endpoint::Parse(element.get<std::string>())) {
+          return core::MakeError(core::ErrorCode::kInvalidArgument,
+                                 "expected ADDRESS:PORT", path);
+        }
+        common.entries.push_back(element.get<std::string>());
+        return {};
+      });
+}
+
+/// Reads the file and lets `read` take the fields of its object.
+template <typename Settings, typename Read>
+core::Expected<Settings> Load(const std::string& file, Read read) {
+  const core::Expected<std::string> text =
+      settings::ReadTextFile(file, kMaxSettingsBytes);
+  if (!text) {
+    return tl::unexpected<core::Error>(text.error());
+  }
+  const core::Expected<nlohmann::json> document =
+      settings::ParseDocument(*text, file);
+  if (!document) {
+    return tl::unexpected<core::Error>(document.error());
+  }
+  Settings loaded;
+  model::JsonReader reader(*document, "$");
+  ReadCommon(reader, loaded.common);
+  read(reader, loaded);
+  if (const core::Expected<void> end = reader.Finish(); !end) {
+    core::Error error = end.error();
+    error.path = file + ": " + error.path;
+    return tl::unexpected<core::Error>(std::move(error));
+  }
+  return loaded;
+}
+
+}  // namespace
+
+core::Expected<HostedEntrySettings> LoadHostedEntrySettings(
+    const std::string& file) {
+  return Load<HostedEntrySettings>(file, [](model::JsonReader& reader,
+                                            HostedEntrySettings& loaded) {
+    loaded.caller_endpoint = RequiredEndpoint(reader, "caller_endpoint");
+    loaded.readiness_endpoint = RequiredEndpoint(reader, "readiness_endpoint");
+    loaded.internal_endpoint = RequiredEndpoint(reader, "internal_endpoint");
+    loaded.store_endpoint = RequiredEndpoint(reader, "store_endpoint");
+    loaded.min_store_lease = RequiredMilliseconds(reader, "min_store_lease_ms");
+    loaded.max_worker_lease =
+        RequiredMilliseconds(reader, "max_worker_lease_ms");
+  });
+}
+
+core::Expected<HostedAgentSettings> LoadHostedAgentSettings(
+    const std::string& file) {
+  return Load<HostedAgentSettings>(
+      file, [](model::JsonReader& reader, HostedAgentSettings& loaded) {
+        loaded.announcement_endpoint =
+            RequiredEndpoint(reader, "announcement_endpoint");
+        loaded.orders_port = static_cast<std::uint16_t>(
+            reader.RequiredInteger("orders_port", {1, kMaxPort}));
+        loaded.worker_endpoint = RequiredEndpoint(reader, "worker_endpoint");
+        loaded.service = core::ServiceName(reader.RequiredString("service"));
+      });
+}
+
+}  // namespace hemlockdoor::batch
--- /dev/null
+++ b/modules/batch/process/planner_service.h
@@ -0,0 +1,585 @@
+// Planning ownership and everything that the planner does over the network.
+#pragma once
+
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/batch/planner/planner.h"
+#include "modules/batch/process/internal_api.h"
+#include "modules/batch/process/stable_wall_clock.h"
+#include "modules/batch/process/store_keys.h"
+#include "modules/core/core.h"
+#include "modules/entry/core/planning_ownership.h"
+#include "modules/observe/observe.h"
+#include "modules/store/store.h"
+#include "modules/wire/wire.h"
+
+namespace hemlockdoor::batch {
+
+/// Fixed parameters of one entry's planner.
+struct PlannerServiceOptions {
+  core::EntryId entry;
+  /// Internal endpoint of this entry, "ADDRESS:PORT".
+  std::string endpoint;
+  entry::OwnershipTiming ownership;
+  core::Duration term;
+  /// Internal endpoints of entries, told to agents.
+  std::vector<std::string> entries;
+};
+
+/// Takes part in the election of the planner; while elected, feeds the
+/// `Planner` and carries out its decisions. Lives on one event loop.
+template <store::KeyValueStore Store>
+class PlannerService {
+ public:
+  PlannerService(PlannerServiceOptions service_options, Store& store_adapter)
+      : options(std::move(service_options)),
+        adapter(store_adapter),
+        ownership(options.entry, options.endpoint, options.ownership) {
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->Tick(); });
+    QObject::connect(&this->decide_timer, &QTimer::timeout,
+                     [this] { this->Decide(); });
+    this->decide_timer.setSingleShot(true);
+    this->timer.start(kTickMs);
+  }
+
+  /// The planner when this entry may decide now, else nullptr.
+  Planner* Active() {
+    const bool active = this->loaded && this->planner &&
+                        this->ownership.HoldsLease(core::Clock::Now());
+    return active ? this->planner.get() : nullptr;
+  }
+  /// Endpoint of the planner as last read; empty when unknown.
+  std::string PlannerEndpoint() const {
+    const auto& owner = this->ownership.Owner();
+    return owner ? owner->endpoint : std::string();
+  }
+  bool IsSelf(const std::string& endpoint) const {
+    return endpoint == this->options.endpoint;
+  }
+
+  void SetConfiguration(
+      std::shared_ptr<const Configuration> new_configuration) {
+    this->configuration = std::move(new_configuration);
+    if (this->planner) {
+      this->planner->SetConfiguration(this->configuration);
+      this->DecideSoon();
+    }
+  }
+  void OnSubmitted(const JobRecord& record) {
+    if (Planner* active = this->Active()) {
+      active->AddJob(record, core::Clock::Now());
+      this->DecideSoon();
+    }
+  }
+  void OnCancelled(const core::JobId& job) {
+    if (Planner* active = this->Active()) {
+      active->CancelJob(job, core::Clock::Now());
+      this->DecideSoon();
+    }
+  }
+  /// Nothing when this entry does not plan.
+  std::optional<ReportAnswer> OnReport(const AgentReport& report) {
+    Planner* active = this->Active();
+    if (active == nullptr) {
+      return std::nullopt;
+    }
+    ReportAnswer answer = active->OnReport(report, core::Clock::Now());
+    answer.entries = this->options.entries;
+    this->DecideSoon();
+    return answer;
+  }
+
+  /// Gives the planning lease up at once and takes none any more.
+  void Resign() {
+    this->ownership.Resign();
+    this->timer.stop();
+    if (this->ownership.IsOwner()) {
+      this->adapter.Commit(this->ownership.ReleaseTransaction(),
+                           [](const auto& /*released*/) {});
+      this->EndTerm("resigned");
+    }
+  }
+
+ private:
+  static constexpr int kTickMs = 50;
+  /// Events that arrive together are decided on together.
+  static constexpr int kDecideDelayMs = 2;
+  /// Records in one store call; each takes one condition and one write.
+  static constexpr std::size_t kProgressPerCall = 16;
+  static constexpr core::Duration kOrdersTimeout =
+      core::Duration::Milliseconds(900);
+  static constexpr core::Duration kRetryPause =
+      core::Duration::Milliseconds(200);
+
+  void Tick() {
+    this->RunOwnershipStep();
+    if (this->term_running && !this->ownership.HoldsLease(core::Clock::Now())) {
+      this->EndTerm("lease not renewed in time");
+    }
+    if (this->term_running && !this->loaded && !this->loading &&
+        core::Clock::Now() >= this->load_due) {
+      this->Load();
+    }
+    if (this->Active() != nullptr) {
+      this->DecideSoon();
+    }
+  }
+
+  void RunOwnershipStep() {
+    using entry::OwnershipStep;
+    const core::TimePoint now = core::Clock::Now();
+    switch (this->ownership.NextStep(now)) {
+      case OwnershipStep::kNone:
+        break;
+      case OwnershipStep::kRead:
+        this->adapter.List(
+            entry::PlanningOwnership::kPrefix, [this](const auto& listing) {
+              this->ownership.OnRead(listing, core::Clock::Now());
+            });
+        break;
+      case OwnershipStep::kGrant:
+        this->adapter.GrantLease(
+            this->options.ownership.lease, [this](const auto& granted) {
+              this->ownership.OnGranted(granted, core::Clock::Now());
+            });
+        break;
+      case OwnershipStep::kClaim:
+        this->adapter.Commit(
+            this->ownership.ClaimTransaction(), [this](const auto& claimed) {
+              this->ownership.OnClaimed(claimed, core::Clock::Now());
+              this->CheckTerm();
+            });
+        break;
+      case OwnershipStep::kRenew:
+        this->adapter.KeepAlive(
+            this->ownership.Lease(), [this](const auto& renewed) {
+              this->ownership.OnRenewed(renewed, core::Clock::Now());
+              this->CheckTerm();
+            });
+        break;
+    }
+  }
+
+  void CheckTerm() {
+    const bool holds = this->ownership.HoldsLease(core::Clock::Now());
+    if (holds && !this->term_running) {
+      this->term_running = true;
+      ++this->term_number;
+      observe::Log(
+          observe::LogLevel::kInfo, "planning lease taken", {},
+          {{"event", "planner_elected"},
+           {"epoch", std::to_string(this->ownership.Epoch().Number())}});
+      this->Load();
+    } else if (!this->ownership.IsOwner() && this->term_running) {
+      this->EndTerm("another entry may hold the lease");
+    }
+  }
+
+  void EndTerm(const std::string& reason) {
+    if (!this->term_running) {
+      return;
+    }
+    this->term_running = false;
+    this->loaded = false;
+    this->loading = false;
+    ++this->term_number;
+    if (this->watch) {
+      this->adapter.CancelWatch(*this->watch);
+      this->watch.reset();
+    }
+    this->planner.reset();
+    observe::Log(observe::LogLevel::kWarn, "planning ends: " + reason, {},
+                 {{"event", "planner_ended"}});
+  }
+
+  /// Runs `step` unless the term has ended since.
+  template <typename Step>
+  auto InTerm(Step step) {
+    return [this, term = this->term_number, step](const auto& outcome) {
+      if (term == this->term_number && this->term_running) {
+        step(outcome);
+      }
+    };
+  }
+
+  void Load() {
+    this->loading = true;
+    this->adapter.List(
+        store_keys::kAll,
+        this->InTerm([this](const core::Expected<store::Listing>& listing) {
+          this->loading = false;
+          if (!listing) {
+            this->load_due = core::Clock::Now() + kRetryPause;
+            observe::Log(observe::LogLevel::kWarn,
+                         "cannot read the jobs: " + listing.error().message, {},
+                         {{"event", "load_failed"}});
+            return;
+          }
+          this->TakeListing(*listing);
+        }));
+  }
+
+  void TakeListing(const store::Listing& listing) {
+    const core::TimePoint now = core::Clock::Now();
+    const bool is_first = !this->planner;
+    std::map<std::string, ProgressRecord> progress;
+    std::set<std::string> cancelled;
+    std::vector<MemberRecord> members;
+    std::vector<JobRecord> records;
+    this->revisions.clear();
+    for (const store::KeyValue& item : listing.items) {
+      this->revisions[item.key] = item.mod_revision;
+      this->Classify(item, progress, cancelled, members, records);
+    }
+    if (is_first) {
+      PlannerOptions planner_options;
+      planner_options.term = this->options.term;
+      planner_options.endpoint = this->options.endpoint;
+      this->planner = std::make_unique<Planner>(planner_options);
+      this->planner->SetConfiguration(this->configuration);
+      this->planner->BeginTerm(this->ownership.Epoch(), members, now);
+    }
+    for (JobRecord& record : records) {
+      const core::JobId id = record.spec.id;
+      const bool is_cancelled = cancelled.contains(id.Text());
+      if (!is_first) {
+        this->planner->AddJob(std::move(record), now);
+        if (is_cancelled) {
+          this->planner->CancelJob(id, now);
+        }
+        continue;
+      }
+      const auto found = progress.find(id.Text());
+      this->planner->LoadJob(
+          std::move(record), found == progress.end() ? nullptr : &found->second,
+          is_cancelled, now, this->wall.WallMilliseconds(now));
+    }
+    this->loaded = true;
+    this->StartWatch(listing.revision);
+    this->DecideSoon();
+  }
+
+  void Classify(const store::KeyValue& item,
+                std::map<std::string, ProgressRecord>& progress,
+                std::set<std::string>& cancelled,
+                std::vector<MemberRecord>& members,
+                std::vector<JobRecord>& records) {
+    const auto unreadable = [&item](const core::Error& error) {
+      observe::Log(observe::LogLevel::kError,
+                   "cannot read a stored item: " + error.message, {},
+                   {{"event", "item_unreadable"}, {"key", item.key}});
+    };
+    if (item.key.starts_with(store_keys::kJobs)) {
+      core::Expected<JobRecord> record = JobRecordFromText(item.value);
+      record ? records.push_back(std::move(*record))
+             : unreadable(record.error());
+    } else if (item.key.starts_with(store_keys::kCancellations)) {
+      cancelled.insert(
+          item.key.substr(std::string(store_keys::kCancellations).size()));
+    } else if (item.key.starts_with(store_keys::kProgress)) {
+      core::Expected<ProgressRecord> record = ProgressFromText(item.value);
+      if (record) {
+        progress.insert_or_assign(record->job.Text(), std::move(*record));
+      } else {
+        unreadable(record.error());
+      }
+    } else if (item.key == store_keys::kMembers) {
+      core::Expected<std::vector<MemberRecord>> list =
+          MembersFromText(item.value);
+      if (list) {
+        members = std::move(*list);
+      } else {
+        unreadable(list.error());
+      }
+    }
+  }
+
+  void StartWatch(store::ModRevision revision) {
+    if (this->watch) {
+      this->adapter.CancelWatch(*this->watch);
+    }
+    this->watch = this->adapter.Watch(
+        store_keys::kIntake, revision.Next(),
+        this->InTerm(
+            [this](
+                const core::Expected<std::vector<store::WatchEvent>>& events) {
+              if (!events) {
+                // The listing shows what the watch missed.
+                this->watch.reset();
+                this->load_due = core::Clock::Now() + kRetryPause;
+                this->Reload();
+                return;
+              }
+              for (const store::WatchEvent& event : *events) {
+                this->TakeEvent(event);
+              }
+              this->DecideSoon();
+            }));
+  }
+
+  void Reload() {
+    wire::RunLater(
+        &this->context, kRetryPause, [this, term = this->term_number] {
+          if (term != this->term_number || !this->term_running) {
+            return;
+          }
+          this->adapter.List(
+              store_keys::kAll,
+              this->InTerm(
+                  [this](const core::Expected<store::Listing>& listing) {
+                    if (!listing) {
+                      this->Reload();
+                      return;
+                    }
+                    this->TakeListing(*listing);
+                  }));
+        });
+  }
+
+  void TakeEvent(const store::WatchEvent& event) {
+    const core::TimePoint now = core::Clock::Now();
+    if (!event.value) {
+      return;
+    }
+    if (event.key.starts_with(store_keys::kJobs)) {
+      core::Expected<JobRecord> record = JobRecordFromText(*event.value);
+      if (record) {
+        this->planner->AddJob(std::move(*record), now);
+      }
+    } else if (event.key.starts_with(store_keys::kCancellations)) {
+      const std::size_t start = std::string(store_keys::kCancellations).size();
+      this->planner->CancelJob(core::JobId(event.key.substr(start)), now);
+    }
+  }
+
+  void DecideSoon() {
+    if (!this->decide_timer.isActive()) {
+      this->decide_timer.start(kDecideDelayMs);
+    }
+  }
+
+  void Decide() {
+    Planner* active = this->Active();
+    if (active == nullptr) {
+      return;
+    }
+    const core::TimePoint now = core::Clock::Now();
+    const std::int64_t wall_ms = this->wall.WallMilliseconds(now);
+    for (AgentOrders& orders : active->Decide(now, wall_ms)) {
+      this->SendOrders(std::move(orders));
+    }
+    for (const DecisionNote& note : active->TakeNotes()) {
+      observe::LogContext log_context;
+      log_context.job = note.job;
+      observe::Log(observe::LogLevel::kInfo, note.detail, log_context,
+                   {{"event", note.event}});
+    }
+    this->StoreMembers(*active, now);
+    this->StoreProgress(*active, now, wall_ms);
+    this->RemoveExpired(*active, now);
+  }
+
+  void SendOrders(AgentOrders orders) {
+    const core::Expected<wire::Endpoint> endpoint =
+        wire::Endpoint::Parse(orders.endpoint);
+    if (!endpoint) {
+      observe::Log(observe::LogLevel::kError, endpoint.error().message, {},
+                   {{"event", "agent_endpoint_invalid"}});
+      this->planner->OnOrdersUnanswered(orders.agent, core::Clock::Now());
+      return;
+    }
+    wire::HttpCall call;
+    call.endpoint = *endpoint;
+    call.method = wire::HttpMethod::kPost;
+    call.target = internal_api::kOrders;
+    call.body = ToText(orders.batch);
+    call.timeout = kOrdersTimeout;
+    call.single_send = true;
+    this->client.Send(
+        call,
+        this->InTerm([this, agent = orders.agent](
+                         const core::Expected<wire::HttpResponse>& answer) {
+          const core::TimePoint now = core::Clock::Now();
+          const core::Expected<AgentReport> report =
+              answer && answer->status == wire::http_status::kOk
+                  ? ReportFromText(answer->body)
+                  : core::MakeError(
+                        core::ErrorCode::kTimeout,
+                        answer ? "status " + std::to_string(answer->status)
+                               : answer.error().message);
+          if (!report) {
+            observe::Log(
+                observe::LogLevel::kWarn,
+                "orders unanswered: " + report.error().message, {},
+                {{"event", "orders_unanswered"}, {"agent", agent.Text()}});
+            this->planner->OnOrdersUnanswered(agent, now);
+          } else if (this->Active() != nullptr) {
+            this->planner->OnOrdersAnswered(agent);
+            this->planner->OnReport(*report, now);
+          }
+          this->DecideSoon();
+        }));
+  }
+
+  void StoreMembers(Planner& active, core::TimePoint now) {
+    if (this->members_open || now < this->members_due) {
+      return;
+    }
+    const std::optional<std::vector<MemberRecord>> members =
+        active.ChangedMembers(now);
+    if (!members) {
+      return;
+    }
+    this->members_open = true;
+    store::Transaction transaction = this->OwnedTransaction();
+    const std::string key = store_keys::kMembers;
+    transaction.compares.push_back({key, this->RevisionOf(key)});
+    transaction.writes.push_back({key, ToText(*members), std::nullopt});
+    this->adapter.Commit(
+        transaction,
+        [this, term = this->term_number, members = *members,
+         key](const core::Expected<store::TransactionResult>& outcome) {
+          this->members_open = false;
+          if (term != this->term_number || !this->planner) {
+            return;
+          }
+          if (outcome && outcome->succeeded) {
+            this->revisions[key] = outcome->revision;
+            this->planner->OnMembersRecorded(members);
+            this->DecideSoon();
+            return;
+          }
+          this->members_due = core::Clock::Now() + kRetryPause;
+          this->RefreshRevisions();
+        });
+  }
+
+  void StoreProgress(Planner& active,
+                     core::TimePoint now,
+                     std::int64_t wall_ms) {
+    if (this->progress_open || now < this->progress_due) {
+      return;
+    }
+    const std::vector<ProgressWrite> writes =
+        active.TakeProgress(now, wall_ms, kProgressPerCall - 1);
+    if (writes.empty()) {
+      return;
+    }
+    this->progress_open = true;
+    store::Transaction transaction = this->OwnedTransaction();
+    std::vector<std::pair<core::JobId, std::uint64_t>> versions;
+    for (const ProgressWrite& write : writes) {
+      const std::string key = store_keys::ProgressKey(write.record.job);
+      transaction.compares.push_back({key, this->RevisionOf(key)});
+      transaction.writes.push_back({key, ToText(write.record), std::nullopt});
+      versions.emplace_back(write.record.job, write.version);
+    }
+    this->adapter.Commit(
+        transaction,
+        [this, term = this->term_number,
+         versions](const core::Expected<store::TransactionResult>& outcome) {
+          this->progress_open = false;
+          if (term != this->term_number || !this->planner) {
+            return;
+          }
+          if (!outcome || !outcome->succeeded) {
+            this->progress_due = core::Clock::Now() + kRetryPause;
+            observe::Log(
+                observe::LogLevel::kWarn,
+                outcome ? "progress conflicts with the store"
+                        : "progress not stored: " + outcome.error().message,
+                {}, {{"event", "progress_failed"}});
+            this->RefreshRevisions();
+            return;
+          }
+          for (const auto& [job, version] : versions) {
+            this->revisions[store_keys::ProgressKey(job)] = outcome->revision;
+            this->planner->OnProgressRecorded(job, version);
+          }
+          this->DecideSoon();
+        });
+  }
+
+  void RemoveExpired(Planner& active, core::TimePoint now) {
+    for (const core::JobId& job : active.TakeExpired(now)) {
+      store::Transaction transaction = this->OwnedTransaction();
+      transaction.writes = {
+          {store_keys::JobKey(job), std::nullopt, std::nullopt},
+          {store_keys::CancellationKey(job), std::nullopt, std::nullopt},
+          {store_keys::ProgressKey(job), std::nullopt, std::nullopt}};
+      this->revisions.erase(store_keys::ProgressKey(job));
+      this->adapter.Commit(transaction, [](const auto& outcome) {
+        if (!outcome) {
+          // The next planner finds the leftover records and removes them.
+          observe::Log(observe::LogLevel::kWarn,
+                       "expired job not removed: " + outcome.error().message,
+                       {}, {{"event", "expiry_failed"}});
+        }
+      });
+    }
+  }
+
+  /// A transaction that fails once another entry owns the planning lease.
+  store::Transaction OwnedTransaction() const {
+    store::Transaction transaction;
+    transaction.compares = {
+        {entry::PlanningOwnership::kOwnerKey, this->ownership.OwnerRevision()}};
+    return transaction;
+  }
+
+  store::ModRevision RevisionOf(const std::string& key) const {
+    const auto found = this->revisions.find(key);
+    return found == this->revisions.end() ? store::ModRevision()
+                                          : found->second;
+  }
+
+  /// A write that got no answer may have taken effect, or may still do so;
+  /// its condition then tells the two apart.
+  void RefreshRevisions() {
+    this->adapter.List(
+        store_keys::kAll,
+        this->InTerm([this](const core::Expected<store::Listing>& listing) {
+          if (!listing) {
+            return;
+          }
+          this->revisions.clear();
+          for (const store::KeyValue& item : listing->items) {
+            this->revisions[item.key] = item.mod_revision;
+          }
+        }));
+  }
+
+  PlannerServiceOptions options;
+  Store& adapter;
+  entry::PlanningOwnership ownership;
+  std::unique_ptr<Planner> planner;
+  std::shared_ptr<const Configuration> configuration =
+      std::make_shared<const Configuration>();
+  StableWallClock wall;
+  wire::HttpClient client;
+  QObject context;
+  QTimer timer;
+  QTimer decide_timer;
+  bool term_running = false;
+  /// Rises when a term begins and when it ends.
+  std::uint64_t term_number = 0;
+  bool loading = false;
+  bool loaded = false;
+  core::TimePoint load_due;
+  std::optional<store::WatchId> watch;
+  std::map<std::string, store::ModRevision> revisions;
+  bool members_open = false;
+  core::TimePoint members_due;
+  bool progress_open = false;
+  core::TimePoint progress_due;
+};
+
+}  // namespace hemlockdoor::batch
--- a/modules/cli/program/command_line.cc
+++ b/modules/cli/program/command_line.cc
@@ -16,6 +16,8 @@
 struct Values {
   EntryCommand entry;
   AgentCommand agent;
+  HostedEntryCommand hosted_entry;
+  HostedAgentCommand hosted_agent;
   StandaloneCommand standalone;
   CheckCommand check;
   PlanCommand plan;
@@ -48,6 +50,12 @@
   AddSettingsOption(
       *app.add_subcommand("agent", "Run an agent beside an upstream"),
       values.agent.settings_file);
+  AddSettingsOption(
+      *app.add_subcommand("hosted-entry", "Run an entry on a hosting platform"),
+      values.hosted_entry.settings_file);
+  AddSettingsOption(
+      *app.add_subcommand("hosted-agent", "Run an agent on a hosting platform"),
+      values.hosted_agent.settings_file);
   CLI::App* standalone = app.add_subcommand(
       "standalone",
       "Run entry, agent and a demo upstream in one process, without a store");
@@ -261,6 +269,12 @@
   if (app.got_subcommand("agent")) {
     return values.agent;
   }
+  if (app.got_subcommand("hosted-entry")) {
+    return values.hosted_entry;
+  }
+  if (app.got_subcommand("hosted-agent")) {
+    return values.hosted_agent;
+  }
   if (app.got_subcommand("standalone")) {
     return values.standalone;
   }
--- a/modules/cli/program/commands.h
+++ b/modules/cli/program/commands.h
@@ -22,6 +22,16 @@
   std::string settings_file;
 };
 
+/// `hosted-entry --settings FILE`.
+struct HostedEntryCommand {
+  std::string settings_file;
+};
+
+/// `hosted-agent --settings FILE`.
+struct HostedAgentCommand {
+  std::string settings_file;
+};
+
 /// `standalone`.
 struct StandaloneCommand {
   /// Port of the entry; 0: the kernel chooses.
@@ -106,6 +116,8 @@
 
 using Command = std::variant<EntryCommand,
                              AgentCommand,
+                             HostedEntryCommand,
+                             HostedAgentCommand,
                              StandaloneCommand,
                              CheckCommand,
                              PlanCommand,
--- a/modules/cli/program/program.cc
+++ b/modules/cli/program/program.cc
@@ -19,10 +19,37 @@
 
 namespace {
 
+/// Invalid settings are wrong usage; what fails later is not.
+ExitCode RunHosted(Console& console,
+                   const HostedRoles::Role& role,
+                   const std::string& settings_file) {
+  if (!role) {
+    return ReportError(console,
+                       {core::ErrorCode::kInvalidArgument,
+                        "this build has no hosting platform",
+                        {}},
+                       ExitCode::kUsage);
+  }
+  const core::Expected<void> end = role(settings_file);
+  if (end) {
+    return ExitCode::kDone;
+  }
+  const bool usage = end.error().code == core::ErrorCode::kInvalidArgument;
+  return ReportError(console, end.error(),
+                     usage ? ExitCode::kUsage : ExitCode::kFailed);
+}
+
 /// Runs one command; each overload is one kind.
 struct CommandRunner {
   Console& console;
+  const HostedRoles& hosted;
 
+  ExitCode operator()(const HostedEntryCommand& command) const {
+    return RunHosted(this->console, this->hosted.entry, command.settings_file);
+  }
+  ExitCode operator()(const HostedAgentCommand& command) const {
+    return RunHosted(this->console, this->hosted.agent, command.settings_file);
+  }
   ExitCode operator()(const EntryCommand& command) const {
     return RunEntry(this->console, command.settings_file);
   }
@@ -61,13 +88,13 @@
 
 }  // namespace
 
-int Run(int argument_count, char** arguments) {
+int Run(int argument_count, char** arguments, const HostedRoles& hosted) {
   QCoreApplication application(argument_count, arguments);
   Console console{std::cout, std::cerr, isatty(STDERR_FILENO) == 1};
   std::vector<std::string> words(arguments + 1, arguments + argument_count);
   const core::Expected<Command> command = ParseCommandLine(std::move(words));
   const ExitCode code =
-      command ? std::visit(CommandRunner{console}, *command)
+      command ? std::visit(CommandRunner{console, hosted}, *command)
               : ReportError(console, command.error(), ExitCode::kUsage);
   return static_cast<int>(code);
 }
--- a/modules/core/time/clock.h
+++ b/modules/core/time/clock.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 
 namespace hemlockdoor::core {
 
@@ -73,12 +74,16 @@
 /// The clocks of this process.
 class Clock {
  public:
-  /// The steady clock, for leases, timeouts and all scheduling decisions.
+  /// The steady clock, for leases, timeouts and all scheduling decisions. It
+  /// counts the time that the machine was suspended, as others' leases do.
   static TimePoint Now() {
+    constexpr std::int64_t kMillisecondsPerSecond = 1000;
+    constexpr std::int64_t kNanosecondsPerMillisecond = 1'000'000;
+    std::timespec time = {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
     return TimePoint::FromMilliseconds(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::steady_clock::now().time_since_epoch())
-            .count());
+        std::int64_t{time.tv_sec} * kMillisecondsPerSecond +
+        time.tv_nsec / kNanosecondsPerMillisecond);
   }
   /// Milliseconds since the Unix epoch, for logs, traces and records only.
   static std::int64_t WallMilliseconds() {
--- a/modules/entry/core/planning_ownership.cc
+++ b/modules/entry/core/planning_ownership.cc
@@ -64,7 +64,7 @@
 void PlanningOwnership::OnRead(const core::Expected<store::Listing>& listing,
                                core::TimePoint now) {
   this->call_open = false;
-  this->due = now + kPlanningRenewal;
+  this->due = now + this->timing.renewal;
   this->store_answers = listing.has_value();
   if (!listing) {
     return;
@@ -92,7 +92,7 @@
   this->store_answers = granted.has_value();
   if (!granted) {
     this->next = OwnershipStep::kRead;
-    this->due = now + kPlanningRenewal;
+    this->due = now + this->timing.renewal;
     return;
   }
   this->lease = *granted;
@@ -110,7 +110,7 @@
   this->next = OwnershipStep::kRead;
   this->due = now;
   if (!claimed) {
-    this->due = now + kPlanningRenewal;
+    this->due = now + this->timing.renewal;
     return;
   }
   if (!claimed->succeeded) {
@@ -122,22 +122,22 @@
   this->owner_revision = claimed->revision;
   this->epoch_revision = claimed->revision;
   this->owner = PlanningOwner{this->entry, this->endpoint, this->epoch};
-  this->held_until = this->renew_sent + kPlanningLease;
+  this->held_until = this->renew_sent + this->timing.lease;
   this->next = OwnershipStep::kRenew;
-  this->due = this->renew_sent + kPlanningRenewal;
+  this->due = this->renew_sent + this->timing.renewal;
 }
 
 void PlanningOwnership::OnRenewed(const core::Expected<core::Duration>& renewed,
                                   core::TimePoint now) {
   this->call_open = false;
-  this->due = now + kPlanningRenewal;
+  this->due = now + this->timing.renewal;
   if (!this->is_owner) {
     return;
   }
   if (renewed) {
     this->store_answers = true;
     this->outage_seen.reset();
-    this->held_until = this->renew_sent + kPlanningLease;
+    this->held_until = this->renew_sent + this->timing.lease;
     return;
   }
   if (StoreFailed(renewed.error())) {
@@ -181,7 +181,7 @@
 
 bool PlanningOwnership::MayPlan(core::TimePoint now) const {
   const bool outage =
-      this->outage_seen && now < *this->outage_seen + kPlanningLease;
+      this->outage_seen && now < *this->outage_seen + this->timing.lease;
   return this->is_owner && (now < this->held_until || outage);
 }
 
--- a/modules/entry/core/planning_ownership.h
+++ b/modules/entry/core/planning_ownership.h
@@ -16,6 +16,12 @@
 inline constexpr core::Duration kPlanningRenewal =
     core::Duration::Milliseconds(1000);
 
+/// Times of the planning lease.
+struct OwnershipTiming {
+  core::Duration lease = kPlanningLease;
+  core::Duration renewal = kPlanningRenewal;
+};
+
 /// The owner as the store names it.
 struct PlanningOwner {
   core::EntryId entry;
@@ -30,8 +36,12 @@
 /// it asks for and reports their ends; at most one is open.
 class PlanningOwnership {
  public:
-  PlanningOwnership(core::EntryId entry_id, std::string own_endpoint)
-      : entry(std::move(entry_id)), endpoint(std::move(own_endpoint)) {}
+  PlanningOwnership(core::EntryId entry_id,
+                    std::string own_endpoint,
+                    OwnershipTiming lease_timing = {})
+      : entry(std::move(entry_id)),
+        endpoint(std::move(own_endpoint)),
+        timing(lease_timing) {}
 
   /// The next store call, if one is due.
   OwnershipStep NextStep(core::TimePoint now);
@@ -62,7 +72,15 @@
   /// length of one lease, so that there is no gap before the next renewal
   /// fails.
   bool MayPlan(core::TimePoint now) const;
+  /// True while the lease is certain to be held, whatever other entries can
+  /// reach. For stores that may turn this entry away and serve the others.
+  bool HoldsLease(core::TimePoint now) const {
+    return this->is_owner && now < this->held_until;
+  }
   store::LeaseId Lease() const { return this->lease; }
+  /// Version of this owner's key, for conditions of its writes.
+  store::ModRevision OwnerRevision() const { return this->owner_revision; }
+  const OwnershipTiming& Timing() const { return this->timing; }
   /// The highest epoch known.
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   /// The owner as last read; nothing when there is none or it is unknown.
@@ -80,6 +98,7 @@
 
   core::EntryId entry;
   std::string endpoint;
+  OwnershipTiming timing;
   bool is_owner = false;
   bool resigned = false;
   bool call_open = false;
--- a/modules/observe/logs/log.cc
+++ b/modules/observe/logs/log.cc
@@ -47,6 +47,7 @@
 
   void Configure(const LogOptions& new_options) {
     this->logger.setLogLevel(Row(new_options.level).library_level);
+    this->UseAppender(!new_options.to_standard_output);
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->options = std::make_shared<const LogOptions>(new_options);
   }
@@ -63,13 +64,18 @@
  private:
   LogSink() : logger(log4cplus::Logger::getInstance("hemlockdoor")) {
     constexpr bool kToStandardError = true;
+    this->UseAppender(kToStandardError);
+    this->logger.setAdditivity(false);
+    this->logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  }
+
+  void UseAppender(bool to_standard_error) {
     constexpr bool kFlushEachRecord = true;
     log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(kToStandardError, kFlushEachRecord));
+        new log4cplus::ConsoleAppender(to_standard_error, kFlushEachRecord));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    this->logger.removeAllAppenders();
     this->logger.addAppender(appender);
-    this->logger.setAdditivity(false);
-    this->logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
   }
 
   std::shared_ptr<const LogOptions> Options() {
@@ -167,6 +173,9 @@
   add("job", record.context.job.Text());
   add("organisation", record.context.organisation.Text());
   add("trace_id", record.context.trace_id);
+  for (const LogField& field : record.fields) {
+    add(field.name.c_str(), field.value);
+  }
   line["message"] = WithoutSecrets(record.message, options);
   constexpr bool kAsciiOnly = true;
   return line.dump(-1, ' ', kAsciiOnly,
@@ -187,6 +196,9 @@
   add(" job=", record.context.job.Text());
   add(" organisation=", record.context.organisation.Text());
   add(" trace_id=", record.context.trace_id);
+  for (const LogField& field : record.fields) {
+    add((" " + field.name + "=").c_str(), field.value);
+  }
   line +=
       ": " + Escaped(WithoutSecrets(record.message, options), !kEscapeSpaces);
   return line;
@@ -213,9 +225,10 @@
 
 void Log(LogLevel level,
          const std::string& message,
-         const LogContext& context) {
-  LogSink::Instance().Write(
-      LogRecord{level, core::Clock::WallMilliseconds(), message, context});
+         const LogContext& context,
+         const std::vector<LogField>& fields) {
+  LogSink::Instance().Write(LogRecord{level, core::Clock::WallMilliseconds(),
+                                      message, context, fields});
 }
 
 std::string FormatRecord(const LogRecord& record, const LogOptions& options) {
--- a/modules/observe/logs/log.h
+++ b/modules/observe/logs/log.h
@@ -27,6 +27,8 @@
   std::string process;
   /// Secrets that must not appear in a record; they are replaced.
   std::vector<std::string> secrets;
+  /// True: records go to standard output; false: to standard error.
+  bool to_standard_output = false;
 };
 
 /// What a record is about; empty parts are left out.
@@ -36,22 +38,30 @@
   std::string trace_id;
 };
 
+/// One named value of a record.
+struct LogField {
+  std::string name;
+  std::string value;
+};
+
 /// One record before it is written.
 struct LogRecord {
   LogLevel level = LogLevel::kInfo;
   std::int64_t wall_ms = 0;
   std::string message;
   LogContext context;
+  std::vector<LogField> fields;
 };
 
 /// Sets how records are written from now on; safe from any thread. Before the
 /// first call records of level info and above are written as plain text.
 void ConfigureLogs(const LogOptions& options);
 
-/// Writes one record to standard error; safe from any thread.
+/// Writes one record; safe from any thread.
 void Log(LogLevel level,
          const std::string& message,
-         const LogContext& context = {});
+         const LogContext& context = {},
+         const std::vector<LogField>& fields = {});
 
 /// The line of a record, without a line end. Control characters and, in plain
 /// text, all bytes outside ASCII are escaped, so that no text from a caller can
