Restarted agents look before they report; SIGHUP reloads; a late lease suspends planning

The agents ended with code 129, since SIGHUP was not handled. A planner whose lease was renewed late began a new term under the same epoch, whose batch numbers the agents refused. Change: reports say whether the lists are complete; SIGHUP reloads settings; a term outlives a late renewal and only waits.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -62,6 +62,7 @@
   this->acknowledged = 0;
   this->clock_ms.reset();
   this->listed_clock_ms = 0;
+  this->is_complete = false;
   this->worker = description;
   this->news = true;
 }
@@ -71,6 +72,7 @@
     return;
   }
   this->worker.reset();
+  this->is_complete = true;
   this->runs.clear();
   this->ends.clear();
   this->clock_ms.reset();
@@ -202,6 +204,8 @@
   }
   this->listed_clock_ms = listing.worker_clock_ms;
   this->ObserveClock(listing.worker_clock_ms, now);
+  this->news = this->news || !this->is_complete;
+  this->is_complete = true;
   this->TakeEnds(listing);
   this->TakeRunning(listing);
   this->DropVanished(listing);
@@ -337,6 +341,7 @@
   report.batch = this->batch;
   report.worker = this->worker;
   report.worker_reachable = this->IsWorkerReachable();
+  report.is_complete = this->is_complete;
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -142,6 +142,8 @@
   /// Worker clock and the time it was heard.
   std::optional<std::int64_t> clock_ms;
   core::TimePoint clock_heard;
+  /// The worker's lists are known, or it is known to be gone.
+  bool is_complete = false;
   /// Worker clock of the newest list.
   std::int64_t listed_clock_ms = 0;
   std::map<RunKey, Run> runs;
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -175,6 +175,7 @@
           {"epoch", report.epoch},
           {"batch", report.batch},
           {"worker_reachable", report.worker_reachable},
+          {"is_complete", report.is_complete},
           {"active", report.active},
           {"ends", report.ends},
           {"rejections", report.rejections}};
@@ -191,6 +192,7 @@
   json.at("epoch").get_to(report.epoch);
   json.at("batch").get_to(report.batch);
   json.at("worker_reachable").get_to(report.worker_reachable);
+  json.at("is_complete").get_to(report.is_complete);
   json.at("active").get_to(report.active);
   json.at("ends").get_to(report.ends);
   json.at("rejections").get_to(report.rejections);
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -93,6 +93,9 @@
   std::optional<WorkerDescription> worker;
   /// False after a call to the worker that got no answer.
   bool worker_reachable = true;
+  /// The lists below hold all that is on the worker. False while a restarted
+  /// agent, or one with a restarted worker, has not looked at it yet.
+  bool is_complete = false;
   std::vector<ActiveRun> active;
   std::vector<RunEnd> ends;
   std::vector<Rejection> rejections;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -28,6 +28,8 @@
   std::uint64_t sequence = 0;
   std::optional<WorkerDescription> worker;
   bool worker_reachable = true;
+  /// The last report listed all that is on the worker.
+  bool is_complete = false;
   /// Its place in the member list is stored; only then it gets starts.
   bool is_recorded = false;
   /// It has reported in this planner's term.
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -168,7 +168,8 @@
     this->TakeEnds(view, report, now);
     this->TakeActive(view, report, now);
     this->TakeMissing(view, report, now);
-    view.has_reported = view.has_reported || !view.needs_probe;
+    view.has_reported =
+        view.has_reported || (!view.needs_probe && report.is_complete);
   }
   ReportAnswer answer;
   answer.epoch = this->epoch;
@@ -200,6 +201,7 @@
   }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
+  view.is_complete = report.is_complete;
 }
 
 void Planner::TakeEnds(AgentView& view,
@@ -396,7 +398,10 @@
                  "task=" + key.task.ToText() + " agent=" + view.agent.Text());
     }
   }
-  view.strays = std::move(strays);
+  if (report.is_complete) {
+    view.strays.clear();
+  }
+  view.strays.merge(strays);
 }
 
 void Planner::TakeMissing(AgentView& view,
@@ -410,8 +415,13 @@
         const bool is_listed = std::any_of(
             report.active.begin(), report.active.end(),
             [&key](const ActiveRun& active) { return active.key == key; });
-        const bool is_settled =
-            member->sent && member->batch <= report.batch && !is_listed;
+        // Without complete lists only a run of an earlier life is known to be
+        // over.
+        const bool is_earlier_life =
+            report.worker && report.worker->identity != member->worker;
+        const bool is_settled = member->sent &&
+                                member->batch <= report.batch && !is_listed &&
+                                (report.is_complete || is_earlier_life);
         if (member->agent != view.agent || !is_settled) {
           ++member;
           continue;
@@ -688,7 +698,8 @@
 void Planner::CheckGangs() {
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
-      const bool partial = !unit.members.empty() && job.StepOf(unit).gang &&
+      const bool partial = unit.phase != UnitPhase::kDone &&
+                           !unit.members.empty() && job.StepOf(unit).gang &&
                            static_cast<int>(unit.members.size()) < unit.size;
       if (partial) {
         this->StopUnit(unit);
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -109,6 +109,16 @@
     this->ReportNews();
   }
 
+  /// Adds internal endpoints of entries.
+  void AddEntries(const std::vector<std::string>& added) {
+    for (const std::string& entry : added) {
+      if (std::find(this->entries.begin(), this->entries.end(), entry) ==
+          this->entries.end()) {
+        this->entries.push_back(entry);
+      }
+    }
+  }
+
   /// Carries out a batch and answers with a report.
   void HandleOrders(const wire::HttpRequest& request,
                     const wire::HttpResponder& responder) {
@@ -382,12 +392,7 @@
     }
     const core::SchedulingEpoch before = this->supervisor.Epoch();
     this->supervisor.OnReportAnswer(answer, sent);
-    for (const std::string& entry : answer.entries) {
-      if (std::find(this->entries.begin(), this->entries.end(), entry) ==
-          this->entries.end()) {
-        this->entries.push_back(entry);
-      }
-    }
+    this->AddEntries(answer.entries);
     if (this->planner.empty() && !this->entries.empty()) {
       this->planner = this->entries[this->entry_index % this->entries.size()];
     }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -133,6 +133,19 @@
     }
   }
 
+  /// Without the lease the planner only waits: when the store comes back the
+  /// lease may still be this entry's, and then the term goes on.
+  void LogLeaseChange() {
+    const bool holds = this->ownership.HoldsLease(core::Clock::Now());
+    if (this->term_running && holds == this->lease_is_late) {
+      this->lease_is_late = !holds;
+      observe::Log(observe::LogLevel::kWarn,
+                   holds ? "planning lease renewed; planning goes on"
+                         : "planning lease not renewed in time; planning waits",
+                   {}, {{"event", holds ? "planner_resumed" : "planner_waits"}});
+    }
+  }
+
   void RunOwnershipStep() {
     using entry::OwnershipStep;
     const core::TimePoint now = core::Clock::Now();
@@ -172,6 +185,7 @@
     const bool holds = this->ownership.HoldsLease(core::Clock::Now());
     if (holds && !this->term_running) {
       this->term_running = true;
+      this->lease_is_late = false;
       ++this->term_number;
       observe::Log(
           observe::LogLevel::kInfo, "planning lease taken", {},
@@ -569,6 +583,7 @@
   QTimer timer;
   QTimer decide_timer;
   bool term_running = false;
+  bool lease_is_late = false;
   /// Rises when a term begins and when it ends.
   std::uint64_t term_number = 0;
   bool loading = false;
--- a/modules/cli/process/shutdown_signals.h
+++ b/modules/cli/process/shutdown_signals.h
@@ -1,4 +1,4 @@
-// SIGTERM and SIGINT as events of the Qt event loop.
+// SIGTERM, SIGINT and SIGHUP as events of the Qt event loop.
 #pragma once
 
 #include <QSocketNotifier>
@@ -16,21 +16,26 @@
  public:
   /// Blocks the signals and ignores SIGPIPE. Call before any other thread is
   /// started, since threads inherit the mask. `on_signal` gets the number of
-  /// signals received so far, from 1.
+  /// signals received so far, from 1. With `on_reload`, SIGHUP is taken as
+  /// well and calls it.
   static core::Expected<std::unique_ptr<ShutdownSignals>> Create(
-      std::function<void(int count)> on_signal);
+      std::function<void(int count)> on_signal,
+      std::function<void()> on_reload = {});
 
   ~ShutdownSignals();
   ShutdownSignals(const ShutdownSignals&) = delete;
   ShutdownSignals& operator=(const ShutdownSignals&) = delete;
 
  private:
-  ShutdownSignals(int signal_descriptor, std::function<void(int)> on_signal);
+  ShutdownSignals(int signal_descriptor,
+                  std::function<void(int)> on_signal,
+                  std::function<void()> on_reload);
   void ReadSignals();
 
   int descriptor;
   int received = 0;
   std::function<void(int)> handler;
+  std::function<void()> reload;
   QSocketNotifier notifier;
 };
 
