Assume predecessors' leases after a restart; take a refused epoch as an answer

Change: the supervisor assumes the longest possible lease at its start, and a refused epoch is an answer.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -20,10 +20,12 @@
 
 WorkerSupervisor::WorkerSupervisor(core::AgentId agent_id,
                                    std::string own_endpoint,
-                                   core::Incarnation own_incarnation)
+                                   core::Incarnation own_incarnation,
+                                   core::TimePoint now)
     : agent(std::move(agent_id)),
       endpoint(std::move(own_endpoint)),
-      incarnation(own_incarnation) {}
+      incarnation(own_incarnation),
+      leases_over(now + kLongestLease) {}
 
 void WorkerSupervisor::OnAnnouncement(const WorkerDescription& description,
                                       std::uint64_t announcement_sequence,
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -13,6 +13,9 @@
 
 namespace hemlockdoor::batch {
 
+/// No worker keeps a lease longer than this.
+inline constexpr core::Duration kLongestLease = core::Duration::Seconds(11);
+
 /// How the worker answered a start.
 enum class StartResult { kStarted, kRejected, kUnknown };
 
@@ -50,11 +53,13 @@
 
 /// The agent's state: pure, driven by events with their time. A run that was
 /// ordered is reported as active until the worker's own words prove it over.
+/// A predecessor may have asked for leases up to `kLongestLease`.
 class WorkerSupervisor {
  public:
   WorkerSupervisor(core::AgentId agent_id,
                    std::string own_endpoint,
-                   core::Incarnation own_incarnation);
+                   core::Incarnation own_incarnation,
+                   core::TimePoint now);
 
   /// The worker announced itself. `sequence` tells late announcements of one
   /// life; a life born earlier than the known one is ignored.
--- /dev/null
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -0,0 +1,138 @@
+#include "modules/batch/agent/worker_supervisor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+using testing::At;
+using testing::MakeWorker;
+
+const RunKey kRun{{core::JobId("j"), 0, 0, 0}, 1};
+
+/// A supervisor with a worker that was looked at, inside a term.
+WorkerSupervisor MakeReady() {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(1000));
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  supervisor.OnReportAnswer(answer, At(1000));
+  supervisor.OnListing({510, 1000, {}, {}}, At(1010));
+  return supervisor;
+}
+
+OrderBatch MakeBatch(std::uint64_t number, std::vector<StartOrder> starts) {
+  OrderBatch batch;
+  batch.epoch = core::SchedulingEpoch(1);
+  batch.number = number;
+  batch.worker = MakeWorker("w1").identity;
+  batch.starts = std::move(starts);
+  return batch;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerSupervisorTest)
+
+BOOST_AUTO_TEST_CASE(ReportsIncompleteListsUntilItHasLooked) {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  BOOST_TEST(!supervisor.MakeReport().is_complete);
+  supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
+  BOOST_TEST(!supervisor.MakeReport().is_complete);
+  supervisor.OnListing({510, 1000, {}, {}}, At(10));
+  BOOST_TEST(supervisor.MakeReport().is_complete);
+}
+
+// The lease that a predecessor asked for goes on: a look that fails before
+// this agent has a term of its own proves nothing.
+BOOST_AUTO_TEST_CASE(KeepsFoundRunsWhenALookFailsAfterARestart) {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({510, 1000, {run}, {}}, At(10));
+  supervisor.OnLookFailed(At(20));
+  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  supervisor.OnLookFailed(At(20) + kLongestLease);
+  BOOST_TEST(supervisor.MakeReport().active.empty());
+}
+
+BOOST_AUTO_TEST_CASE(RefusesOldBatchesAndEpochs) {
+  WorkerSupervisor supervisor = MakeReady();
+  BOOST_TEST(supervisor.OnOrders(MakeBatch(2, {}), At(1100)).has_value());
+  BOOST_TEST(!supervisor.OnOrders(MakeBatch(2, {}), At(1100)).has_value());
+  BOOST_TEST(!supervisor.OnOrders(MakeBatch(1, {}), At(1100)).has_value());
+  OrderBatch old = MakeBatch(9, {});
+  old.epoch = core::SchedulingEpoch(0);
+  BOOST_TEST(!supervisor.OnOrders(old, At(1100)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StartsOnlyInsideATermAndOnTheLifeThatWasMeant) {
+  WorkerSupervisor supervisor = MakeReady();
+  const auto late =
+      supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(6001));
+  BOOST_TEST(late->starts.empty());
+  WorkerSupervisor other = MakeReady();
+  OrderBatch batch = MakeBatch(1, {{kRun, "p", "", ""}});
+  batch.worker.born_wall_ms = 999;
+  BOOST_TEST(other.OnOrders(batch, At(1100))->starts.empty());
+  BOOST_TEST((other.MakeReport().rejections.front().reason ==
+              RejectReason::kNoWorker));
+}
+
+BOOST_AUTO_TEST_CASE(AsksForALeaseThatEndsWithTheTerm) {
+  WorkerSupervisor supervisor = MakeReady();
+  // The worker's clock read 510 at 1010; the term ends at 6000.
+  BOOST_TEST(supervisor.BeginLook(At(2000)).value() == 510 + 4990);
+  BOOST_TEST(!supervisor.BeginLook(At(6000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(StopsAnUnansweredStartUntilItIsSettled) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
+                           0, At(1500));
+  BOOST_TEST(supervisor.DueStops(At(1500)).size() == 1U);
+  supervisor.OnListing({900, 1000, {}, {}}, At(1501));
+  // No answer to the stop yet: the start may still arrive.
+  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  supervisor.OnStopAnswer(kRun, true, 1000, At(1600));
+  supervisor.OnListing({1100, 1000, {}, {}}, At(1700));
+  BOOST_TEST(supervisor.MakeReport().active.empty());
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresAListFromBeforeTheStart) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnStartAnswer(kRun, StartResult::kStarted, RejectReason::kInvalid,
+                           620, At(1120));
+  supervisor.OnListing({615, 1000, {}, {}}, At(1130));
+  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  supervisor.OnListing({700, 1000, {}, {}}, At(1210));
+  BOOST_TEST(supervisor.MakeReport().active.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANewLifeEndsAllRuns) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  WorkerDescription reborn = MakeWorker("w1");
+  reborn.identity.born_wall_ms = 2000;
+  supervisor.OnAnnouncement(reborn, 1, 5, At(1300));
+  BOOST_TEST(supervisor.MakeReport().active.empty());
+  // An announcement of the earlier life that was delayed.
+  supervisor.OnAnnouncement(MakeWorker("w1"), 9, 900, At(1400));
+  BOOST_TEST((supervisor.Worker()->identity == reborn.identity));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -419,8 +419,8 @@
         // over.
         const bool is_earlier_life =
             report.worker && report.worker->identity != member->worker;
-        const bool is_settled = member->sent &&
-                                member->batch <= report.batch && !is_listed &&
+        const bool is_settled = member->sent && member->batch <= report.batch &&
+                                !is_listed &&
                                 (report.is_complete || is_earlier_life);
         if (member->agent != view.agent || !is_settled) {
           ++member;
--- /dev/null
+++ b/modules/batch/planner/planner_test.cc
@@ -0,0 +1,189 @@
+#include "modules/batch/planner/planner.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+using testing::MakeJob;
+using testing::MakeStep;
+using testing::MakeWorker;
+using testing::PlannedFleet;
+
+constexpr Resources kSmall{5600, 23000, 1};
+constexpr Resources kWide{26000, 110000, 8};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlannerTest)
+
+BOOST_AUTO_TEST_CASE(RunsStepsInOrderAndShowsCompletionOnlyWhenRecorded) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  StepSpec second = MakeStep(1, kSmall);
+  second.after = {0};
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall), second}), fleet.now);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  const RunKey first = fleet.Active().front().second;
+  BOOST_TEST(first.task.step == 0);
+  BOOST_TEST(first.run == 1);
+  fleet.End("w1", first, RunEndKind::kDone);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  const RunKey last = fleet.Active().front().second;
+  BOOST_TEST(last.task.step == 1);
+  fleet.End("w1", last, RunEndKind::kDone);
+  fleet.Settle();
+  BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kRunning));
+  fleet.RecordProgress();
+  BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kCompleted));
+}
+
+BOOST_AUTO_TEST_CASE(AcknowledgesAnEndOnlyOnceItIsRecorded) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  fleet.End("w1", fleet.Active().front().second, RunEndKind::kDone);
+  AgentReport& report = fleet.ReportOf("w1");
+  ++report.sequence;
+  BOOST_TEST(fleet.planner.OnReport(report, fleet.now).acknowledged == 0U);
+  fleet.RecordProgress();
+  ++report.sequence;
+  BOOST_TEST(fleet.planner.OnReport(report, fleet.now).acknowledged == 1U);
+}
+
+// An agent that was started again has empty lists until it has looked at its
+// worker; taking them for the truth started tasks twice.
+BOOST_AUTO_TEST_CASE(KeepsRunsWhileARestartedAgentHasNotLooked) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  const auto [worker, key] = fleet.Active().front();
+  AgentReport& report = fleet.ReportOf(worker);
+  const std::vector<ActiveRun> running = report.active;
+  report.incarnation = core::Incarnation(8);
+  report.sequence = 0;
+  report.batch = 0;
+  report.active.clear();
+  report.is_complete = false;
+  fleet.Advance(2000);
+  BOOST_TEST(fleet.Active().empty());
+  report.active = running;
+  report.is_complete = true;
+  fleet.Advance(1000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST((fleet.Active().front().second == key));
+}
+
+BOOST_AUTO_TEST_CASE(RestartsTasksOfASilentAgentOnlyAfterItsLeases) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  const std::string worker = fleet.Active().front().first;
+  fleet.Silence(worker);
+  fleet.Advance(5000);
+  BOOST_TEST(fleet.Active().size() == 1U);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.Active().size() == 2U);
+  BOOST_TEST(fleet.Active().back().second.run !=
+             fleet.Active().front().second.run);
+}
+
+BOOST_AUTO_TEST_CASE(WaitsForAllAgentsBeforeItStartsEarlierJobs) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  const std::vector<MemberRecord> members = {
+      {core::AgentId("agent-w1"), "127.0.0.1:1"},
+      {core::AgentId("agent-w2"), "127.0.0.1:1"}};
+  fleet.planner.BeginTerm(core::SchedulingEpoch(2), members, fleet.now);
+  fleet.planner.LoadJob(MakeJob("j", {MakeStep(1, kSmall)}), nullptr, false,
+                        fleet.now, fleet.now.InMilliseconds());
+  fleet.Silence("w2");
+  fleet.Advance(4500);
+  BOOST_TEST(fleet.Active().empty());
+  fleet.Advance(2000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().second.run > 1);
+}
+
+BOOST_AUTO_TEST_CASE(AdoptsWhatRunsAfterATakeover) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  const JobRecord record = MakeJob("j", {MakeStep(2, kSmall)});
+  fleet.planner.AddJob(record, fleet.now);
+  fleet.Settle();
+  const auto before = fleet.Active();
+  fleet.planner.BeginTerm(core::SchedulingEpoch(2),
+                          {{core::AgentId("agent-w1"), "127.0.0.1:1"},
+                           {core::AgentId("agent-w2"), "127.0.0.1:1"}},
+                          fleet.now);
+  fleet.planner.LoadJob(record, nullptr, false, fleet.now,
+                        fleet.now.InMilliseconds());
+  fleet.Advance(3000);
+  BOOST_TEST((fleet.Active() == before));
+}
+
+BOOST_AUTO_TEST_CASE(GivesUpAfterTheLastAttemptAndCountsARunOnce) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    fleet.Advance(500);
+    BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+    const auto [worker, key] = fleet.Active().front();
+    fleet.End(worker, key, RunEndKind::kFailed);
+  }
+  fleet.Advance(500);
+  fleet.RecordProgress();
+  BOOST_TEST(fleet.Active().empty());
+  BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kFailed));
+}
+
+BOOST_AUTO_TEST_CASE(PlacesAGangWholeOrNotAtAll) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  StepSpec gang = MakeStep(3, kWide);
+  gang.gang = true;
+  fleet.planner.AddJob(MakeJob("j", {gang}), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().empty());
+  fleet.AddAgent(MakeWorker("w3"));
+  fleet.RecordMembers();
+  fleet.Advance(500);
+  BOOST_TEST(fleet.Active().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentWorkPreemptsAndStartsOnceTheVictimsAreOver) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.planner.AddJob(MakeJob("low", {MakeStep(8, kSmall)}, 2), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().size() == 8U);
+  fleet.planner.AddJob(MakeJob("urgent", {MakeStep(1, kWide)}, 0), fleet.now);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST((fleet.Active().front().second.task.job == core::JobId("urgent")));
+}
+
+BOOST_AUTO_TEST_CASE(StartsNothingOnADrainingWorker) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.ReportOf("w1").worker->state = WorkerState::kDraining;
+  fleet.Settle();
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.Active().empty());
+}
+
+BOOST_AUTO_TEST_CASE(StopsACancelledJobAndStartsNothingOfIt) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  StepSpec second = MakeStep(1, kSmall);
+  second.after = {0};
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall), second}), fleet.now);
+  fleet.Settle();
+  fleet.planner.CancelJob(core::JobId("j"), fleet.now);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.Active().empty());
+  BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kCancelled));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -42,7 +42,8 @@
   core::Duration wait;
 };
 
-/// Calls to the worker. Callbacks run later on the same thread.
+/// Calls to the worker. Callbacks run later on the same thread. A look ends
+/// with kStale when the worker has seen a newer epoch.
 template <typename T>
 concept WorkerPort =
     requires(T worker,
@@ -74,7 +75,10 @@
   AgentService(AgentServiceOptions service_options, Worker& worker_port)
       : options(std::move(service_options)),
         port(worker_port),
-        supervisor(options.agent, options.endpoint, options.incarnation),
+        supervisor(options.agent,
+                   options.endpoint,
+                   options.incarnation,
+                   core::Clock::Now()),
         entries(options.entries) {
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->Tick(); });
     this->timer.start(kTickMs);
@@ -289,9 +293,7 @@
                         this->supervisor.OnListing(*listing, now);
                         this->look_failing = false;
                       } else {
-                        this->LogLookFailure(listing.error());
-                        this->supervisor.OnLookFailed(now);
-                        this->next_look = now + kLookPause;
+                        this->OnLookEnded(listing.error(), now);
                       }
                       this->AnswerOrders();
                       this->ReportNews();
@@ -299,6 +301,15 @@
                     });
   }
 
+  void OnLookEnded(const core::Error& error, core::TimePoint now) {
+    this->next_look = now + kLookPause;
+    // A refused epoch is an answer: a newer planner is about to call.
+    if (error.code != core::ErrorCode::kStale) {
+      this->LogLookFailure(error);
+      this->supervisor.OnLookFailed(now);
+    }
+  }
+
   void LogLookFailure(const core::Error& error) {
     if (!this->look_failing) {
       observe::Log(observe::LogLevel::kWarn,
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -121,9 +121,7 @@
 
   void Tick() {
     this->RunOwnershipStep();
-    if (this->term_running && !this->ownership.HoldsLease(core::Clock::Now())) {
-      this->EndTerm("lease not renewed in time");
-    }
+    this->LogLeaseChange();
     if (this->term_running && !this->loaded && !this->loading &&
         core::Clock::Now() >= this->load_due) {
       this->Load();
@@ -142,7 +140,8 @@
       observe::Log(observe::LogLevel::kWarn,
                    holds ? "planning lease renewed; planning goes on"
                          : "planning lease not renewed in time; planning waits",
-                   {}, {{"event", holds ? "planner_resumed" : "planner_waits"}});
+                   {},
+                   {{"event", holds ? "planner_resumed" : "planner_waits"}});
     }
   }
 
--- a/modules/cli/process/shutdown_signals.cc
+++ b/modules/cli/process/shutdown_signals.cc
@@ -30,8 +30,7 @@
         core::ErrorCode::kInternal,
         std::string("cannot receive signals: ") + std::strerror(errno));
   }
-  return std::unique_ptr<ShutdownSignals>(
-      new ShutdownSignals(
+  return std::unique_ptr<ShutdownSignals>(new ShutdownSignals(
       descriptor, std::move(on_signal), std::move(on_reload)));
 }
 
