--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -153,24 +153,128 @@
   return PlaceGreedily(candidates, request);
 }
 
-/// What stopping a victim frees on each agent.
-void AddFreed(const Victim& victim, std::map<core::AgentId, Resources>& freed) {
+using VictimsByAgent = std::map<core::AgentId, std::vector<const Victim*>>;
+
+/// Victims on each agent, those that lose least first.
+VictimsByAgent GroupByAgent(const std::vector<Victim>& victims) {
+  VictimsByAgent by_agent;
+  for (const Victim& victim : victims) {
+    std::set<core::AgentId> agents;
+    for (const Member& member : victim.unit->members) {
+      agents.insert(member.agent);
+    }
+    for (const core::AgentId& agent : agents) {
+      by_agent[agent].push_back(&victim);
+    }
+  }
+  for (auto& [agent, list] : by_agent) {
+    std::stable_sort(list.begin(), list.end(),
+                     [](const Victim* left, const Victim* right) {
+                       return left->cost < right->cost;
+                     });
+  }
+  return by_agent;
+}
+
+/// What stopping a victim frees on one agent.
+Resources FreedOn(const Victim& victim, const core::AgentId& agent) {
   const Resources need = CountedNeed(victim.job->StepOf(*victim.unit));
+  Resources freed;
   for (const Member& member : victim.unit->members) {
-    freed[member.agent] = freed[member.agent] + need;
+    if (member.agent == agent) {
+      freed = freed + need;
+    }
   }
+  return freed;
 }
 
-std::vector<Candidate> WithFreed(
+/// The victims that make room for one task on a candidate, and their cost.
+struct RoomCost {
+  std::vector<const Victim*> victims;
+  double cost = 0.0;
+};
+
+/// Takes victims, cheapest first, until the task fits; then drops each that
+/// turns out not to be needed, dearest first.
+std::optional<RoomCost> CostOfRoom(const Candidate& candidate,
+                                   const PlacementRequest& request,
+                                   const VictimsByAgent& by_agent,
+                                   const std::set<const Victim*>& chosen) {
+  const int limit = request.step->max_per_worker;
+  if (limit > 0 && candidate.present >= limit) {
+    return std::nullopt;
+  }
+  const Resources need = CountedNeed(*request.step);
+  const core::AgentId& agent = candidate.view->agent;
+  Resources free = candidate.free;
+  std::vector<const Victim*> taken;
+  const auto found = by_agent.find(agent);
+  if (found != by_agent.end()) {
+    for (const Victim* victim : found->second) {
+      if (need.FitsIn(free)) {
+        break;
+      }
+      if (!chosen.contains(victim)) {
+        taken.push_back(victim);
+        free = free + FreedOn(*victim, agent);
+      }
+    }
+  }
+  if (!need.FitsIn(free)) {
+    return std::nullopt;
+  }
+  RoomCost room;
+  for (auto victim = taken.rbegin(); victim != taken.rend(); ++victim) {
+    const Resources without = free - FreedOn(**victim, agent);
+    if (need.FitsIn(without)) {
+      free = without;
+      continue;
+    }
+    room.victims.push_back(*victim);
+    room.cost += (*victim)->cost;
+  }
+  return room;
+}
+
+/// Places task by task where the least is lost.
+std::optional<PreemptingPlacement> PlaceWithVictims(
     std::vector<Candidate> candidates,
-    const std::map<core::AgentId, Resources>& freed) {
-  for (Candidate& candidate : candidates) {
-    const auto found = freed.find(candidate.view->agent);
-    if (found != freed.end()) {
-      candidate.free = candidate.free + found->second;
+    const PlacementRequest& request,
+    const VictimsByAgent& by_agent) {
+  PreemptingPlacement placement;
+  std::set<const Victim*> chosen;
+  for (int task = 0; task < request.size; ++task) {
+    Candidate* best = nullptr;
+    std::optional<RoomCost> best_room;
+    for (Candidate& candidate : candidates) {
+      std::optional<RoomCost> room =
+          CostOfRoom(candidate, request, by_agent, chosen);
+      const bool better =
+          room && (best == nullptr || room->cost < best_room->cost ||
+                   (room->cost == best_room->cost &&
+                    Rank(candidate, request) < Rank(*best, request)));
+      if (better) {
+        best = &candidate;
+        best_room = std::move(room);
+      }
+    }
+    if (best == nullptr) {
+      return std::nullopt;
     }
+    for (const Victim* victim : best_room->victims) {
+      chosen.insert(victim);
+      placement.victims.push_back(*victim);
+      for (Candidate& candidate : candidates) {
+        candidate.free =
+            candidate.free + FreedOn(*victim, candidate.view->agent);
+      }
+    }
+    placement.cost += best_room->cost;
+    best->free = best->free - CountedNeed(*request.step);
+    ++best->present;
+    placement.agents.push_back(best->view->agent);
   }
-  return candidates;
+  return placement;
 }
 
 }  // namespace
@@ -186,40 +290,28 @@
     const PlacementRequest& request,
     const std::vector<Victim>& victims) {
   const std::vector<Candidate> candidates = UsableCandidates(fleet, request);
-  std::vector<Victim> ordered = victims;
-  std::sort(ordered.begin(), ordered.end(),
-            [](const Victim& left, const Victim& right) {
-              return left.cost < right.cost;
-            });
-  // Adds victims, cheapest first, until the unit fits; then drops each that
-  // turns out not to be needed, dearest first.
-  std::vector<Victim> chosen;
-  std::map<core::AgentId, Resources> freed;
-  std::optional<std::vector<core::AgentId>> placed;
-  for (const Victim& victim : ordered) {
-    chosen.push_back(victim);
-    AddFreed(victim, freed);
-    placed = Place(WithFreed(candidates, freed), request);
-    if (placed) {
-      break;
-    }
-  }
-  if (!placed) {
-    return std::nullopt;
-  }
-  for (std::size_t i = chosen.size(); i > 0; --i) {
-    std::vector<Victim> fewer = chosen;
-    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(i - 1));
-    std::map<core::AgentId, Resources> less;
-    for (const Victim& victim : fewer) {
-      AddFreed(victim, less);
+  const VictimsByAgent by_agent = GroupByAgent(victims);
+  std::vector<std::vector<Candidate>> groups;
+  const std::string& data_rack = request.step->preferred_rack;
+  if (!data_rack.empty() && !request.accept_remote) {
+    groups.push_back(InRack(candidates, core::RackId(data_rack)));
+  } else if (request.step->same_rack && request.size > 1) {
+    for (const core::RackId& rack : RacksOf(candidates)) {
+      groups.push_back(InRack(candidates, rack));
     }
-    if (auto still = Place(WithFreed(candidates, less), request)) {
-      chosen = fewer;
-      placed = std::move(still);
+  }
+  if (groups.empty() || request.accept_remote) {
+    groups.push_back(candidates);
+  }
+  std::optional<PreemptingPlacement> best;
+  for (const std::vector<Candidate>& group : groups) {
+    std::optional<PreemptingPlacement> found =
+        PlaceWithVictims(group, request, by_agent);
+    if (found && (!best || found->cost < best->cost)) {
+      best = std::move(found);
     }
   }
-  return PreemptingPlacement{*placed, chosen};
+  return best;
 }
 
 bool CouldEverFit(const Fleet& fleet, const PlacementRequest& request) {
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -40,6 +40,8 @@
 struct PreemptingPlacement {
   std::vector<core::AgentId> agents;
   std::vector<Victim> victims;
+  /// Core-seconds that are thrown away.
+  double cost = 0.0;
 };
 
 /// Finds workers for all tasks of a unit: in the rack of the data where there
@@ -50,8 +52,8 @@
     const Fleet& fleet,
     const PlacementRequest& request);
 
-/// As `FindPlacement` with the capacity of `victims` counted as free; picks
-/// those that lose least.
+/// As `FindPlacement` where `victims` may be stopped: goes task by task to the
+/// worker where the least is thrown away.
 std::optional<PreemptingPlacement> FindPreemptingPlacement(
     const Fleet& fleet,
     const PlacementRequest& request,
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -32,8 +32,11 @@
 constexpr std::int64_t kRunsPerEpoch = 64;
 /// An accelerator weighs as many cores when work is thrown away.
 constexpr double kCoresPerAccelerator = 8.0;
-/// Share of the work so far that is lost when a checkpoint exists.
-constexpr double kCheckpointedLoss = 0.3;
+/// A task that saves checkpoints loses at most the work since the last one;
+/// workers save every 0.5 to 2 s.
+constexpr double kCheckpointSeconds = 1.0;
+/// Each stop costs a restart, also of work that has just begun.
+constexpr double kRestartSeconds = 0.3;
 /// Waiting for the data's rack pays off for up to this many run times, since
 /// elsewhere a task takes three times as long.
 constexpr std::int64_t kRemoteWaitFactor = 1;
@@ -812,10 +815,11 @@
           static_cast<double>(
               (now - unit.members.front().since).InMilliseconds()) /
           kMsPerSecond;
-      const double share = step.checkpoints ? kCheckpointedLoss : 1.0;
-      victims.push_back(
-          {&other, &unit,
-           share * seconds * Weight(step) * static_cast<double>(unit.size)});
+      const double lost =
+          step.checkpoints ? std::min(seconds, kCheckpointSeconds) : seconds;
+      victims.push_back({&other, &unit,
+                         (lost + kRestartSeconds) * Weight(step) *
+                             static_cast<double>(unit.size)});
     }
   }
   return victims;
