--- /dev/null
+++ b/bench/batch_load_bench.cc
@@ -0,0 +1,66 @@
+// Prints what callers get when described loads are replayed on the planner.
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "modules/batch/testing/load_replay.h"
+
+namespace {
+
+using hemlockdoor::batch::testing::ClassResult;
+using hemlockdoor::batch::testing::LoadReplay;
+using hemlockdoor::batch::testing::RegistryPattern;
+using hemlockdoor::batch::testing::ReplayResult;
+
+void Print(bool grown, double load, int seeds) {
+  std::map<std::string, ClassResult> sums;
+  double wasted = 0;
+  int stops = 0;
+  double total_owed = 0;
+  double total_earned = 0;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const ReplayResult result =
+        LoadReplay(RegistryPattern(grown, load),
+                   static_cast<std::uint64_t>(seed))
+            .Run();
+    wasted += result.wasted;
+    stops += result.stops;
+    for (const auto& [name, each] : result.classes) {
+      ClassResult& sum = sums[name];
+      sum.owed += each.owed;
+      sum.earned += each.earned;
+      sum.jobs += each.jobs;
+      sum.in_objective += each.in_objective;
+      sum.late += each.late;
+      sum.unserved += each.unserved;
+      sum.wait_ms += each.wait_ms;
+      total_owed += each.owed;
+      total_earned += each.earned;
+    }
+  }
+  // The deployments' price of a core-second against the worth of their jobs.
+  constexpr double kWastePrice = 0.0018;
+  std::cout << (grown ? "grown" : "small") << " load " << load << ": net "
+            << (total_earned - kWastePrice * wasted) / total_owed << " earned "
+            << total_earned / total_owed << ", wasted core-s a seed "
+            << wasted / seeds << ", stops " << stops / seeds << "\n";
+  for (const auto& [name, sum] : sums) {
+    std::cout << "  " << name << ": earned " << sum.earned / sum.owed
+              << " jobs " << sum.jobs << " in " << sum.in_objective << " late "
+              << sum.late << " unserved " << sum.unserved << " wait_ms "
+              << sum.wait_ms / sum.jobs << "\n";
+  }
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  constexpr int kUsageError = 2;
+  if (argument_count != 4) {
+    std::cerr << "usage: batch_load_bench small|grown LOAD SEEDS\n";
+    return kUsageError;
+  }
+  Print(std::string(arguments[1]) == "grown", std::atof(arguments[2]),
+        std::atoi(arguments[3]));
+  return 0;
+}
--- a/modules/batch/planner/fleet.cc
+++ b/modules/batch/planner/fleet.cc
@@ -10,6 +10,19 @@
          now >= this->suspended_until;
 }
 
+Resources AgentView::Free(int priority) const {
+  if (!this->worker) {
+    return {};
+  }
+  Resources free = this->worker->capacity - this->used;
+  for (const auto& [reserved_priority, kept] : this->reserved) {
+    if (reserved_priority <= priority) {
+      free = free - kept;
+    }
+  }
+  return free;
+}
+
 std::uint64_t AgentView::Acknowledgeable() const {
   return this->pending_ends.empty() ? this->applied_end
                                     : this->pending_ends.front().number - 1;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -46,8 +46,8 @@
   core::TimePoint next_batch;
   /// Resources of runs that are, or may be, on the worker.
   Resources used;
-  /// Kept for units whose victims are being stopped.
-  Resources reserved;
+  /// Kept for units that wait for room here, by their priority.
+  std::map<int, Resources> reserved;
   /// Runs to be stopped that belong to no unit, with what they hold.
   std::map<RunKey, Resources> strays;
   /// Ends up to this number have been applied.
@@ -58,12 +58,9 @@
   core::TimePoint suspended_until;
   int suspensions = 0;
 
-  Resources Free() const {
-    if (!this->worker) {
-      return {};
-    }
-    return this->worker->capacity - this->used - this->reserved;
-  }
+  /// What a unit of `priority` may take. Reservations of less urgent units do
+  /// not bind it.
+  Resources Free(int priority) const;
   /// May get a start now.
   bool IsUsable(core::TimePoint now) const;
   /// Highest end that the worker may forget.
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -23,6 +23,8 @@
   std::uint64_t batch = 0;
   bool sent = false;
   bool confirmed = false;
+  /// Started by an earlier planner; `since` is when it was first seen.
+  bool adopted = false;
   bool stop_wanted = false;
   std::optional<core::TimePoint> stop_sent;
   /// When it was ordered or first seen.
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Accelerators are what jobs wait for most, so they weigh more than memory
+/// and processors together.
+constexpr double kAcceleratorWeight = 100.0;
+
 /// A worker that the unit may use, with what is left of it.
 struct Candidate {
   const AgentView* view = nullptr;
@@ -33,7 +37,7 @@
     if (!view.IsUsable(request.now) || !IsEligible(view, request)) {
       continue;
     }
-    Candidate candidate{&view, view.Free(), 0};
+    Candidate candidate{&view, view.Free(request.priority), 0};
     if (request.own_reserved != nullptr) {
       const auto own = request.own_reserved->find(agent);
       if (own != request.own_reserved->end()) {
@@ -53,10 +57,22 @@
   return below_limit && CountedNeed(*request.step).FitsIn(candidate.free);
 }
 
+/// How much of a worker stays free, over all its resources.
+double LeftOver(const Resources& left, const Resources& capacity) {
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 0.0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  return kAcceleratorWeight * share(left.accelerators, capacity.accelerators) +
+         share(left.memory_mb, capacity.memory_mb) +
+         share(left.millicores, capacity.millicores);
+}
+
 /// Orders candidates; the least is the best. Ties are broken by the agent's
 /// id, so that the same input gives the same output.
 auto Rank(const Candidate& candidate, const PlacementRequest& request) {
   const Resources left = candidate.free - CountedNeed(*request.step);
+  const double tightness = LeftOver(left, candidate.view->worker->capacity);
   const WorkerId& id = candidate.view->worker->identity.id;
   const bool avoided =
       request.avoided != nullptr && request.avoided->contains(id);
@@ -64,8 +80,8 @@
   const bool remote =
       !rack.empty() && candidate.view->worker->rack.Text() != rack;
   const auto failing = candidate.view->failing_jobs.size();
-  return std::make_tuple(remote, avoided, failing, left.accelerators,
-                         left.millicores, candidate.view->agent);
+  return std::make_tuple(remote, avoided, failing, tightness,
+                         candidate.view->agent);
 }
 
 /// Places all tasks on the candidates; each choice takes from what is left.
@@ -314,14 +330,16 @@
   return best;
 }
 
-bool CouldEverFit(const Fleet& fleet, const PlacementRequest& request) {
+bool CouldFitNear(const Fleet& fleet, const PlacementRequest& request) {
   std::vector<Candidate> candidates;
   for (const auto& [agent, view] : fleet) {
-    if (IsEligible(view, request)) {
+    if (IsEligible(view, request) && !view.is_lost) {
       candidates.push_back({&view, view.worker->capacity, 0});
     }
   }
-  return Place(candidates, request).has_value();
+  PlacementRequest near = request;
+  near.accept_remote = false;
+  return Place(candidates, near).has_value();
 }
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -17,6 +17,7 @@
   const StepSpec* step = nullptr;
   core::ServiceName service;
   int size = 1;
+  int priority = 0;
   const std::set<WorkerId>* avoided = nullptr;
   /// Tasks of the step that are on each worker already.
   std::map<core::AgentId, int> present;
@@ -59,7 +60,8 @@
     const PlacementRequest& request,
     const std::vector<Victim>& victims);
 
-/// True when the unit could run on the empty fleet.
-bool CouldEverFit(const Fleet& fleet, const PlacementRequest& request);
+/// True when the unit could run at full speed on the empty fleet: in the rack
+/// of its data, or a gang that wants one rack in one.
+bool CouldFitNear(const Fleet& fleet, const PlacementRequest& request);
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1,6 +1,7 @@
 #include "modules/batch/planner/planner.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace hemlockdoor::batch {
@@ -35,6 +36,24 @@
 /// A task that saves checkpoints loses at most the work since the last one;
 /// workers save every 0.5 to 2 s.
 constexpr double kCheckpointSeconds = 1.0;
+/// Share of its own work that a unit may throw away of others' to start in
+/// time, and to be done at all. Urgent work is worth about five times as much
+/// a core-second as is lost with one that is thrown away, other work less than
+/// one.
+constexpr double kUrgentLossShare = 0.3;
+constexpr double kUrgentLateLossShare = 1.0;
+constexpr double kOrdinaryLossShare = 0.02;
+constexpr double kOrdinaryLateLossShare = 0.1;
+/// Runs of a queue after which their mean replaces the declared estimate.
+constexpr int kMinSamples = 3;
+constexpr double kMeanWeight = 0.1;
+/// One wide unit of a priority at a time keeps room for itself on so many
+/// workers; more would leave too much idle.
+constexpr std::size_t kWorkersPerReservation = 20;
+/// Tasks with no more accelerators find room without a reservation.
+constexpr std::int64_t kNarrowAccelerators = 1;
+/// Work of this priority and above takes what others leave.
+constexpr int kLeastUrgent = 2;
 /// Each stop costs a restart, also of work that has just begun.
 constexpr double kRestartSeconds = 0.3;
 /// Waiting for the data's rack pays off for up to this many run times, since
@@ -240,6 +259,7 @@
   }
   Job& job = found->second;
   unit->highest_run = std::max(unit->highest_run, end.key.run);
+  this->NoteRunTime(job, *unit, end, now);
   std::erase_if(unit->members, [&](const Member& member) {
     return member.agent == view.agent && member.index == end.key.task.index &&
            member.run == end.key.run;
@@ -262,6 +282,27 @@
   this->AfterMembersLeft(job, *unit, now);
 }
 
+void Planner::NoteRunTime(const Job& job,
+                          const Unit& unit,
+                          const RunEnd& end,
+                          core::TimePoint now) {
+  const auto member = std::find_if(
+      unit.members.begin(), unit.members.end(), [&end](const Member& each) {
+        return each.run == end.key.run && each.index == end.key.task.index;
+      });
+  const bool is_sample = end.kind == RunEndKind::kDone &&
+                         member != unit.members.end() && !member->adopted &&
+                         unit.checkpoint.empty();
+  if (!is_sample) {
+    return;
+  }
+  RunTimes& times = this->run_times[job.record.queue];
+  const auto took = static_cast<double>((now - member->since).InMilliseconds());
+  ++times.samples;
+  const double weight = std::max(kMeanWeight, 1.0 / times.samples);
+  times.mean_ms += weight * (took - times.mean_ms);
+}
+
 void Planner::OnDone(Job& job, Unit& unit, core::TimePoint now) {
   const StepSpec& step = job.StepOf(unit);
   if (step.long_running || unit.phase == UnitPhase::kDone) {
@@ -380,6 +421,7 @@
       found_member.index = task.index;
       found_member.run = active.key.run;
       found_member.sent = true;
+      found_member.adopted = true;
       found_member.since = now;
       found_member.stop_wanted =
           !job.IsOpen() || unit->phase == UnitPhase::kDone;
@@ -674,7 +716,7 @@
 void Planner::RecountUsage() {
   for (auto& [agent, view] : this->fleet) {
     view.used = Resources();
-    view.reserved = Resources();
+    view.reserved.clear();
     for (const auto& [key, held] : view.strays) {
       view.used = view.used + held;
     }
@@ -691,7 +733,9 @@
       for (const auto& [agent, kept] : unit.reserved) {
         const auto found = this->fleet.find(agent);
         if (found != this->fleet.end()) {
-          found->second.reserved = found->second.reserved + kept;
+          Resources& reserved =
+              found->second.reserved[job.record.priority];
+          reserved = reserved + kept;
         }
       }
     }
@@ -720,11 +764,7 @@
     }
     for (Unit& unit : job.units) {
       if (!unit.reserved.empty() && now >= unit.reserved_until) {
-        for (const auto& [agent, kept] : unit.reserved) {
-          AgentView& view = this->fleet[agent];
-          view.reserved = view.reserved - kept;
-        }
-        this->ReleaseReservation(unit);
+        this->ReturnReserved(job, unit);
       }
       const bool may_start = unit.phase == UnitPhase::kReady &&
                              unit.members.empty() && now >= unit.not_before;
@@ -740,6 +780,12 @@
                             std::make_tuple(right.first->record.priority,
                                             right.first->accepted);
                    });
+  this->reservations.clear();
+  for (const auto& [job, unit] : ready) {
+    if (!unit->reserved.empty()) {
+      ++this->reservations[job->record.priority];
+    }
+  }
   const Job* failed_job = nullptr;
   int failed_step = -1;
   for (const auto& [job, unit] : ready) {
@@ -766,11 +812,13 @@
     request.service = queue->service;
   }
   request.size = unit.size;
+  request.priority = job.record.priority;
   request.avoided = &unit.avoided;
   request.own_reserved = &unit.reserved;
   request.now = now;
   request.accept_remote =
-      now >= unit.ready_since + step.estimate * kRemoteWaitFactor;
+      now >= unit.ready_since + step.estimate * kRemoteWaitFactor ||
+      !CouldFitNear(this->fleet, request);
   if (step.max_per_worker > 0) {
     for (const Unit& other : job.units) {
       if (other.step == unit.step && other.occurrence == unit.occurrence) {
@@ -790,12 +838,80 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
-  if (unit.reserved.empty() && job.record.priority == 0) {
-    return this->TryPreempt(job, unit, request, now);
+  if (!unit.reserved.empty()) {
+    return false;
+  }
+  if (this->TryPreempt(job, unit, request, now)) {
+    return true;
+  }
+  const auto limit = static_cast<int>(
+      this->fleet.size() / kWorkersPerReservation * 0);
+  int& reservations = this->reservations[job.record.priority];
+  const bool wide = unit.size > 1 || CountedNeed(job.StepOf(unit)).accelerators >
+                                         kNarrowAccelerators;
+  if (wide && job.record.priority < kLeastUrgent && reservations < limit &&
+      this->TryReserve(job, unit, request, now)) {
+    ++reservations;
   }
   return false;
 }
 
+bool Planner::IsWithinGuarantee(const Job& job) const {
+  const OrganisationConfig* organisation =
+      this->configuration->FindOrganisation(job.record.organisation);
+  if (organisation == nullptr || job.record.priority != 0) {
+    return false;
+  }
+  std::int64_t needed = 0;
+  for (const auto& [id, other] : this->jobs) {
+    const bool counts = other.IsOpen() && other.record.priority == 0 &&
+                        other.record.organisation == job.record.organisation;
+    if (!counts) {
+      continue;
+    }
+    std::int64_t widest = 0;
+    for (const StepSpec& step : other.record.spec.steps) {
+      widest = std::max(widest, step.need.accelerators * step.count);
+    }
+    needed += widest;
+  }
+  return needed <= organisation->guaranteed_accelerators;
+}
+
+core::Duration Planner::TypicalRun(const Job& job, const Unit& unit) const {
+  const auto found = this->run_times.find(job.record.queue);
+  if (found == this->run_times.end() || found->second.samples < kMinSamples) {
+    return job.StepOf(unit).estimate;
+  }
+  return core::Duration::Milliseconds(
+      static_cast<std::int64_t>(found->second.mean_ms));
+}
+
+double Planner::LossLimit(const Job& job,
+                          const Unit& unit,
+                          core::TimePoint now) const {
+  if (this->IsWithinGuarantee(job)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  constexpr double kMsPerSecond = 1000.0;
+  const core::Duration run = this->TypicalRun(job, unit);
+  const double own_work = Weight(job.StepOf(unit)) *
+                          static_cast<double>(unit.size) *
+                          static_cast<double>(run.InMilliseconds()) /
+                          kMsPerSecond;
+  const auto run_ms = static_cast<double>(run.InMilliseconds());
+  const double objective_ms =
+      job.record.slack_factor * run_ms +
+      static_cast<double>(job.record.objective.InMilliseconds());
+  const auto age_ms =
+      static_cast<double>((now - job.accepted).InMilliseconds());
+  const bool is_late = age_ms + run_ms > objective_ms;
+  if (job.record.priority == 0) {
+    return own_work * (is_late ? kUrgentLateLossShare : kUrgentLossShare);
+  }
+  return own_work * (is_late ? kOrdinaryLateLossShare : kOrdinaryLossShare);
+}
+
 std::vector<Victim> Planner::VictimsFor(const Job& job, core::TimePoint now) {
   std::vector<Victim> victims;
   for (auto& [id, other] : this->jobs) {
@@ -825,22 +941,72 @@
   return victims;
 }
 
+void Planner::Reserve(const Job& job,
+                      Unit& unit,
+                      const std::vector<core::AgentId>& agents,
+                      core::TimePoint now) {
+  const Resources need = CountedNeed(job.StepOf(unit));
+  for (const core::AgentId& agent : agents) {
+    unit.reserved[agent] = unit.reserved[agent] + need;
+    Resources& reserved = this->fleet[agent].reserved[job.record.priority];
+    reserved = reserved + need;
+  }
+  unit.reserved_until = now + kReservation;
+}
+
+void Planner::ReturnReserved(const Job& job, Unit& unit) {
+  for (const auto& [agent, kept] : unit.reserved) {
+    Resources& reserved = this->fleet[agent].reserved[job.record.priority];
+    reserved = reserved - kept;
+  }
+  this->ReleaseReservation(unit);
+}
+
+std::vector<Victim> Planner::RunningUnits(core::TimePoint now) {
+  std::vector<Victim> running;
+  for (auto& [id, job] : this->jobs) {
+    for (Unit& unit : job.units) {
+      if (unit.members.empty()) {
+        continue;
+      }
+      const core::Duration ran = now - unit.members.front().since;
+      const core::Duration left = this->TypicalRun(job, unit) - ran;
+      constexpr std::int64_t kLeastMs = 200;
+      running.push_back({&job, &unit,
+                         static_cast<double>(
+                             std::max(kLeastMs, left.InMilliseconds()))});
+    }
+  }
+  return running;
+}
+
+bool Planner::TryReserve(Job& job,
+                         Unit& unit,
+                         const PlacementRequest& request,
+                         core::TimePoint now) {
+  const auto placement = FindPreemptingPlacement(this->fleet, request,
+                                                 this->RunningUnits(now));
+  if (!placement) {
+    return false;
+  }
+  this->Reserve(job, unit, placement->agents, now);
+  this->Note("unit_reserved", job.record.spec.id,
+             "task=" + job.NameOf(unit, unit.first).ToText() + " waited_ms=" +
+                 Text((now - unit.ready_since).InMilliseconds()));
+  return true;
+}
+
 bool Planner::TryPreempt(Job& job,
                          Unit& unit,
                          const PlacementRequest& request,
                          core::TimePoint now) {
   const auto placement =
       FindPreemptingPlacement(this->fleet, request, this->VictimsFor(job, now));
-  if (!placement) {
+  const StepSpec& step = job.StepOf(unit);
+  if (!placement || placement->cost > this->LossLimit(job, unit, now)) {
     return false;
   }
-  const Resources need = CountedNeed(job.StepOf(unit));
-  for (const core::AgentId& agent : placement->agents) {
-    unit.reserved[agent] = unit.reserved[agent] + need;
-    AgentView& view = this->fleet[agent];
-    view.reserved = view.reserved + need;
-  }
-  unit.reserved_until = now + kReservation;
+  this->Reserve(job, unit, placement->agents, now);
   for (const Victim& victim : placement->victims) {
     this->StopUnit(*victim.unit);
     this->Note("unit_preempted", victim.job->record.spec.id,
@@ -855,11 +1021,7 @@
                      const std::vector<core::AgentId>& agents,
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
-  for (const auto& [agent, kept] : unit.reserved) {
-    AgentView& view = this->fleet[agent];
-    view.reserved = view.reserved - kept;
-  }
-  this->ReleaseReservation(unit);
+  this->ReturnReserved(job, unit);
   ++unit.highest_run;
   std::string where;
   for (std::size_t i = 0; i < agents.size(); ++i) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -49,6 +49,12 @@
   std::uint64_t version = 0;
 };
 
+/// Run times that were seen, as a moving average.
+struct RunTimes {
+  int samples = 0;
+  double mean_ms = 0;
+};
+
 /// What callers see of a job.
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
@@ -121,6 +127,10 @@
                    const AgentReport& report,
                    core::TimePoint now);
   void ApplyEnd(AgentView& view, const RunEnd& end, core::TimePoint now);
+  void NoteRunTime(const Job& job,
+                   const Unit& unit,
+                   const RunEnd& end,
+                   core::TimePoint now);
   void OnDone(Job& job, Unit& unit, core::TimePoint now);
   void OnFailedRun(Job& job,
                    Unit& unit,
@@ -149,6 +159,19 @@
               Unit& unit,
               const std::vector<core::AgentId>& agents,
               core::TimePoint now);
+  void Reserve(const Job& job,
+               Unit& unit,
+               const std::vector<core::AgentId>& agents,
+               core::TimePoint now);
+  void ReturnReserved(const Job& job, Unit& unit);
+  std::vector<Victim> RunningUnits(core::TimePoint now);
+  bool TryReserve(Job& job,
+                  Unit& unit,
+                  const PlacementRequest& request,
+                  core::TimePoint now);
+  bool IsWithinGuarantee(const Job& job) const;
+  core::Duration TypicalRun(const Job& job, const Unit& unit) const;
+  double LossLimit(const Job& job, const Unit& unit, core::TimePoint now) const;
   std::vector<Victim> VictimsFor(const Job& job, core::TimePoint now);
   std::vector<AgentOrders> CollectOrders(core::TimePoint now);
   void RecountUsage();
@@ -163,6 +186,10 @@
   Fleet fleet;
   std::map<core::JobId, Job> jobs;
   std::vector<MemberRecord> recorded_members;
+  /// Units that keep room for themselves, by priority.
+  std::map<int, int> reservations;
+  /// Run times of what ended, by queue.
+  std::map<QueueName, RunTimes> run_times;
   std::vector<DecisionNote> notes;
 };
 
--- /dev/null
+++ b/modules/batch/testing/load_replay.h
@@ -0,0 +1,578 @@
+// Replays a described load on the planner, in virtual time.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch::testing {
+
+/// One class of jobs.
+struct LoadClass {
+  std::string name;
+  int priority = 0;
+  int max_attempts = 2;
+  double slack = 1.5;
+  double objective_ms = 250;
+  double jobs_per_second = 1;
+  double width_mean = 3;
+  double width_max = 18;
+  Resources need;
+  /// Drawn with equal chance; empty: `need.accelerators`.
+  std::vector<int> accelerators;
+  double work_ms = 2000;
+  double work_spread = 0.3;
+  bool gang = false;
+  double same_rack_share = 0;
+  double checkpoint_share = 0;
+  double preferred_rack_share = 0;
+  /// Spread of the declared estimate around the true work (log scale).
+  double estimate_error = 0.5;
+  double worth = 1;
+  double late_worth = 0.5;
+  double failure_share = 0.01;
+  double poison_share = 0;
+};
+
+/// A fleet and its load.
+struct LoadPattern {
+  int workers = 11;
+  int workers_per_rack = 3;
+  Resources capacity{64000, 262144, 8};
+  std::int64_t stop_grace_ms = 200;
+  std::int64_t checkpoint_ms = 1000;
+  double remote_factor = 3;
+  std::vector<LoadClass> classes;
+  /// The urgent class comes `burst` times as often within the burst.
+  double burst = 2.2;
+  std::int64_t burst_start_ms = 3000;
+  std::int64_t burst_end_ms = 9000;
+  std::int64_t traffic_ms = 34'000;
+  std::int64_t finish_ms = 14'000;
+  int organisations = 4;
+};
+
+/// What callers got.
+struct ClassResult {
+  double owed = 0;
+  double earned = 0;
+  int jobs = 0;
+  int in_objective = 0;
+  int late = 0;
+  int unserved = 0;
+  double wait_ms = 0;
+};
+
+struct ReplayResult {
+  std::map<std::string, ClassResult> classes;
+  /// Core-seconds of stopped work that was not saved.
+  double wasted = 0;
+  int stops = 0;
+  double Earned() const {
+    double owed = 0;
+    double earned = 0;
+    for (const auto& [name, result] : this->classes) {
+      owed += result.owed;
+      earned += result.earned;
+    }
+    return owed == 0 ? 0 : earned / owed;
+  }
+};
+
+/// Runs one pattern once.
+class LoadReplay {
+ public:
+  LoadReplay(LoadPattern load, std::uint64_t seed)
+      : pattern(std::move(load)),
+        random(seed),
+        planner(PlannerOptions{}) {}
+
+  ReplayResult Run() {
+    this->planner.BeginTerm(core::SchedulingEpoch(1), {}, this->now);
+    this->MakeOrganisations();
+    this->MakeFleet();
+    this->MakeJobs();
+    const core::TimePoint start = this->now;
+    const std::int64_t end = this->pattern.traffic_ms + this->pattern.finish_ms;
+    for (std::int64_t t = 0; t < end; t += kStepMs) {
+      this->now = start + core::Duration::Milliseconds(t);
+      this->Submit(t);
+      this->Progress();
+      this->Report();
+      this->Decide();
+    }
+    return this->Score(start);
+  }
+
+  Planner& Decisions() { return this->planner; }
+
+ private:
+  static constexpr std::int64_t kStepMs = 20;
+
+  struct SimJob {
+    JobRecord record;
+    const LoadClass* load = nullptr;
+    std::int64_t arrival_ms = 0;
+    double work_ms = 0;
+    bool poison = false;
+    bool submitted = false;
+    std::int64_t started_ms = -1;
+  };
+  struct SimRun {
+    core::AgentId agent;
+    RunKey key;
+    SimJob* job = nullptr;
+    double done_ms = 0;
+    double began_ms = 0;
+    double speed = 1;
+    double fails_at = -1;
+    std::int64_t stops_at = -1;
+    core::TimePoint since;
+  };
+
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(this->random); }
+  double LogNormal(double mean, double spread) {
+    std::lognormal_distribution<> draw(std::log(mean) - spread * spread / 2,
+                                       spread);
+    return draw(this->random);
+  }
+
+  /// Guarantees of equal size that cover 62% of the accelerators.
+  void MakeOrganisations() {
+    constexpr double kGuaranteedShare = 0.62;
+    auto configuration = std::make_shared<Configuration>();
+    for (int i = 0; i < this->pattern.organisations; ++i) {
+      OrganisationConfig organisation;
+      organisation.id = core::OrganisationId("o" + std::to_string(i));
+      organisation.guaranteed_accelerators = static_cast<std::int64_t>(
+          kGuaranteedShare *
+          static_cast<double>(this->pattern.capacity.accelerators *
+                              this->pattern.workers) /
+          this->pattern.organisations);
+      configuration->organisations.push_back(organisation);
+    }
+    this->planner.SetConfiguration(configuration);
+  }
+
+  void MakeFleet() {
+    for (int i = 0; i < this->pattern.workers; ++i) {
+      const std::string id = "w" + std::to_string(1000 + i);
+      WorkerDescription worker = MakeWorker(
+          id, "r" + std::to_string(i / this->pattern.workers_per_rack));
+      worker.capacity = this->pattern.capacity;
+      AgentReport report;
+      report.agent = core::AgentId(id);
+      report.endpoint = "127.0.0.1:1";
+      report.incarnation = core::Incarnation(1);
+      report.epoch = this->planner.Epoch();
+      report.worker = worker;
+      report.is_complete = true;
+      this->reports[report.agent] = report;
+    }
+    this->Report();
+    if (const auto members = this->planner.ChangedMembers(this->now)) {
+      this->planner.OnMembersRecorded(*members);
+    }
+    this->Decide();
+    this->Report();
+  }
+
+  void MakeJobs() {
+    int number = 0;
+    for (const LoadClass& load : this->pattern.classes) {
+      double t = 0;
+      while (true) {
+        const bool in_burst = load.priority == 0 &&
+                              t >= static_cast<double>(
+                                       this->pattern.burst_start_ms) &&
+                              t < static_cast<double>(
+                                      this->pattern.burst_end_ms);
+        const double rate =
+            load.jobs_per_second * (in_burst ? this->pattern.burst : 1.0);
+        std::exponential_distribution<> gap(rate / 1000.0);
+        t += gap(this->random);
+        if (t >= static_cast<double>(this->pattern.traffic_ms)) {
+          break;
+        }
+        this->jobs.push_back(this->MakeJob(load, ++number, t));
+      }
+    }
+    std::sort(this->jobs.begin(), this->jobs.end(),
+              [](const SimJob& left, const SimJob& right) {
+                return left.arrival_ms < right.arrival_ms;
+              });
+    for (SimJob& job : this->jobs) {
+      this->by_id[job.record.spec.id] = &job;
+    }
+  }
+
+  SimJob MakeJob(const LoadClass& load, int number, double arrival) {
+    SimJob job;
+    job.load = &load;
+    job.arrival_ms = static_cast<std::int64_t>(arrival);
+    constexpr double kMaxWork = 10;
+    job.work_ms = std::min(LogNormal(load.work_ms, load.work_spread),
+                           load.work_ms * kMaxWork);
+    constexpr double kWidthSpread = 0.8;
+    const int width = std::clamp(
+        static_cast<int>(std::lround(LogNormal(load.width_mean, kWidthSpread))),
+        1, static_cast<int>(load.width_max));
+    StepSpec step = MakeStep(width, load.need);
+    if (!load.accelerators.empty()) {
+      step.need.accelerators = load.accelerators[std::uniform_int_distribution<
+          std::size_t>(0, load.accelerators.size() - 1)(this->random)];
+    }
+    step.gang = load.gang;
+    step.same_rack = this->Draw() < load.same_rack_share;
+    step.checkpoints = this->Draw() < load.checkpoint_share;
+    if (this->Draw() < load.preferred_rack_share) {
+      const int racks =
+          (this->pattern.workers + this->pattern.workers_per_rack - 1) /
+          this->pattern.workers_per_rack;
+      step.preferred_rack = "r" + std::to_string(static_cast<int>(
+                                      this->Draw() * racks));
+    }
+    step.estimate = core::Duration::Milliseconds(static_cast<std::int64_t>(
+        LogNormal(job.work_ms, load.estimate_error)));
+    job.poison = this->Draw() < load.poison_share;
+    job.record = MakeJob("j" + std::to_string(10'000 + number), {step},
+                         load.priority);
+    job.record.organisation = core::OrganisationId(
+        "o" + std::to_string(static_cast<int>(
+                  this->Draw() * this->pattern.organisations)));
+    job.record.queue = QueueName(load.name);
+    return job;
+  }
+  static JobRecord MakeJob(const std::string& id,
+                           std::vector<StepSpec> steps,
+                           int priority) {
+    return testing::MakeJob(id, std::move(steps), priority);
+  }
+
+  void Submit(std::int64_t t) {
+    for (SimJob& job : this->jobs) {
+      if (job.submitted || job.arrival_ms > t) {
+        continue;
+      }
+      job.submitted = true;
+      job.record.max_attempts = job.load->max_attempts;
+      job.record.slack_factor = job.load->slack;
+      job.record.objective = core::Duration::Milliseconds(
+          static_cast<std::int64_t>(job.load->objective_ms));
+      this->planner.AddJob(job.record, this->now);
+    }
+  }
+
+  const StepSpec& StepOf(const SimRun& run) const {
+    return run.job->record.spec.steps.front();
+  }
+
+  double Speed(const SimRun& run) const {
+    const StepSpec& step = this->StepOf(run);
+    std::set<std::string> racks;
+    for (const SimRun& other : this->runs) {
+      if (other.key.task.job == run.key.task.job &&
+          (step.gang || other.key == run.key)) {
+        racks.insert(this->reports.at(other.agent).worker->rack.Text());
+      }
+    }
+    const bool away = !step.preferred_rack.empty() &&
+                      (racks.size() > 1 || *racks.begin() != step.preferred_rack);
+    const bool split = step.gang && step.same_rack && racks.size() > 1;
+    return away || split ? 1.0 / this->pattern.remote_factor : 1.0;
+  }
+
+  double WeightOf(const SimRun& run) const {
+    constexpr double kMillicores = 1000;
+    constexpr double kAcceleratorCores = 8;
+    const Resources& need = this->StepOf(run).need;
+    return static_cast<double>(need.millicores) / kMillicores +
+           kAcceleratorCores * static_cast<double>(need.accelerators);
+  }
+
+  void EndRun(SimRun& run, RunEndKind kind) {
+    AgentReport& report = this->reports.at(run.agent);
+    RunEnd end;
+    end.number = ++this->last_end[run.agent];
+    end.key = run.key;
+    end.kind = kind;
+    const StepSpec& step = this->StepOf(run);
+    const auto step_ms = static_cast<double>(this->pattern.checkpoint_ms);
+    double saved = run.began_ms;
+    if (step.checkpoints) {
+      // A stop saves what there is.
+      saved = kind == RunEndKind::kStopped
+                  ? run.done_ms
+                  : std::floor(run.done_ms / step_ms) * step_ms;
+      end.checkpoint = std::to_string(static_cast<std::int64_t>(saved));
+    }
+    if (kind != RunEndKind::kDone) {
+      constexpr double kMsPerSecond = 1000;
+      this->result.wasted += std::max(0.0, run.done_ms - saved) /
+                             kMsPerSecond * this->WeightOf(run);
+    }
+    std::erase_if(report.active, [&run](const ActiveRun& active) {
+      return active.key == run.key;
+    });
+    report.ends.push_back(end);
+  }
+
+  void Progress() {
+    std::map<std::pair<core::JobId, std::int64_t>, RunEndKind> gang_ends;
+    for (SimRun& run : this->runs) {
+      run.done_ms += static_cast<double>(kStepMs) * run.speed;
+      const bool stopped =
+          run.stops_at >= 0 && this->now.InMilliseconds() >= run.stops_at;
+      const bool failed = run.fails_at >= 0 && run.done_ms >= run.fails_at;
+      const bool done = run.done_ms >= run.job->work_ms;
+      if (!stopped && !failed && !done) {
+        continue;
+      }
+      const RunEndKind kind = stopped  ? RunEndKind::kStopped
+                              : failed ? RunEndKind::kFailed
+                                       : RunEndKind::kDone;
+      this->EndRun(run, kind);
+      if (this->StepOf(run).gang) {
+        gang_ends.emplace(
+            std::make_pair(run.key.task.job, run.key.run),
+            kind == RunEndKind::kDone ? kind : RunEndKind::kBroken);
+      }
+      run.job = nullptr;
+    }
+    std::erase_if(this->runs, [](const SimRun& run) { return !run.job; });
+    for (SimRun& run : this->runs) {
+      const auto found =
+          gang_ends.find({run.key.task.job, run.key.run});
+      if (found != gang_ends.end()) {
+        this->EndRun(run, found->second);
+        run.job = nullptr;
+      }
+    }
+    std::erase_if(this->runs, [](const SimRun& run) { return !run.job; });
+  }
+
+  void Report() {
+    for (auto& [agent, report] : this->reports) {
+      for (ActiveRun& active : report.active) {
+        for (const SimRun& run : this->runs) {
+          if (run.key == active.key) {
+            constexpr double kPercent = 100;
+            active.percent = static_cast<int>(run.done_ms / run.job->work_ms *
+                                              kPercent);
+          }
+        }
+      }
+      ++report.sequence;
+      const ReportAnswer answer = this->planner.OnReport(report, this->now);
+      std::erase_if(report.ends, [&answer](const RunEnd& end) {
+        return end.number <= answer.acknowledged;
+      });
+    }
+    constexpr std::size_t kAll = 1000;
+    for (const ProgressWrite& write : this->planner.TakeProgress(
+             this->now, this->now.InMilliseconds(), kAll)) {
+      this->planner.OnProgressRecorded(write.record.job, write.version);
+      if (write.record.outcome != JobOutcome::kOpen) {
+        this->shown.emplace(write.record.job,
+                            std::make_pair(this->now, write.record.outcome));
+      }
+    }
+  }
+
+  void Decide() {
+    const auto orders =
+        this->planner.Decide(this->now, this->now.InMilliseconds());
+    this->planner.TakeNotes();
+    for (const AgentOrders& each : orders) {
+      AgentReport& report = this->reports.at(each.agent);
+      report.batch = each.batch.number;
+      for (const StartOrder& start : each.batch.starts) {
+        this->StartRun(each.agent, report, start);
+      }
+      for (const RunKey& key : each.batch.stops) {
+        for (SimRun& run : this->runs) {
+          if (run.key == key && run.stops_at < 0) {
+            ++this->result.stops;
+            run.stops_at = this->now.InMilliseconds() +
+                           static_cast<std::int64_t>(
+                               this->Draw() *
+                               static_cast<double>(this->pattern.stop_grace_ms));
+          }
+        }
+      }
+      this->planner.OnOrdersAnswered(each.agent);
+    }
+    for (SimRun& run : this->runs) {
+      if (run.since == this->now) {
+        run.speed = this->Speed(run);
+      }
+    }
+  }
+
+  void StartRun(const core::AgentId& agent,
+                AgentReport& report,
+                const StartOrder& start) {
+    SimRun run;
+    run.agent = agent;
+    run.key = start.key;
+    run.job = this->by_id.at(start.key.task.job);
+    run.since = this->now;
+    if (!start.checkpoint.empty()) {
+      run.began_ms = std::stod(start.checkpoint);
+      run.done_ms = run.began_ms;
+    }
+    const double chance = run.job->poison ? 1.0 : run.job->load->failure_share;
+    if (this->Draw() < chance) {
+      run.fails_at = this->Draw() * run.job->work_ms;
+    }
+    if (run.job->started_ms < 0) {
+      run.job->started_ms = this->now.InMilliseconds();
+    }
+    ActiveRun active;
+    active.key = start.key;
+    active.confirmed = true;
+    report.active.push_back(active);
+    this->runs.push_back(run);
+  }
+
+  ReplayResult Score(core::TimePoint start) {
+    for (const SimJob& job : this->jobs) {
+      if (job.poison) {
+        continue;
+      }
+      ClassResult& sum = this->result.classes[job.load->name];
+      const StepSpec& step = job.record.spec.steps.front();
+      constexpr double kMeanAccelerators = 4.6;
+      constexpr double kAcceleratorCores = 8;
+      const double mean_weight =
+          static_cast<double>(job.load->need.millicores) / 1000 +
+          kAcceleratorCores * (job.load->accelerators.empty()
+                                   ? static_cast<double>(
+                                         job.load->need.accelerators)
+                                   : kMeanAccelerators);
+      const double weight =
+          static_cast<double>(step.need.millicores) / 1000 +
+          kAcceleratorCores * static_cast<double>(step.need.accelerators);
+      const double relative = job.work_ms * weight * step.count /
+                              (job.load->work_ms * mean_weight *
+                               job.load->width_mean);
+      const double worth = job.load->worth * std::min(4.0, 0.3 + 0.7 * relative);
+      ++sum.jobs;
+      sum.owed += worth;
+      const auto shown = this->shown.find(job.record.spec.id);
+      const double took =
+          shown == this->shown.end() ||
+                  shown->second.second != JobOutcome::kCompleted
+              ? 1e9
+              : static_cast<double>(
+                    (shown->second.first - start).InMilliseconds() -
+                    job.arrival_ms);
+      const double objective =
+          job.load->slack * job.work_ms + job.load->objective_ms;
+      constexpr double kLateFactor = 3;
+      if (took <= objective) {
+        ++sum.in_objective;
+        sum.earned += worth;
+      } else if (took <= kLateFactor * objective) {
+        ++sum.late;
+        sum.earned += worth * job.load->late_worth;
+      } else {
+        ++sum.unserved;
+        if (getenv("DBG")) fprintf(stderr,"%s arr %ld w %d gpu %ld rack %d ck %d work %.0f start %ld\n", job.load->name.c_str(), job.arrival_ms, step.count, step.need.accelerators, step.same_rack, step.checkpoints, job.work_ms, job.started_ms<0?-1:job.started_ms-start.InMilliseconds()-job.arrival_ms);
+      }
+      if (job.started_ms >= 0) {
+        sum.wait_ms += static_cast<double>(
+            job.started_ms - start.InMilliseconds() - job.arrival_ms);
+      }
+    }
+    return this->result;
+  }
+
+  LoadPattern pattern;
+  std::mt19937_64 random;
+  Planner planner;
+  core::TimePoint now = At(1'000'000);
+  std::map<core::AgentId, AgentReport> reports;
+  std::map<core::AgentId, std::uint64_t> last_end;
+  std::vector<SimJob> jobs;
+  std::map<core::JobId, SimJob*> by_id;
+  std::vector<SimRun> runs;
+  std::map<core::JobId, std::pair<core::TimePoint, JobOutcome>> shown;
+  ReplayResult result;
+};
+
+/// The registry's load on its present fleet, and on the grown one.
+inline LoadPattern RegistryPattern(bool grown, double load_factor) {
+  LoadPattern pattern;
+  pattern.workers = grown ? 61 : 11;
+  pattern.workers_per_rack = grown ? 7 : 3;
+  pattern.capacity = {64000, grown ? 131072 : 262144, 8};
+  pattern.stop_grace_ms = grown ? 900 : 200;
+  pattern.organisations = grown ? 10 : 4;
+  LoadClass rebuild;
+  rebuild.name = "rebuild";
+  rebuild.priority = 1;
+  rebuild.max_attempts = 2;
+  rebuild.slack = 3.0;
+  rebuild.objective_ms = 1000;
+  rebuild.jobs_per_second = (grown ? 0.9 : 0.5) * load_factor;
+  rebuild.width_mean = grown ? 6.3 : 1.5;
+  rebuild.width_max = grown ? 38 : 9;
+  rebuild.need = {26000, grown ? 68000 : 110000, 8};
+  rebuild.accelerators = {1, 2, 4, 8, 8};
+  rebuild.work_ms = 5800;
+  rebuild.gang = true;
+  rebuild.same_rack_share = 0.6;
+  rebuild.checkpoint_share = 0.45;
+  rebuild.estimate_error = 0.9;
+  rebuild.worth = 3;
+  rebuild.late_worth = 0.9;
+  rebuild.failure_share = 0.005;
+  rebuild.poison_share = 0.03;
+  LoadClass certificate;
+  certificate.name = "certificate";
+  certificate.priority = 0;
+  certificate.max_attempts = 3;
+  certificate.slack = 1.5;
+  certificate.objective_ms = grown ? 300 : 250;
+  certificate.jobs_per_second = (grown ? 2.13 : 0.525) * load_factor;
+  certificate.width_mean = grown ? 4.7 : 3;
+  certificate.width_max = grown ? 28 : 18;
+  certificate.need = {7500, grown ? 15000 : 39000, 8};
+  certificate.accelerators = {1, 2, 4, 8, 8};
+  certificate.work_ms = 2100;
+  certificate.work_spread = 0.5;
+  certificate.gang = true;
+  certificate.same_rack_share = 0.8;
+  certificate.estimate_error = 0.9;
+  certificate.worth = 4;
+  certificate.late_worth = 0.8;
+  certificate.failure_share = 0.005;
+  LoadClass merge;
+  merge.name = "merge";
+  merge.priority = 2;
+  merge.max_attempts = 4;
+  merge.slack = 3.0;
+  merge.objective_ms = 3000;
+  merge.jobs_per_second = (grown ? 0.449 : 0.242) * load_factor;
+  merge.width_mean = grown ? 30 : 9.2;
+  merge.width_max = grown ? 180 : 55;
+  merge.need = {5600, grown ? 8200 : 23000, 1};
+  merge.work_ms = grown ? 6500 : 5200;
+  merge.checkpoint_share = 0.45;
+  merge.estimate_error = 0.2;
+  merge.worth = 1;
+  merge.late_worth = 0.3;
+  merge.failure_share = 0.05;
+  pattern.classes = {rebuild, certificate, merge};
+  return pattern;
+}
+
+}  // namespace hemlockdoor::batch::testing
