--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -19,10 +19,9 @@
   double total_owed = 0;
   double total_earned = 0;
   for (int seed = 1; seed <= seeds; ++seed) {
-    const ReplayResult result =
-        LoadReplay(RegistryPattern(grown, load),
-                   static_cast<std::uint64_t>(seed))
-            .Run();
+    const ReplayResult result = LoadReplay(RegistryPattern(grown, load),
+                                           static_cast<std::uint64_t>(seed))
+                                    .Run();
     wasted += result.wasted;
     stops += result.stops;
     for (const auto& [name, each] : result.classes) {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -40,20 +40,13 @@
 /// time, and to be done at all. Urgent work is worth about five times as much
 /// a core-second as is lost with one that is thrown away, other work less than
 /// one.
-constexpr double kUrgentLossShare = 0.3;
-constexpr double kUrgentLateLossShare = 1.0;
+constexpr double kUrgentLossShare = 0.5;
+constexpr double kUrgentLateLossShare = 3.0;
 constexpr double kOrdinaryLossShare = 0.02;
 constexpr double kOrdinaryLateLossShare = 0.1;
 /// Runs of a queue after which their mean replaces the declared estimate.
 constexpr int kMinSamples = 3;
 constexpr double kMeanWeight = 0.1;
-/// One wide unit of a priority at a time keeps room for itself on so many
-/// workers; more would leave too much idle.
-constexpr std::size_t kWorkersPerReservation = 20;
-/// Tasks with no more accelerators find room without a reservation.
-constexpr std::int64_t kNarrowAccelerators = 1;
-/// Work of this priority and above takes what others leave.
-constexpr int kLeastUrgent = 2;
 /// Each stop costs a restart, also of work that has just begun.
 constexpr double kRestartSeconds = 0.3;
 /// Waiting for the data's rack pays off for up to this many run times, since
@@ -733,8 +726,7 @@
       for (const auto& [agent, kept] : unit.reserved) {
         const auto found = this->fleet.find(agent);
         if (found != this->fleet.end()) {
-          Resources& reserved =
-              found->second.reserved[job.record.priority];
+          Resources& reserved = found->second.reserved[job.record.priority];
           reserved = reserved + kept;
         }
       }
@@ -780,12 +772,6 @@
                             std::make_tuple(right.first->record.priority,
                                             right.first->accepted);
                    });
-  this->reservations.clear();
-  for (const auto& [job, unit] : ready) {
-    if (!unit->reserved.empty()) {
-      ++this->reservations[job->record.priority];
-    }
-  }
   const Job* failed_job = nullptr;
   int failed_step = -1;
   for (const auto& [job, unit] : ready) {
@@ -817,7 +803,8 @@
   request.own_reserved = &unit.reserved;
   request.now = now;
   request.accept_remote =
-      now >= unit.ready_since + step.estimate * kRemoteWaitFactor ||
+      now >=
+          unit.ready_since + this->TypicalRun(job, unit) * kRemoteWaitFactor ||
       !CouldFitNear(this->fleet, request);
   if (step.max_per_worker > 0) {
     for (const Unit& other : job.units) {
@@ -838,22 +825,7 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
-  if (!unit.reserved.empty()) {
-    return false;
-  }
-  if (this->TryPreempt(job, unit, request, now)) {
-    return true;
-  }
-  const auto limit = static_cast<int>(
-      this->fleet.size() / kWorkersPerReservation * 0);
-  int& reservations = this->reservations[job.record.priority];
-  const bool wide = unit.size > 1 || CountedNeed(job.StepOf(unit)).accelerators >
-                                         kNarrowAccelerators;
-  if (wide && job.record.priority < kLeastUrgent && reservations < limit &&
-      this->TryReserve(job, unit, request, now)) {
-    ++reservations;
-  }
-  return false;
+  return unit.reserved.empty() && this->TryPreempt(job, unit, request, now);
 }
 
 bool Planner::IsWithinGuarantee(const Job& job) const {
@@ -895,10 +867,9 @@
   }
   constexpr double kMsPerSecond = 1000.0;
   const core::Duration run = this->TypicalRun(job, unit);
-  const double own_work = Weight(job.StepOf(unit)) *
-                          static_cast<double>(unit.size) *
-                          static_cast<double>(run.InMilliseconds()) /
-                          kMsPerSecond;
+  const double own_work =
+      Weight(job.StepOf(unit)) * static_cast<double>(unit.size) *
+      static_cast<double>(run.InMilliseconds()) / kMsPerSecond;
   const auto run_ms = static_cast<double>(run.InMilliseconds());
   const double objective_ms =
       job.record.slack_factor * run_ms +
@@ -962,40 +933,6 @@
   this->ReleaseReservation(unit);
 }
 
-std::vector<Victim> Planner::RunningUnits(core::TimePoint now) {
-  std::vector<Victim> running;
-  for (auto& [id, job] : this->jobs) {
-    for (Unit& unit : job.units) {
-      if (unit.members.empty()) {
-        continue;
-      }
-      const core::Duration ran = now - unit.members.front().since;
-      const core::Duration left = this->TypicalRun(job, unit) - ran;
-      constexpr std::int64_t kLeastMs = 200;
-      running.push_back({&job, &unit,
-                         static_cast<double>(
-                             std::max(kLeastMs, left.InMilliseconds()))});
-    }
-  }
-  return running;
-}
-
-bool Planner::TryReserve(Job& job,
-                         Unit& unit,
-                         const PlacementRequest& request,
-                         core::TimePoint now) {
-  const auto placement = FindPreemptingPlacement(this->fleet, request,
-                                                 this->RunningUnits(now));
-  if (!placement) {
-    return false;
-  }
-  this->Reserve(job, unit, placement->agents, now);
-  this->Note("unit_reserved", job.record.spec.id,
-             "task=" + job.NameOf(unit, unit.first).ToText() + " waited_ms=" +
-                 Text((now - unit.ready_since).InMilliseconds()));
-  return true;
-}
-
 bool Planner::TryPreempt(Job& job,
                          Unit& unit,
                          const PlacementRequest& request,
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -164,11 +164,6 @@
                const std::vector<core::AgentId>& agents,
                core::TimePoint now);
   void ReturnReserved(const Job& job, Unit& unit);
-  std::vector<Victim> RunningUnits(core::TimePoint now);
-  bool TryReserve(Job& job,
-                  Unit& unit,
-                  const PlacementRequest& request,
-                  core::TimePoint now);
   bool IsWithinGuarantee(const Job& job) const;
   core::Duration TypicalRun(const Job& job, const Unit& unit) const;
   double LossLimit(const Job& job, const Unit& unit, core::TimePoint now) const;
@@ -186,8 +181,6 @@
   Fleet fleet;
   std::map<core::JobId, Job> jobs;
   std::vector<MemberRecord> recorded_members;
-  /// Units that keep room for themselves, by priority.
-  std::map<int, int> reservations;
   /// Run times of what ended, by queue.
   std::map<QueueName, RunTimes> run_times;
   std::vector<DecisionNote> notes;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -184,6 +184,89 @@
   BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kCancelled));
 }
 
+// Load: gangs wider than any rack arrive. Waiting for one rack is in vain.
+BOOST_AUTO_TEST_CASE(SpreadsAGangThatFitsNoRackAtOnce) {
+  PlannedFleet fleet({MakeWorker("w1", "r1"), MakeWorker("w2", "r2")});
+  StepSpec gang = MakeStep(2, kWide);
+  gang.gang = true;
+  gang.same_rack = true;
+  fleet.planner.AddJob(MakeJob("j", {gang}), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().size() == 2U);
+}
+
+// Load: a gang fits one rack, which is busy. It waits one run time for it.
+BOOST_AUTO_TEST_CASE(WaitsForARackThatIsBusy) {
+  PlannedFleet fleet(
+      {MakeWorker("w1", "r1"), MakeWorker("w2", "r1"), MakeWorker("w3", "r2")});
+  fleet.planner.AddJob(MakeJob("first", {MakeStep(1, kWide)}), fleet.now);
+  fleet.Settle();
+  const std::string busy = fleet.Active().front().first;
+  StepSpec gang = MakeStep(2, kWide);
+  gang.gang = true;
+  gang.same_rack = true;
+  fleet.planner.AddJob(MakeJob("gang", {gang}), fleet.now);
+  fleet.Advance(1500);
+  const std::size_t expected = busy == "w3" ? 3U : 1U;
+  BOOST_TEST(fleet.Active().size() == expected);
+  fleet.Advance(1500);
+  BOOST_TEST(fleet.Active().size() == 3U);
+}
+
+// Load: urgent work beyond its guarantee meets long runs that save nothing.
+// Stopping them would throw away more than the urgent job is worth.
+BOOST_AUTO_TEST_CASE(UrgentWorkBeyondItsGuaranteeSparesCostlyRuns) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  StepSpec costly = MakeStep(1, kWide);
+  costly.estimate = core::Duration::Seconds(60);
+  fleet.planner.AddJob(MakeJob("low", {costly}, 1), fleet.now);
+  fleet.Advance(20'000);
+  JobRecord urgent = MakeJob("urgent", {MakeStep(1, kSmall)}, 0);
+  fleet.planner.AddJob(urgent, fleet.now);
+  fleet.Advance(500);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST((fleet.Active().front().second.task.job == core::JobId("low")));
+}
+
+// Load: the same with a guarantee that covers the urgent job.
+BOOST_AUTO_TEST_CASE(UrgentWorkWithinItsGuaranteeTakesBackAtAnyCost) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  auto configuration = std::make_shared<Configuration>();
+  OrganisationConfig north;
+  north.id = core::OrganisationId("north");
+  north.guaranteed_accelerators = 4;
+  configuration->organisations.push_back(north);
+  fleet.planner.SetConfiguration(configuration);
+  StepSpec costly = MakeStep(1, kWide);
+  costly.estimate = core::Duration::Seconds(60);
+  fleet.planner.AddJob(MakeJob("low", {costly}, 1), fleet.now);
+  fleet.Advance(20'000);
+  fleet.planner.AddJob(MakeJob("urgent", {MakeStep(1, kSmall)}, 0), fleet.now);
+  fleet.Advance(500);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST((fleet.Active().front().second.task.job == core::JobId("urgent")));
+}
+
+// Load: short tasks fill every worker and one urgent task needs room; tasks
+// that save their progress go first.
+BOOST_AUTO_TEST_CASE(StopsWorkThatSavesItsProgressFirst) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  StepSpec saving = MakeStep(4, kSmall);
+  saving.checkpoints = true;
+  fleet.planner.AddJob(MakeJob("plain", {MakeStep(4, kSmall)}, 2), fleet.now);
+  fleet.planner.AddJob(MakeJob("saving", {saving}, 2), fleet.now);
+  fleet.Advance(5000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 8U);
+  constexpr Resources kFour{7500, 39000, 4};
+  fleet.planner.AddJob(MakeJob("urgent", {MakeStep(1, kFour)}, 0), fleet.now);
+  fleet.Settle();
+  std::size_t plain = 0;
+  for (const auto& [worker, key] : fleet.Active()) {
+    plain += key.task.job == core::JobId("plain") ? 1 : 0;
+  }
+  BOOST_TEST(plain == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -90,9 +90,7 @@
 class LoadReplay {
  public:
   LoadReplay(LoadPattern load, std::uint64_t seed)
-      : pattern(std::move(load)),
-        random(seed),
-        planner(PlannerOptions{}) {}
+      : pattern(std::move(load)), random(seed), planner(PlannerOptions{}) {}
 
   ReplayResult Run() {
     this->planner.BeginTerm(core::SchedulingEpoch(1), {}, this->now);
@@ -189,11 +187,10 @@
     for (const LoadClass& load : this->pattern.classes) {
       double t = 0;
       while (true) {
-        const bool in_burst = load.priority == 0 &&
-                              t >= static_cast<double>(
-                                       this->pattern.burst_start_ms) &&
-                              t < static_cast<double>(
-                                      this->pattern.burst_end_ms);
+        const bool in_burst =
+            load.priority == 0 &&
+            t >= static_cast<double>(this->pattern.burst_start_ms) &&
+            t < static_cast<double>(this->pattern.burst_end_ms);
         const double rate =
             load.jobs_per_second * (in_burst ? this->pattern.burst : 1.0);
         std::exponential_distribution<> gap(rate / 1000.0);
@@ -226,8 +223,9 @@
         1, static_cast<int>(load.width_max));
     StepSpec step = MakeStep(width, load.need);
     if (!load.accelerators.empty()) {
-      step.need.accelerators = load.accelerators[std::uniform_int_distribution<
-          std::size_t>(0, load.accelerators.size() - 1)(this->random)];
+      step.need.accelerators =
+          load.accelerators[std::uniform_int_distribution<std::size_t>(
+              0, load.accelerators.size() - 1)(this->random)];
     }
     step.gang = load.gang;
     step.same_rack = this->Draw() < load.same_rack_share;
@@ -236,17 +234,17 @@
       const int racks =
           (this->pattern.workers + this->pattern.workers_per_rack - 1) /
           this->pattern.workers_per_rack;
-      step.preferred_rack = "r" + std::to_string(static_cast<int>(
-                                      this->Draw() * racks));
+      step.preferred_rack =
+          "r" + std::to_string(static_cast<int>(this->Draw() * racks));
     }
-    step.estimate = core::Duration::Milliseconds(static_cast<std::int64_t>(
-        LogNormal(job.work_ms, load.estimate_error)));
+    step.estimate = core::Duration::Milliseconds(
+        static_cast<std::int64_t>(LogNormal(job.work_ms, load.estimate_error)));
     job.poison = this->Draw() < load.poison_share;
-    job.record = MakeJob("j" + std::to_string(10'000 + number), {step},
-                         load.priority);
+    job.record =
+        MakeJob("j" + std::to_string(10'000 + number), {step}, load.priority);
     job.record.organisation = core::OrganisationId(
-        "o" + std::to_string(static_cast<int>(
-                  this->Draw() * this->pattern.organisations)));
+        "o" + std::to_string(static_cast<int>(this->Draw() *
+                                              this->pattern.organisations)));
     job.record.queue = QueueName(load.name);
     return job;
   }
@@ -283,8 +281,9 @@
         racks.insert(this->reports.at(other.agent).worker->rack.Text());
       }
     }
-    const bool away = !step.preferred_rack.empty() &&
-                      (racks.size() > 1 || *racks.begin() != step.preferred_rack);
+    const bool away =
+        !step.preferred_rack.empty() &&
+        (racks.size() > 1 || *racks.begin() != step.preferred_rack);
     const bool split = step.gang && step.same_rack && racks.size() > 1;
     return away || split ? 1.0 / this->pattern.remote_factor : 1.0;
   }
@@ -315,8 +314,8 @@
     }
     if (kind != RunEndKind::kDone) {
       constexpr double kMsPerSecond = 1000;
-      this->result.wasted += std::max(0.0, run.done_ms - saved) /
-                             kMsPerSecond * this->WeightOf(run);
+      this->result.wasted += std::max(0.0, run.done_ms - saved) / kMsPerSecond *
+                             this->WeightOf(run);
     }
     std::erase_if(report.active, [&run](const ActiveRun& active) {
       return active.key == run.key;
@@ -348,8 +347,7 @@
     }
     std::erase_if(this->runs, [](const SimRun& run) { return !run.job; });
     for (SimRun& run : this->runs) {
-      const auto found =
-          gang_ends.find({run.key.task.job, run.key.run});
+      const auto found = gang_ends.find({run.key.task.job, run.key.run});
       if (found != gang_ends.end()) {
         this->EndRun(run, found->second);
         run.job = nullptr;
@@ -364,8 +362,8 @@
         for (const SimRun& run : this->runs) {
           if (run.key == active.key) {
             constexpr double kPercent = 100;
-            active.percent = static_cast<int>(run.done_ms / run.job->work_ms *
-                                              kPercent);
+            active.percent =
+                static_cast<int>(run.done_ms / run.job->work_ms * kPercent);
           }
         }
       }
@@ -402,8 +400,8 @@
             ++this->result.stops;
             run.stops_at = this->now.InMilliseconds() +
                            static_cast<std::int64_t>(
-                               this->Draw() *
-                               static_cast<double>(this->pattern.stop_grace_ms));
+                               this->Draw() * static_cast<double>(
+                                                  this->pattern.stop_grace_ms));
           }
         }
       }
@@ -453,17 +451,18 @@
       constexpr double kAcceleratorCores = 8;
       const double mean_weight =
           static_cast<double>(job.load->need.millicores) / 1000 +
-          kAcceleratorCores * (job.load->accelerators.empty()
-                                   ? static_cast<double>(
-                                         job.load->need.accelerators)
-                                   : kMeanAccelerators);
+          kAcceleratorCores *
+              (job.load->accelerators.empty()
+                   ? static_cast<double>(job.load->need.accelerators)
+                   : kMeanAccelerators);
       const double weight =
           static_cast<double>(step.need.millicores) / 1000 +
           kAcceleratorCores * static_cast<double>(step.need.accelerators);
-      const double relative = job.work_ms * weight * step.count /
-                              (job.load->work_ms * mean_weight *
-                               job.load->width_mean);
-      const double worth = job.load->worth * std::min(4.0, 0.3 + 0.7 * relative);
+      const double relative =
+          job.work_ms * weight * step.count /
+          (job.load->work_ms * mean_weight * job.load->width_mean);
+      const double worth =
+          job.load->worth * std::min(4.0, 0.3 + 0.7 * relative);
       ++sum.jobs;
       sum.owed += worth;
       const auto shown = this->shown.find(job.record.spec.id);
@@ -485,7 +484,6 @@
         sum.earned += worth * job.load->late_worth;
       } else {
         ++sum.unserved;
-        if (getenv("DBG")) fprintf(stderr,"%s arr %ld w %d gpu %ld rack %d ck %d work %.0f start %ld\n", job.load->name.c_str(), job.arrival_ms, step.count, step.need.accelerators, step.same_rack, step.checkpoints, job.work_ms, job.started_ms<0?-1:job.started_ms-start.InMilliseconds()-job.arrival_ms);
       }
       if (job.started_ms >= 0) {
         sum.wait_ms += static_cast<double>(
