--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -26,8 +26,6 @@
 constexpr std::size_t kFailuresToSuspend = 2;
 constexpr core::Duration kSuspension = core::Duration::Milliseconds(3000);
 constexpr int kMaxSuspensionDoublings = 3;
-/// A silent agent leaves the member list after this.
-constexpr core::Duration kMemberTimeout = core::Duration::Seconds(30);
 /// Runs of an earlier term that were never seen have lower numbers than this
 /// many per epoch.
 constexpr std::int64_t kRunsPerEpoch = 64;
@@ -518,13 +516,13 @@
   }
 }
 
-std::optional<std::vector<MemberRecord>> Planner::ChangedMembers(
-    core::TimePoint now) const {
+std::optional<std::vector<MemberRecord>> Planner::ChangedMembers() const {
   std::vector<MemberRecord> members;
   bool changed = false;
   for (const auto& [agent, view] : this->fleet) {
-    const bool is_gone =
-        now >= view.last_contact + kMemberTimeout && now >= view.leases_over;
+    // Nothing runs there, and nothing starts there unless it is recorded.
+    const bool signed_off = view.is_complete && !view.worker;
+    const bool is_gone = view.is_lost || signed_off;
     if (!is_gone) {
       members.push_back({view.agent, view.endpoint});
     }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -101,8 +101,7 @@
   /// Ended jobs that nobody needs any more; they are forgotten here.
   std::vector<core::JobId> TakeExpired(core::TimePoint now);
   /// The member list when it differs from the stored one.
-  std::optional<std::vector<MemberRecord>> ChangedMembers(
-      core::TimePoint now) const;
+  std::optional<std::vector<MemberRecord>> ChangedMembers() const;
   std::vector<DecisionNote> TakeNotes() {
     return std::exchange(this->notes, {});
   }
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -184,6 +184,21 @@
   BOOST_TEST((fleet.planner.StateOf(core::JobId("j")) == JobState::kCancelled));
 }
 
+// A machine that left stayed in the member list, so a new planner waited a
+// whole term for it before it went on.
+BOOST_AUTO_TEST_CASE(DropsMembersThatLeftOrLostTheirLeases) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2"), MakeWorker("w3")});
+  BOOST_TEST(!fleet.planner.ChangedMembers().has_value());
+  fleet.ReportOf("w1").worker.reset();
+  fleet.Settle();
+  fleet.Silence("w2");
+  fleet.Advance(6000);
+  const auto members = fleet.planner.ChangedMembers();
+  BOOST_REQUIRE(members.has_value());
+  BOOST_REQUIRE_EQUAL(members->size(), 1U);
+  BOOST_TEST((members->front().agent == core::AgentId("agent-w3")));
+}
+
 // Load: gangs wider than any rack arrive. Waiting for one rack is in vain.
 BOOST_AUTO_TEST_CASE(SpreadsAGangThatFitsNoRackAtOnce) {
   PlannedFleet fleet({MakeWorker("w1", "r1"), MakeWorker("w2", "r2")});
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -447,7 +447,7 @@
       return;
     }
     const std::optional<std::vector<MemberRecord>> members =
-        active.ChangedMembers(now);
+        active.ChangedMembers();
     if (!members) {
       return;
     }
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -140,7 +140,7 @@
 
   void RecordMembers() {
     this->ReportAll();
-    if (const auto members = this->planner.ChangedMembers(this->now)) {
+    if (const auto members = this->planner.ChangedMembers()) {
       this->planner.OnMembersRecorded(*members);
     }
   }
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -175,7 +175,7 @@
       this->reports[report.agent] = report;
     }
     this->Report();
-    if (const auto members = this->planner.ChangedMembers(this->now)) {
+    if (const auto members = this->planner.ChangedMembers()) {
       this->planner.OnMembersRecorded(*members);
     }
     this->Decide();
