--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -194,8 +194,8 @@
 core::Expected<OrderBatch> OrderBatchFromText(const std::string& text);
 
 /// Names used in logs.
-const char* NameOf(RunEndKind kind);
-const char* NameOf(RejectReason reason);
-const char* NameOf(JobOutcome outcome);
+std::string NameOf(RunEndKind kind);
+std::string NameOf(RejectReason reason);
+std::string NameOf(JobOutcome outcome);
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -510,7 +510,7 @@
   for (auto& [agent, view] : this->fleet) {
     const auto found = std::find_if(
         members.begin(), members.end(),
-        [&view](const MemberRecord& each) { return each.agent == view.agent; });
+        [&id = agent](const MemberRecord& each) { return each.agent == id; });
     view.is_recorded =
         found != members.end() && found->endpoint == view.endpoint;
   }
@@ -692,10 +692,11 @@
           unit.occurrence * spec.interval.InMilliseconds();
       const bool is_due = spec.occurrences == 0 || wall_ms >= due_ms;
       const StepSpec& step = job.StepOf(unit);
-      const bool released = std::all_of(
-          step.after.begin(), step.after.end(), [&job, &unit](int earlier) {
-            return job.IsStepDone(unit.occurrence, earlier);
-          });
+      const bool released =
+          std::all_of(step.after.begin(), step.after.end(),
+                      [&owner = job, &unit](int earlier) {
+                        return owner.IsStepDone(unit.occurrence, earlier);
+                      });
       if (is_due && released) {
         unit.phase = UnitPhase::kReady;
         unit.ready_since = now;
