--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -116,8 +116,7 @@
                                                 labels,
                                                 capacity,
                                                 state,
-                                                remaining,
-                                                guards_capacity)
+                                                remaining)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunKey, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ActiveRun,
                                                 key,
@@ -142,7 +141,6 @@
                                                 payload,
                                                 checkpoint,
                                                 ticket)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PaceOrder, key, percent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OrderBatch,
                                                 epoch,
                                                 number,
@@ -150,9 +148,7 @@
                                                 agent_incarnation,
                                                 worker,
                                                 starts,
-                                                stops,
-                                                paces,
-                                                acknowledged)
+                                                stops)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FailedRuns, task, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SavedCheckpoint,
                                                 task,
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -26,8 +26,6 @@
   WorkerState state = WorkerState::kReady;
   /// Least time left while draining.
   core::Duration remaining;
-  /// The worker refuses what does not fit.
-  bool guards_capacity = false;
 };
 
 /// A run that holds capacity on a worker.
@@ -122,11 +120,6 @@
   std::string ticket;
 };
 
-struct PaceOrder {
-  RunKey key;
-  int percent = 100;
-};
-
 /// Orders that an agent carries out in turn.
 struct OrderBatch {
   core::SchedulingEpoch epoch;
@@ -138,12 +131,6 @@
   WorkerIdentity worker;
   std::vector<StartOrder> starts;
   std::vector<RunKey> stops;
-  std::vector<PaceOrder> paces;
-  std::uint64_t acknowledged = 0;
-
-  bool IsEmpty() const {
-    return this->starts.empty() && this->stops.empty() && this->paces.empty();
-  }
 };
 
 enum class JobOutcome { kOpen, kCompleted, kFailed, kCancelled };
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -69,7 +69,6 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
-  this->recorded_members = members;
   const core::Duration longest = this->options.term +
                                  this->options.term / kClockDriftDivisor +
                                  kLeaseMargin;
@@ -506,7 +505,6 @@
 }
 
 void Planner::OnMembersRecorded(const std::vector<MemberRecord>& members) {
-  this->recorded_members = members;
   for (auto& [agent, view] : this->fleet) {
     const auto found = std::find_if(
         members.begin(), members.end(),
@@ -648,17 +646,16 @@
     this->Note("agent_lost", {},
                "agent=" + agent.Text() + " silent_ms=" +
                    Text((now - view.last_contact).InMilliseconds()));
-    this->RemoveMembers(view, true, now);
+    this->RemoveMembers(view, now);
   }
 }
 
-void Planner::RemoveMembers(AgentView& view, bool all, core::TimePoint now) {
+void Planner::RemoveMembers(const AgentView& view, core::TimePoint now) {
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
-      const std::size_t removed =
-          std::erase_if(unit.members, [&view, all](const Member& member) {
-            return all && member.agent == view.agent;
-          });
+      const std::size_t removed = std::erase_if(
+          unit.members,
+          [&view](const Member& member) { return member.agent == view.agent; });
       if (removed > 0) {
         this->AfterMembersLeft(job, unit, now);
       }
@@ -1034,7 +1031,6 @@
     batch.planner = this->options.endpoint;
     batch.agent_incarnation = view.incarnation;
     batch.worker = view.worker ? view.worker->identity : WorkerIdentity();
-    batch.acknowledged = view.Acknowledgeable();
     view.batch_open = true;
     if (!view.strays.empty()) {
       view.next_batch = now + kStopRetry;
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -136,7 +136,7 @@
                    AgentView& view,
                    const RunEnd& end,
                    core::TimePoint now);
-  void RemoveMembers(AgentView& view, bool all, core::TimePoint now);
+  void RemoveMembers(const AgentView& view, core::TimePoint now);
   void AfterMembersLeft(Job& job, Unit& unit, core::TimePoint now);
   void StopUnit(Unit& unit);
   void EndJob(Job& job, JobOutcome outcome, core::TimePoint now);
@@ -179,7 +179,6 @@
       std::make_shared<const Configuration>();
   Fleet fleet;
   std::map<core::JobId, Job> jobs;
-  std::vector<MemberRecord> recorded_members;
   /// Run times of what ended, by queue.
   std::map<QueueName, RunTimes> run_times;
   std::vector<DecisionNote> notes;
