--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -935,7 +935,6 @@
                          core::TimePoint now) {
   const auto placement =
       FindPreemptingPlacement(this->fleet, request, this->VictimsFor(job, now));
-  const StepSpec& step = job.StepOf(unit);
   if (!placement || placement->cost > this->LossLimit(job, unit, now)) {
     return false;
   }
