Compute the longest lease and a broken gang in one place

The lease length with drift and margin stood in BeginTerm and OnReport, the test for a gang with a missing member in AfterMembersLeft and CheckGangs (there with a check for members that changes nothing: a unit without members has none to stop). A time set after a lost watch was never read.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -57,6 +57,17 @@
          kCoresPerAccelerator * static_cast<double>(step.need.accelerators);
 }
 
+/// How long a worker may keep a lease that was asked for within a term.
+core::Duration LongestLease(core::Duration term) {
+  return term + term / kClockDriftDivisor + kLeaseMargin;
+}
+
+/// Part of a gang that is not done is missing.
+bool IsBrokenGang(const Job& job, const Unit& unit) {
+  return job.StepOf(unit).gang && unit.phase != UnitPhase::kDone &&
+         static_cast<int>(unit.members.size()) < unit.size;
+}
+
 std::string Text(std::int64_t number) {
   return std::to_string(number);
 }
@@ -69,9 +80,7 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
-  const core::Duration longest = this->options.term +
-                                 this->options.term / kClockDriftDivisor +
-                                 kLeaseMargin;
+  const core::Duration longest = LongestLease(this->options.term);
   this->recovery_ends = now + longest;
   for (const MemberRecord& member : members) {
     AgentView& view = this->fleet[member.agent];
@@ -164,9 +173,7 @@
 ReportAnswer Planner::OnReport(const AgentReport& report, core::TimePoint now) {
   AgentView& view = this->ViewOf(report, now);
   view.leases_over =
-      std::max(view.leases_over, now + this->options.term +
-                                     this->options.term / kClockDriftDivisor +
-                                     kLeaseMargin);
+      std::max(view.leases_over, now + LongestLease(this->options.term));
   const bool is_current =
       report.epoch == this->epoch && report.sequence > view.sequence;
   if (is_current) {
@@ -371,10 +378,7 @@
 }
 
 void Planner::AfterMembersLeft(Job& job, Unit& unit, core::TimePoint now) {
-  const StepSpec& step = job.StepOf(unit);
-  const bool gang_is_broken =
-      step.gang && static_cast<int>(unit.members.size()) < unit.size;
-  if (gang_is_broken && unit.phase != UnitPhase::kDone) {
+  if (IsBrokenGang(job, unit)) {
     this->StopUnit(unit);
   }
   if (unit.members.empty()) {
@@ -733,10 +737,7 @@
 void Planner::CheckGangs() {
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
-      const bool partial = unit.phase != UnitPhase::kDone &&
-                           !unit.members.empty() && job.StepOf(unit).gang &&
-                           static_cast<int>(unit.members.size()) < unit.size;
-      if (partial) {
+      if (IsBrokenGang(job, unit)) {
         this->StopUnit(unit);
       }
     }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -327,7 +327,6 @@
               if (!events) {
                 // The listing shows what the watch missed.
                 this->watch.reset();
-                this->load_due = core::Clock::Now() + kRetryPause;
                 this->Reload();
                 return;
               }
