Send an unanswered start again instead of stopping it

Cause: a start whose answer was lost was stopped until the stop was answered, and the planner then started the task anew. Starting a run is idempotent at the worker, so a copy of the start tells whether it runs.

Ruled out: asking the worker's list only. It shows a run that has begun, but not one whose order is delayed.

Change: the agent sends a start up to four times, each with a timeout of 250 ms, and takes a listed run for an answer. A copy that is rejected, a leaving worker or a new life of it leads to the stop as before.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -15,6 +15,10 @@
 /// Pause before a stop that got no answer, or showed no effect, is sent again.
 /// Above the time a worker may take to stop a task.
 constexpr core::Duration kStopRetry = core::Duration::Milliseconds(500);
+/// Copies of a start before it is stopped instead. With the worker port's
+/// timeout they take about a second, less than the shortest time for which a
+/// member of a gang waits for the others (3 s).
+constexpr int kMaxStartsSent = 4;
 
 }  // namespace
 
@@ -56,6 +60,8 @@
   std::erase_if(this->runs,
                 [](const auto& entry) { return !entry.second.uncertain; });
   for (auto& [key, run] : this->runs) {
+    run.state = RunState::kStopping;
+    run.start_due = false;
     run.stop_answered = false;
     run.stop_sent.reset();
     run.settled_clock_ms = 0;
@@ -128,6 +134,8 @@
       Run& run = this->runs[start.key];
       run.active.key = start.key;
       run.active.checkpoint = start.checkpoint;
+      run.order = start;
+      run.starts_sent = 1;
       calls.starts.push_back(
           {start, this->epoch, this->worker->identity, *deadline});
     }
@@ -162,13 +170,24 @@
   }
   if (result == StartResult::kUnknown) {
     run.uncertain = true;
-    run.state = RunState::kStopping;
+    run.start_due =
+        run.state == RunState::kStarting && run.starts_sent < kMaxStartsSent;
+    if (!run.start_due) {
+      run.state = RunState::kStopping;
+    }
     return;
   }
   this->ObserveClock(worker_clock_ms, now);
+  if (result == StartResult::kRejected) {
+    // An earlier copy may have run to its end, or may still arrive.
+    run.state = RunState::kStopping;
+    return;
+  }
   run.settled_clock_ms = worker_clock_ms;
   if (run.state == RunState::kStarting) {
+    // Copies that arrive later find the run, or its end, and do nothing.
     run.state = RunState::kRunning;
+    run.uncertain = false;
     run.active.confirmed = true;
   }
 }
@@ -243,6 +262,13 @@
       run.settled_clock_ms = listing.worker_clock_ms;
       this->news = true;
     }
+    if (run.state == RunState::kStarting && run.uncertain) {
+      run.state = RunState::kRunning;
+      run.uncertain = false;
+      run.start_due = false;
+      run.settled_clock_ms = listing.worker_clock_ms;
+      this->news = true;
+    }
     run.active = listed;
     run.active.confirmed = run.state != RunState::kStarting;
   }
@@ -284,6 +310,28 @@
   return calls;
 }
 
+std::vector<StartCall> WorkerSupervisor::DueStarts(core::TimePoint now) {
+  std::vector<StartCall> calls;
+  const std::optional<std::int64_t> deadline = this->LeaseDeadline(now);
+  for (auto& [key, run] : this->runs) {
+    if (!run.start_due) {
+      continue;
+    }
+    run.start_due = false;
+    const bool may_start =
+        this->worker && deadline && this->worker->state == WorkerState::kReady;
+    if (!may_start) {
+      run.state = RunState::kStopping;
+      continue;
+    }
+    ++run.starts_sent;
+    this->NoteLease(now);
+    calls.push_back(
+        {run.order, this->epoch, this->worker->identity, *deadline});
+  }
+  return calls;
+}
+
 std::optional<std::int64_t> WorkerSupervisor::BeginLook(core::TimePoint now) {
   const std::optional<std::int64_t> deadline = this->LeaseDeadline(now);
   if (!deadline || this->failed_looks > 0) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -87,6 +87,9 @@
   void OnListing(const WorkerListing& listing, core::TimePoint now);
   /// Stops that are due again, since a start or an earlier stop got no answer.
   std::vector<StopCall> DueStops(core::TimePoint now);
+  /// Starts to be sent again: starting a run is idempotent, so a start whose
+  /// answer was lost is answered by the copy.
+  std::vector<StartCall> DueStarts(core::TimePoint now);
 
   /// A look at the worker is about to be sent: the lease's end to ask for, on
   /// the worker's clock. Nothing outside a term, and while the worker does not
@@ -113,8 +116,12 @@
   enum class RunState { kStarting, kRunning, kStopping };
   struct Run {
     RunState state = RunState::kStarting;
-    /// The start got no answer: only a stop settles it.
+    /// A start got no answer and may still arrive. Settled by the answer to a
+    /// copy, by the run in a list, or by a stop.
     bool uncertain = false;
+    StartOrder order;
+    int starts_sent = 0;
+    bool start_due = false;
     /// Worker clock of the answer that settled the state; lists from before
     /// it say nothing of this run.
     std::int64_t settled_clock_ms = 0;
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -211,18 +211,26 @@
       this->SendStop(stop);
     }
     for (const StartCall& start : calls.starts) {
-      const RunKey key = start.order.key;
-      this->port.Start(start, [this, key](StartAnswer answer) {
-        this->supervisor.OnStartAnswer(key, answer.result, answer.reason,
-                                       answer.worker_clock_ms,
-                                       core::Clock::Now());
-        this->LogStart(key, answer);
-        this->AnswerOrders();
-        this->ReportNews();
-      });
+      this->SendStart(start);
     }
   }
 
+  void SendStart(const StartCall& start) {
+    const RunKey key = start.order.key;
+    this->port.Start(start, [this, key](StartAnswer answer) {
+      this->supervisor.OnStartAnswer(key, answer.result, answer.reason,
+                                     answer.worker_clock_ms,
+                                     core::Clock::Now());
+      this->LogStart(key, answer);
+      for (const StartCall& again :
+           this->supervisor.DueStarts(core::Clock::Now())) {
+        this->SendStart(again);
+      }
+      this->AnswerOrders();
+      this->ReportNews();
+    });
+  }
+
   void LogStart(const RunKey& key, const StartAnswer& answer) {
     observe::LogContext log_context;
     log_context.job = key.task.job;
