Pause between looks while ends wait for their acknowledgement

Cause: a worker answers a look at once while it lists ends.

Change: 100 ms between looks while ends are unacknowledged; an acknowledgement ends the pause.

--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -106,6 +106,8 @@
   }
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   bool IsWorkerReachable() const { return this->failed_looks == 0; }
+  /// The worker lists ends that it may not forget yet.
+  bool HasUnacknowledgedEnds() const { return !this->ends.empty(); }
   /// True when something changed since the last report.
   bool HasNews() const { return this->news; }
   /// True while a start waits for the worker's answer.
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -178,6 +178,10 @@
       core::Duration::Milliseconds(1000);
   static constexpr core::Duration kLookPause =
       core::Duration::Milliseconds(150);
+  /// Pause between looks while ends wait to be acknowledged: the worker then
+  /// answers each look at once.
+  static constexpr core::Duration kEndsPause =
+      core::Duration::Milliseconds(100);
 
   void Tick() {
     const core::TimePoint now = core::Clock::Now();
@@ -300,6 +304,9 @@
                       if (listing) {
                         this->supervisor.OnListing(*listing, now);
                         this->look_failing = false;
+                        if (this->supervisor.HasUnacknowledgedEnds()) {
+                          this->next_look = now + kEndsPause;
+                        }
                       } else {
                         this->OnLookEnded(listing.error(), now);
                       }
@@ -410,7 +417,11 @@
                    {{"event", "planner_found"}});
     }
     const core::SchedulingEpoch before = this->supervisor.Epoch();
+    const std::uint64_t acknowledged = this->supervisor.Acknowledged();
     this->supervisor.OnReportAnswer(answer, sent);
+    if (this->supervisor.Acknowledged() != acknowledged) {
+      this->next_look = core::Clock::Now();
+    }
     this->AddEntries(answer.entries);
     if (this->planner.empty() && !this->entries.empty()) {
       this->planner = this->entries[this->entry_index % this->entries.size()];
@@ -419,6 +430,7 @@
       this->OnNewEpoch();
     }
     this->ReportNews();
+    this->LookSoon();
   }
 
   AgentServiceOptions options;
