Let the load replay pay for late jobs what the users pay

These are the users' absolute figures beside worths of 4, 3 and 1: a late urgent job earns a fifth, the others less than a third. The limits on what urgent work may throw away were tuned on the wrong figures.

Change: late credit is late worth over worth; the replay bench prints the worst class too. Stricter, so no bound of the replay tests moves.

--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -1,4 +1,5 @@
 // Prints what callers get when described loads are replayed on the planner.
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -39,10 +40,15 @@
   }
   // The deployments' price of a core-second against the worth of their jobs.
   constexpr double kWastePrice = 0.0018;
+  double worst = 1;
+  for (const auto& [name, sum] : sums) {
+    worst = std::min(worst, sum.earned / sum.owed);
+  }
   std::cout << (grown ? "grown" : "small") << " load " << load << ": net "
             << (total_earned - kWastePrice * wasted) / total_owed << " earned "
-            << total_earned / total_owed << ", wasted core-s a seed "
-            << wasted / seeds << ", stops " << stops / seeds << "\n";
+            << total_earned / total_owed << " worst class " << worst
+            << ", wasted core-s a seed " << wasted / seeds << ", stops "
+            << stops / seeds << "\n";
   for (const auto& [name, sum] : sums) {
     std::cout << "  " << name << ": earned " << sum.earned / sum.owed
               << " jobs " << sum.jobs << " in " << sum.in_objective << " late "
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -35,6 +35,8 @@
   double preferred_rack_share = 0;
   /// Spread of the declared estimate around the true work (log scale).
   double estimate_error = 0.5;
+  /// Earned by a job that ends within its objective, and by one that ends
+  /// within three times that.
   double worth = 1;
   double late_worth = 0.5;
   double failure_share = 0.01;
@@ -481,7 +483,7 @@
         sum.earned += worth;
       } else if (took <= kLateFactor * objective) {
         ++sum.late;
-        sum.earned += worth * job.load->late_worth;
+        sum.earned += worth * job.load->late_worth / job.load->worth;
       } else {
         ++sum.unserved;
       }
