Order starts by what can still end in time; lend less to work that is stopped again

Three decisions led there: jobs whose objective had passed went before those that could still end in time; stopping work that saves its progress was taken to lose up to a second of it; and stopped merges were started again at once in gaps that the next urgent gang needed.

Change: - A unit's rank is its priority, one level lower when its job can end late only and three when callers no longer wait; urgent work within a guarantee keeps its rank. - What may be thrown away for a unit depends on its prospect: 3.0 and 0.3 of its own work for urgent work, 0.05 and 0.02 for other work.

--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -293,6 +293,25 @@
   return placement;
 }
 
+/// Groups of candidates of which one has to take the whole unit.
+std::vector<std::vector<Candidate>> GroupsFor(
+    const std::vector<Candidate>& candidates,
+    const PlacementRequest& request) {
+  std::vector<std::vector<Candidate>> groups;
+  const std::string& data_rack = request.step->preferred_rack;
+  if (!data_rack.empty() && !request.accept_remote) {
+    groups.push_back(InRack(candidates, core::RackId(data_rack)));
+  } else if (request.step->same_rack && request.size > 1) {
+    for (const core::RackId& rack : RacksOf(candidates)) {
+      groups.push_back(InRack(candidates, rack));
+    }
+  }
+  if (groups.empty() || request.accept_remote) {
+    groups.push_back(candidates);
+  }
+  return groups;
+}
+
 }  // namespace
 
 std::optional<std::vector<core::AgentId>> FindPlacement(
@@ -307,20 +326,8 @@
     const std::vector<Victim>& victims) {
   const std::vector<Candidate> candidates = UsableCandidates(fleet, request);
   const VictimsByAgent by_agent = GroupByAgent(victims);
-  std::vector<std::vector<Candidate>> groups;
-  const std::string& data_rack = request.step->preferred_rack;
-  if (!data_rack.empty() && !request.accept_remote) {
-    groups.push_back(InRack(candidates, core::RackId(data_rack)));
-  } else if (request.step->same_rack && request.size > 1) {
-    for (const core::RackId& rack : RacksOf(candidates)) {
-      groups.push_back(InRack(candidates, rack));
-    }
-  }
-  if (groups.empty() || request.accept_remote) {
-    groups.push_back(candidates);
-  }
   std::optional<PreemptingPlacement> best;
-  for (const std::vector<Candidate>& group : groups) {
+  for (const std::vector<Candidate>& group : GroupsFor(candidates, request)) {
     std::optional<PreemptingPlacement> found =
         PlaceWithVictims(group, request, by_agent);
     if (found && (!best || found->cost < best->cost)) {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -31,17 +31,21 @@
 constexpr std::int64_t kRunsPerEpoch = 64;
 /// An accelerator weighs as many cores when work is thrown away.
 constexpr double kCoresPerAccelerator = 8.0;
-/// A task that saves checkpoints loses at most the work since the last one;
-/// workers save every 0.5 to 2 s.
-constexpr double kCheckpointSeconds = 1.0;
-/// Share of its own work that a unit may throw away of others' to start in
-/// time, and to be done at all. Urgent work is worth about five times as much
-/// a core-second as is lost with one that is thrown away, other work less than
-/// one.
-constexpr double kUrgentLossShare = 0.5;
-constexpr double kUrgentLateLossShare = 3.0;
-constexpr double kOrdinaryLossShare = 0.02;
-constexpr double kOrdinaryLateLossShare = 0.1;
+/// Share of its own work that a unit may throw away of others', while it can
+/// end in time and later. By the users' worths a core-second of urgent work is
+/// worth about seven times as much as one of other work, and about five times
+/// as much as the price of one that is thrown away.
+constexpr double kUrgentLossShare = 3;
+constexpr double kUrgentLateLossShare = 0.3;
+constexpr double kOrdinaryLossShare = 0.05;
+constexpr double kOrdinaryLateLossShare = 0.02;
+/// Levels of priority by which a job falls back in the order of starts when it
+/// can end late only, and when callers no longer wait for it: a late job of one
+/// priority is worth about as much a core-second as one in time of the next.
+constexpr int kLateLevels = 1;
+constexpr int kTooLateLevels = 3;
+/// Work of this priority and later ones fills gaps between other work.
+constexpr int kFillingPriority = 2;
 /// Runs of a queue after which their mean replaces the declared estimate.
 constexpr int kMinSamples = 3;
 constexpr double kMeanWeight = 0.1;
@@ -57,6 +61,11 @@
          kCoresPerAccelerator * static_cast<double>(step.need.accelerators);
 }
 
+/// Work that fills gaps and saves nothing when it is stopped.
+bool LosesWorkWhenStopped(const Job& job, const StepSpec& step) {
+  return job.record.priority >= kFillingPriority && !step.checkpoints;
+}
+
 /// How long a worker may keep a lease that was asked for within a term.
 core::Duration LongestLease(core::Duration term) {
   return term + term / kClockDriftDivisor + kLeaseMargin;
@@ -68,10 +77,35 @@
          static_cast<int>(unit.members.size()) < unit.size;
 }
 
+double Seconds(core::Duration duration) {
+  constexpr double kMsPerSecond = 1000.0;
+  return static_cast<double>(duration.InMilliseconds()) / kMsPerSecond;
+}
+
 std::string Text(std::int64_t number) {
   return std::to_string(number);
 }
 
+/// The steps' shapes, for the log.
+std::string ShapeText(const JobSpec& spec) {
+  std::string text;
+  for (const StepSpec& step : spec.steps) {
+    text += " step=" + Text(step.count) + "x" + Text(step.need.millicores) +
+            "m/" + Text(step.need.memory_mb) + "MB/" +
+            Text(step.need.accelerators) + "acc";
+    text += step.gang ? ",gang" : "";
+    text += step.same_rack ? ",one-rack" : "";
+    text += step.checkpoints ? ",checkpoints" : "";
+    text += step.preferred_rack.empty() ? "" : ",data=" + step.preferred_rack;
+    text += step.required_label.empty() ? "" : ",label=" + step.required_label;
+    text += step.max_per_worker == 0
+                ? ""
+                : ",per-worker=" + Text(step.max_per_worker);
+    text += ",estimate_ms=" + Text(step.estimate.InMilliseconds());
+  }
+  return text;
+}
+
 }  // namespace
 
 void Planner::BeginTerm(core::SchedulingEpoch new_epoch,
@@ -133,7 +167,8 @@
   this->Note("job_added", id,
              "queue=" + job.record.queue.Text() +
                  " priority=" + Text(job.record.priority) +
-                 " units=" + Text(static_cast<std::int64_t>(job.units.size())));
+                 " units=" + Text(static_cast<std::int64_t>(job.units.size())) +
+                 ShapeText(job.record.spec));
   this->jobs.emplace(id, std::move(job));
 }
 
@@ -714,9 +749,14 @@
       view.used = view.used + held;
     }
   }
+  std::int64_t borrowed = 0;
   for (auto& [id, job] : this->jobs) {
     for (const Unit& unit : job.units) {
       const Resources need = CountedNeed(job.StepOf(unit));
+      if (LosesWorkWhenStopped(job, job.StepOf(unit))) {
+        borrowed +=
+            need.accelerators * static_cast<std::int64_t>(unit.members.size());
+      }
       for (const Member& member : unit.members) {
         const auto found = this->fleet.find(member.agent);
         if (found != this->fleet.end()) {
@@ -732,6 +772,17 @@
       }
     }
   }
+  this->SetLending(borrowed);
+}
+
+void Planner::SetLending(std::int64_t borrowed) {
+  std::int64_t accelerators = 0;
+  for (const auto& [agent, view] : this->fleet) {
+    if (view.worker && !view.is_lost) {
+      accelerators += view.worker->capacity.accelerators;
+    }
+  }
+  this->lending.SetUse(accelerators, borrowed);
 }
 
 void Planner::CheckGangs() {
@@ -744,9 +795,28 @@
   }
 }
 
+Planner::Rank Planner::RankOf(const Job& job,
+                              const Unit& unit,
+                              core::TimePoint now) const {
+  int level = job.record.priority;
+  if (!this->IsWithinGuarantee(job)) {
+    switch (this->ProspectOf(job, unit, now)) {
+      case Prospect::kInTime:
+        break;
+      case Prospect::kLate:
+        level += kLateLevels;
+        break;
+      case Prospect::kTooLate:
+        level += kTooLateLevels;
+        break;
+    }
+  }
+  return {level, job.record.priority, job.accepted};
+}
+
 void Planner::Schedule(core::TimePoint now) {
   const bool recovering = this->IsRecovering(now);
-  std::vector<std::pair<Job*, Unit*>> ready;
+  std::vector<Ready> ready;
   for (auto& [id, job] : this->jobs) {
     if (!job.IsOpen() || (recovering && job.from_earlier_term)) {
       continue;
@@ -758,20 +828,17 @@
       const bool may_start = unit.phase == UnitPhase::kReady &&
                              unit.members.empty() && now >= unit.not_before;
       if (may_start) {
-        ready.emplace_back(&job, &unit);
+        ready.push_back({&job, &unit, this->RankOf(job, unit, now)});
       }
     }
   }
   std::stable_sort(ready.begin(), ready.end(),
-                   [](const auto& left, const auto& right) {
-                     return std::make_tuple(left.first->record.priority,
-                                            left.first->accepted) <
-                            std::make_tuple(right.first->record.priority,
-                                            right.first->accepted);
+                   [](const Ready& left, const Ready& right) {
+                     return left.rank < right.rank;
                    });
   const Job* failed_job = nullptr;
   int failed_step = -1;
-  for (const auto& [job, unit] : ready) {
+  for (const auto& [job, unit, rank] : ready) {
     // Tasks of one step have one shape: when one does not fit, none does.
     if (job == failed_job && unit->step == failed_step) {
       continue;
@@ -815,7 +882,16 @@
   return request;
 }
 
+bool Planner::MayBorrow(const Job& job, const Unit& unit, core::TimePoint now) {
+  const StepSpec& step = job.StepOf(unit);
+  return !LosesWorkWhenStopped(job, step) ||
+         this->lending.Allows(step.need.accelerators * unit.size, now);
+}
+
 bool Planner::TryStart(Job& job, Unit& unit, core::TimePoint now) {
+  if (!this->MayBorrow(job, unit, now)) {
+    return false;
+  }
   const PlacementRequest request = this->RequestFor(job, unit, now);
   const auto placed = FindPlacement(this->fleet, request);
   if (placed) {
@@ -826,9 +902,12 @@
 }
 
 bool Planner::IsWithinGuarantee(const Job& job) const {
+  if (job.record.priority != 0) {
+    return false;
+  }
   const OrganisationConfig* organisation =
       this->configuration->FindOrganisation(job.record.organisation);
-  if (organisation == nullptr || job.record.priority != 0) {
+  if (organisation == nullptr) {
     return false;
   }
   std::int64_t needed = 0;
@@ -856,28 +935,38 @@
       static_cast<std::int64_t>(found->second.mean_ms));
 }
 
+Prospect Planner::ProspectOf(const Job& job,
+                             const Unit& unit,
+                             core::TimePoint now) const {
+  const core::Duration run = this->TypicalRun(job, unit);
+  return ProspectAt(job, unit.step, run, now);
+}
+
 double Planner::LossLimit(const Job& job,
                           const Unit& unit,
                           core::TimePoint now) const {
   if (this->IsWithinGuarantee(job)) {
     return std::numeric_limits<double>::infinity();
   }
-  constexpr double kMsPerSecond = 1000.0;
-  const core::Duration run = this->TypicalRun(job, unit);
-  const double own_work =
-      Weight(job.StepOf(unit)) * static_cast<double>(unit.size) *
-      static_cast<double>(run.InMilliseconds()) / kMsPerSecond;
-  const auto run_ms = static_cast<double>(run.InMilliseconds());
-  const double objective_ms =
-      job.record.slack_factor * run_ms +
-      static_cast<double>(job.record.objective.InMilliseconds());
-  const auto age_ms =
-      static_cast<double>((now - job.accepted).InMilliseconds());
-  const bool is_late = age_ms + run_ms > objective_ms;
+  const double own_work = Weight(job.StepOf(unit)) *
+                          static_cast<double>(unit.size) *
+                          Seconds(this->TypicalRun(job, unit));
+  const bool in_time = this->ProspectOf(job, unit, now) == Prospect::kInTime;
   if (job.record.priority == 0) {
-    return own_work * (is_late ? kUrgentLateLossShare : kUrgentLossShare);
+    return own_work * (in_time ? kUrgentLossShare : kUrgentLateLossShare);
   }
-  return own_work * (is_late ? kOrdinaryLateLossShare : kOrdinaryLossShare);
+  return own_work * (in_time ? kOrdinaryLossShare : kOrdinaryLateLossShare);
+}
+
+double Planner::CostOfStopping(const Job& job,
+                               const Unit& unit,
+                               core::TimePoint now) const {
+  const StepSpec& step = job.StepOf(unit);
+  // A stop saves what there is.
+  const double lost =
+      step.checkpoints ? 0.0 : Seconds(now - unit.members.front().since);
+  return (lost + kRestartSeconds) * Weight(step) *
+         static_cast<double>(unit.size);
 }
 
 std::vector<Victim> Planner::VictimsFor(const Job& job, core::TimePoint now) {
@@ -890,20 +979,10 @@
       const bool is_stopping =
           std::any_of(unit.members.begin(), unit.members.end(),
                       [](const Member& member) { return member.stop_wanted; });
-      if (unit.members.empty() || is_stopping) {
-        continue;
+      if (!unit.members.empty() && !is_stopping) {
+        victims.push_back(
+            {&other, &unit, this->CostOfStopping(other, unit, now)});
       }
-      const StepSpec& step = other.StepOf(unit);
-      constexpr double kMsPerSecond = 1000.0;
-      const double seconds =
-          static_cast<double>(
-              (now - unit.members.front().since).InMilliseconds()) /
-          kMsPerSecond;
-      const double lost =
-          step.checkpoints ? std::min(seconds, kCheckpointSeconds) : seconds;
-      victims.push_back({&other, &unit,
-                         (lost + kRestartSeconds) * Weight(step) *
-                             static_cast<double>(unit.size)});
     }
   }
   return victims;
@@ -942,6 +1021,9 @@
   this->Reserve(job, unit, placement->agents, now);
   for (const Victim& victim : placement->victims) {
     this->StopUnit(*victim.unit);
+    if (LosesWorkWhenStopped(*victim.job, victim.job->StepOf(*victim.unit))) {
+      this->lending.OnStopped(now);
+    }
     this->Note("unit_preempted", victim.job->record.spec.id,
                "for=" + job.record.spec.id.Text() +
                    " cost=" + Text(static_cast<std::int64_t>(victim.cost)));
@@ -955,6 +1037,9 @@
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
   this->ReturnReserved(job, unit);
+  if (LosesWorkWhenStopped(job, job.StepOf(unit))) {
+    this->lending.OnStarted(need.accelerators * unit.size);
+  }
   ++unit.highest_run;
   std::string where;
   for (std::size_t i = 0; i < agents.size(); ++i) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -13,7 +14,9 @@
 #include "modules/batch/model/messages.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
+#include "modules/batch/planner/lending_limit.h"
 #include "modules/batch/planner/placement.h"
+#include "modules/batch/planner/prospect.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -114,6 +117,14 @@
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
 
  private:
+  /// Order of starts: level, priority, acceptance.
+  using Rank = std::tuple<int, int, core::TimePoint>;
+  struct Ready {
+    Job* job = nullptr;
+    Unit* unit = nullptr;
+    Rank rank;
+  };
+
   AgentView& ViewOf(const AgentReport& report, core::TimePoint now);
   void TakeWorker(AgentView& view, const AgentReport& report);
   void TakeEnds(AgentView& view,
@@ -147,6 +158,9 @@
   void CheckGangs();
   void Schedule(core::TimePoint now);
   bool TryStart(Job& job, Unit& unit, core::TimePoint now);
+  /// Starting a unit that loses work when it is stopped does not exceed what
+  /// its priority may use.
+  bool MayBorrow(const Job& job, const Unit& unit, core::TimePoint now);
   bool TryPreempt(Job& job,
                   Unit& unit,
                   const PlacementRequest& request,
@@ -165,10 +179,18 @@
   void ReturnReserved(const Job& job, Unit& unit);
   bool IsWithinGuarantee(const Job& job) const;
   core::Duration TypicalRun(const Job& job, const Unit& unit) const;
+  Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
+  Prospect ProspectOf(const Job& job,
+                      const Unit& unit,
+                      core::TimePoint now) const;
   double LossLimit(const Job& job, const Unit& unit, core::TimePoint now) const;
+  double CostOfStopping(const Job& job,
+                        const Unit& unit,
+                        core::TimePoint now) const;
   std::vector<Victim> VictimsFor(const Job& job, core::TimePoint now);
   std::vector<AgentOrders> CollectOrders(core::TimePoint now);
   void RecountUsage();
+  void SetLending(std::int64_t borrowed);
   bool IsRecovering(core::TimePoint now) const;
   void Note(std::string event, const core::JobId& job, std::string detail);
 
@@ -181,6 +203,7 @@
   std::map<core::JobId, Job> jobs;
   /// Run times of what ended, by queue.
   std::map<QueueName, RunTimes> run_times;
+  LendingLimit lending;
   std::vector<DecisionNote> notes;
 };
 
--- /dev/null
+++ b/modules/batch/planner/prospect_test.cc
@@ -0,0 +1,55 @@
+#include "modules/batch/planner/prospect.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+using testing::At;
+using testing::MakeJob;
+using testing::MakeStep;
+
+constexpr core::Duration kRun = core::Duration::Seconds(2);
+
+/// Two steps in a row; the objective is 1.5 times their 4 s, and 1 s: 7 s.
+Job MakeChain() {
+  StepSpec second = MakeStep(1, {1000, 1000, 1});
+  second.after = {0};
+  JobRecord record = MakeJob("j", {MakeStep(1, {1000, 1000, 1}), second});
+  record.slack_factor = 1.5;
+  record.objective = core::Duration::Seconds(1);
+  Job job = Job::Create(record, nullptr);
+  job.accepted = At(0);
+  return job;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ProspectTest)
+
+BOOST_AUTO_TEST_CASE(TheLongestChainFollowsTheOrderOfSteps) {
+  const Job job = MakeChain();
+  BOOST_TEST((ChainFrom(job.record.spec, 0, kRun) == kRun * 2));
+  BOOST_TEST((ChainFrom(job.record.spec, 1, kRun) == kRun));
+  BOOST_TEST((LongestChain(job.record.spec, kRun) == kRun * 2));
+}
+
+BOOST_AUTO_TEST_CASE(AJobIsLateUpToThreeTimesItsObjective) {
+  const Job job = MakeChain();
+  const auto at = [&job](int step, std::int64_t start_ms) {
+    return ProspectAt(job, step, kRun, At(start_ms));
+  };
+  BOOST_TEST((at(0, 2800) == Prospect::kInTime));
+  BOOST_TEST((at(0, 3100) == Prospect::kLate));
+  // The last step has no other after it.
+  BOOST_TEST((at(1, 3100) == Prospect::kInTime));
+  BOOST_TEST((at(1, 18'800) == Prospect::kLate));
+  BOOST_TEST((at(1, 19'100) == Prospect::kTooLate));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -56,9 +56,15 @@
   double burst = 2.2;
   std::int64_t burst_start_ms = 3000;
   std::int64_t burst_end_ms = 9000;
+  /// Demand of all classes swings around its mean by this share.
+  double swing = 0.55;
+  double swing_period_ms = 16'000;
   std::int64_t traffic_ms = 34'000;
   std::int64_t finish_ms = 14'000;
   int organisations = 4;
+  /// Gangs that would need more workers are narrowed to these; otherwise their
+  /// tasks run each for itself.
+  bool narrows_gangs = false;
 };
 
 /// What callers got.
@@ -77,6 +83,8 @@
   /// Core-seconds of stopped work that was not saved.
   double wasted = 0;
   int stops = 0;
+  /// In use, also by work that was stopped later.
+  double accelerator_seconds = 0;
   double Earned() const {
     double owed = 0;
     double earned = 0;
@@ -115,6 +123,7 @@
 
  private:
   static constexpr std::int64_t kStepMs = 20;
+  static constexpr double kMsPerSecond = 1000;
 
   struct SimJob {
     JobRecord record;
@@ -193,8 +202,8 @@
             load.priority == 0 &&
             t >= static_cast<double>(this->pattern.burst_start_ms) &&
             t < static_cast<double>(this->pattern.burst_end_ms);
-        const double rate =
-            load.jobs_per_second * (in_burst ? this->pattern.burst : 1.0);
+        const double rate = load.jobs_per_second * this->SwingAt(t) *
+                            (in_burst ? this->pattern.burst : 1.0);
         std::exponential_distribution<> gap(rate / 1000.0);
         t += gap(this->random);
         if (t >= static_cast<double>(this->pattern.traffic_ms)) {
@@ -212,6 +221,12 @@
     }
   }
 
+  double SwingAt(double t) const {
+    constexpr double kFullTurn = 6.283185307179586;
+    return 1.0 + this->pattern.swing *
+                     std::sin(kFullTurn * t / this->pattern.swing_period_ms);
+  }
+
   SimJob MakeJob(const LoadClass& load, int number, double arrival) {
     SimJob job;
     job.load = &load;
@@ -229,8 +244,7 @@
           load.accelerators[std::uniform_int_distribution<std::size_t>(
               0, load.accelerators.size() - 1)(this->random)];
     }
-    step.gang = load.gang;
-    step.same_rack = this->Draw() < load.same_rack_share;
+    this->ShapeGang(load, step);
     step.checkpoints = this->Draw() < load.checkpoint_share;
     if (this->Draw() < load.preferred_rack_share) {
       const int racks =
@@ -250,6 +264,27 @@
     job.record.queue = QueueName(load.name);
     return job;
   }
+  /// As on the deployments: a gang takes at most a sixth of the fleet, one that
+  /// wants one rack at most half of a rack.
+  void ShapeGang(const LoadClass& load, StepSpec& step) {
+    const Resources& room = this->pattern.capacity;
+    const std::int64_t per_worker =
+        std::min({room.millicores / step.need.millicores,
+                  room.memory_mb / step.need.memory_mb,
+                  room.accelerators / step.need.accelerators});
+    constexpr std::int64_t kFleetShare = 6;
+    const bool wants_rack = this->Draw() < load.same_rack_share;
+    const std::int64_t widest =
+        this->pattern.workers * per_worker / kFleetShare;
+    if (load.gang && this->pattern.narrows_gangs) {
+      step.count = static_cast<int>(std::min<std::int64_t>(
+          step.count, std::max<std::int64_t>(widest, 1)));
+    }
+    step.gang = load.gang && step.count > 1 && step.count <= widest;
+    step.same_rack =
+        step.gang && wants_rack &&
+        step.count * 2 <= this->pattern.workers_per_rack * per_worker;
+  }
   static JobRecord MakeJob(const std::string& id,
                            std::vector<StepSpec> steps,
                            int priority) {
@@ -315,7 +350,6 @@
       end.checkpoint = std::to_string(static_cast<std::int64_t>(saved));
     }
     if (kind != RunEndKind::kDone) {
-      constexpr double kMsPerSecond = 1000;
       this->result.wasted += std::max(0.0, run.done_ms - saved) / kMsPerSecond *
                              this->WeightOf(run);
     }
@@ -329,6 +363,9 @@
     std::map<std::pair<core::JobId, std::int64_t>, RunEndKind> gang_ends;
     for (SimRun& run : this->runs) {
       run.done_ms += static_cast<double>(kStepMs) * run.speed;
+      this->result.accelerator_seconds +=
+          static_cast<double>(this->StepOf(run).need.accelerators * kStepMs) /
+          kMsPerSecond;
       const bool stopped =
           run.stops_at >= 0 && this->now.InMilliseconds() >= run.stops_at;
       const bool failed = run.fails_at >= 0 && run.done_ms >= run.fails_at;
@@ -516,6 +553,7 @@
   pattern.capacity = {64000, grown ? 131072 : 262144, 8};
   pattern.stop_grace_ms = grown ? 900 : 200;
   pattern.organisations = grown ? 10 : 4;
+  pattern.narrows_gangs = grown;
   LoadClass rebuild;
   rebuild.name = "rebuild";
   rebuild.priority = 1;
