Move work off workers that leave

Cause: a worker that is taken away ends all that runs on it.

Change: while a worker drains, its notice says how long it stays at least. A unit whose expected rest of the run (by its percentage) fits in stays. Saving work is stopped a second before and goes on elsewhere; other work is stopped at once if it can then still end in time and there is room for it now.

--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -28,6 +28,8 @@
   std::uint64_t sequence = 0;
   std::optional<WorkerDescription> worker;
   bool worker_reachable = true;
+  /// While the worker drains: everything on it may end from then on.
+  core::TimePoint leaves;
   /// The last report listed all that is on the worker.
   bool is_complete = false;
   /// Its place in the member list is stored; only then it gets starts.
@@ -61,6 +63,9 @@
   /// What a unit of `priority` may take. Reservations of less urgent units do
   /// not bind it.
   Resources Free(int priority) const;
+  bool IsLeaving() const {
+    return this->worker && this->worker->state == WorkerState::kDraining;
+  }
   /// May get a start now.
   bool IsUsable(core::TimePoint now) const;
   /// Highest end that the worker may forget.
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -20,6 +20,9 @@
 constexpr core::Duration kRejectPause = core::Duration::Milliseconds(150);
 /// Capacity is kept for a unit so long while its victims stop.
 constexpr core::Duration kReservation = core::Duration::Milliseconds(2500);
+/// Longest time that a worker takes to stop a task and save its progress; the
+/// deployments' bounds are up to 900 ms.
+constexpr core::Duration kLongestStop = core::Duration::Milliseconds(1000);
 /// Pause between probes of an agent that does not answer.
 constexpr core::Duration kProbePause = core::Duration::Milliseconds(250);
 /// Distinct jobs that fail in a row before a worker is suspended.
@@ -218,7 +221,7 @@
     if (report.batch >= view.batch && view.batch > 0) {
       view.needs_probe = false;
     }
-    this->TakeWorker(view, report);
+    this->TakeWorker(view, report, now);
     this->TakeEnds(view, report, now);
     this->TakeActive(view, report, now);
     this->TakeMissing(view, report, now);
@@ -235,7 +238,9 @@
   return answer;
 }
 
-void Planner::TakeWorker(AgentView& view, const AgentReport& report) {
+void Planner::TakeWorker(AgentView& view,
+                         const AgentReport& report,
+                         core::TimePoint now) {
   const bool same_life = view.worker && report.worker &&
                          view.worker->identity == report.worker->identity;
   if (!same_life) {
@@ -253,6 +258,13 @@
                    (report.worker->state == WorkerState::kDraining ? "draining"
                                                                    : "ready"));
   }
+  const bool new_notice = report.worker &&
+                          report.worker->state == WorkerState::kDraining &&
+                          (!same_life || !view.IsLeaving() ||
+                           view.worker->remaining != report.worker->remaining);
+  if (new_notice) {
+    view.leaves = now + report.worker->remaining;
+  }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
@@ -684,6 +696,7 @@
   if (!this->IsRecovering(now)) {
     this->CheckGangs();
   }
+  this->EvacuateLeaving(now);
   this->Schedule(now);
   return this->CollectOrders(now);
 }
@@ -789,6 +802,69 @@
   this->SetLending(borrowed);
 }
 
+core::Duration Planner::RemainingRun(const Job& job,
+                                     const Unit& unit,
+                                     core::TimePoint now) const {
+  constexpr int kLeastPercent = 5;
+  constexpr int kWhole = 100;
+  core::Duration remaining;
+  for (const Member& member : unit.members) {
+    const core::Duration elapsed = now - member.since;
+    const bool has_pace = member.percent >= kLeastPercent && !member.adopted &&
+                          unit.checkpoint.empty();
+    const core::Duration left =
+        has_pace ? elapsed * (kWhole - member.percent) / member.percent
+                 : this->TypicalRun(job, unit) - elapsed;
+    remaining = std::max(remaining, left);
+  }
+  return remaining;
+}
+
+bool Planner::ShouldEvacuate(const Job& job,
+                             const Unit& unit,
+                             core::TimePoint leaves,
+                             core::TimePoint now) const {
+  const bool ends_before =
+      now + this->RemainingRun(job, unit, now) + kLeaseMargin <= leaves;
+  if (ends_before && !job.StepOf(unit).long_running) {
+    return false;
+  }
+  if (job.StepOf(unit).checkpoints) {
+    // It goes on from where the stop finds it.
+    return now + kLongestStop >= leaves;
+  }
+  return this->ProspectOf(job, unit, now) == Prospect::kInTime &&
+         FindPlacement(this->fleet, this->RequestFor(job, unit, now));
+}
+
+void Planner::EvacuateLeaving(core::TimePoint now) {
+  for (auto& [id, job] : this->jobs) {
+    for (Unit& unit : job.units) {
+      std::optional<core::TimePoint> leaves;
+      for (const Member& member : unit.members) {
+        const auto found = this->fleet.find(member.agent);
+        if (found != this->fleet.end() && found->second.IsLeaving()) {
+          leaves = leaves ? std::min(*leaves, found->second.leaves)
+                          : found->second.leaves;
+        }
+      }
+      const bool is_stopping =
+          std::any_of(unit.members.begin(), unit.members.end(),
+                      [](const Member& member) { return member.stop_wanted; });
+      if (!leaves || is_stopping || !job.IsOpen() ||
+          !this->ShouldEvacuate(job, unit, *leaves, now)) {
+        continue;
+      }
+      this->StopUnit(unit);
+      this->Note("unit_evacuated", id,
+                 "task=" + job.NameOf(unit, unit.first).ToText() +
+                     " worker_leaves_in_ms=" +
+                     Text((*leaves - now).InMilliseconds()) + " remaining_ms=" +
+                     Text(this->RemainingRun(job, unit, now).InMilliseconds()));
+    }
+  }
+}
+
 void Planner::SetLending(std::int64_t borrowed) {
   std::int64_t accelerators = 0;
   for (const auto& [agent, view] : this->fleet) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -129,7 +129,9 @@
   };
 
   AgentView& ViewOf(const AgentReport& report, core::TimePoint now);
-  void TakeWorker(AgentView& view, const AgentReport& report);
+  void TakeWorker(AgentView& view,
+                  const AgentReport& report,
+                  core::TimePoint now);
   void TakeEnds(AgentView& view,
                 const AgentReport& report,
                 core::TimePoint now);
@@ -159,6 +161,16 @@
   void ReleaseReservation(Unit& unit);
   void UpdatePhases(core::TimePoint now, std::int64_t wall_ms);
   void CheckGangs();
+  /// Stops what a leaving worker would take along, where it can go on, or start
+  /// again in time, elsewhere.
+  void EvacuateLeaving(core::TimePoint now);
+  bool ShouldEvacuate(const Job& job,
+                      const Unit& unit,
+                      core::TimePoint leaves,
+                      core::TimePoint now) const;
+  core::Duration RemainingRun(const Job& job,
+                              const Unit& unit,
+                              core::TimePoint now) const;
   void Schedule(core::TimePoint now);
   bool TryStart(Job& job, Unit& unit, core::TimePoint now);
   /// Starting a unit that loses work when it is stopped does not exceed what
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -305,6 +305,63 @@
   BOOST_TEST(!fleet.planner.MayEndSoon(job));
 }
 
+void Leave(PlannedFleet& fleet, const std::string& worker, int seconds) {
+  AgentReport& report = fleet.ReportOf(worker);
+  report.worker->state = WorkerState::kDraining;
+  report.worker->remaining = core::Duration::Seconds(seconds);
+}
+
+std::string OnlyWorker(const PlannedFleet& fleet) {
+  const auto active = fleet.Active();
+  return active.size() == 1 ? active.front().first : std::string();
+}
+
+// Runs that a leaving worker took along began again from nothing.
+BOOST_AUTO_TEST_CASE(SavingWorkLeavesJustBeforeItsWorker) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  StepSpec step = MakeStep(1, kWide);
+  step.checkpoints = true;
+  step.estimate = core::Duration::Seconds(60);
+  fleet.planner.AddJob(MakeJob("j", {step}), fleet.now);
+  fleet.Settle();
+  const std::string first = OnlyWorker(fleet);
+  Leave(fleet, first, 4);
+  fleet.Advance(2500);
+  BOOST_TEST(OnlyWorker(fleet) == first);
+  fleet.Advance(1000);
+  BOOST_TEST(OnlyWorker(fleet) != first);
+  BOOST_TEST(!OnlyWorker(fleet).empty());
+}
+
+BOOST_AUTO_TEST_CASE(WorkThatEndsBeforeItsWorkerLeavesStays) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  JobRecord record = MakeJob("j", {MakeStep(1, kWide)});
+  record.slack_factor = 3;
+  fleet.planner.AddJob(record, fleet.now);
+  fleet.Settle();
+  const std::string first = OnlyWorker(fleet);
+  Leave(fleet, first, 3);
+  fleet.Settle();
+  BOOST_TEST(OnlyWorker(fleet) == first);
+}
+
+BOOST_AUTO_TEST_CASE(OtherWorkStartsAgainAtOnceWhereThereIsRoom) {
+  for (const bool has_room : {true, false}) {
+    PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+    JobRecord record = MakeJob("j", {MakeStep(1, kWide)});
+    record.slack_factor = 3;
+    fleet.planner.AddJob(record, fleet.now);
+    fleet.Settle();
+    const std::string first = OnlyWorker(fleet);
+    if (!has_room) {
+      Leave(fleet, first == "w1" ? "w2" : "w1", 60);
+    }
+    Leave(fleet, first, 1);
+    fleet.Settle();
+    BOOST_TEST((OnlyWorker(fleet) != first) == has_room);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(UrgentWorkBeyondItsGuaranteeSparesCostlyRuns) {
   PlannedFleet fleet({MakeWorker("w1")});
   StepSpec costly = MakeStep(1, kWide);
