Move work off workers whose runs stand still

Health answers and heartbeats of such a worker are good; only the percentages tell.

Change: agents report how long the percentage of each run has not changed, and at once when that reaches 900 ms. A worker on which some runs stand still and none moves gets nothing new. A unit that stands still there is stopped and started again where there is room, when it saves progress or has done less than 2.5 s of work.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -20,6 +20,10 @@
 /// member of a gang waits for the others (3 s).
 constexpr int kMaxStartsSent = 4;
 
+/// A run that stands still for so long is reported at once; the longest usual
+/// runs (a minute) move a percentage point in less.
+constexpr core::Duration kStillNews = core::Duration::Milliseconds(900);
+
 }  // namespace
 
 WorkerSupervisor::WorkerSupervisor(core::AgentId agent_id,
@@ -269,11 +273,27 @@
       run.settled_clock_ms = listing.worker_clock_ms;
       this->news = true;
     }
-    run.active = listed;
-    run.active.confirmed = run.state != RunState::kStarting;
+    this->TakeListed(run, listed, listing.worker_clock_ms);
   }
 }
 
+void WorkerSupervisor::TakeListed(Run& run,
+                                  const ActiveRun& listed,
+                                  std::int64_t listed_at_ms) {
+  const core::Duration before = run.active.still;
+  const bool moved =
+      run.moved_clock_ms == 0 || listed.percent != run.active.percent;
+  if (moved) {
+    run.moved_clock_ms = listed_at_ms;
+  }
+  run.active = listed;
+  run.active.confirmed = run.state != RunState::kStarting;
+  run.active.still =
+      core::Duration::Milliseconds(listed_at_ms - run.moved_clock_ms);
+  this->news =
+      this->news || (before < kStillNews && run.active.still >= kStillNews);
+}
+
 void WorkerSupervisor::DropVanished(const WorkerListing& listing) {
   std::set<RunKey> listed;
   for (const ActiveRun& active : listing.running) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -127,6 +127,8 @@
     /// Worker clock of the answer that settled the state; lists from before
     /// it say nothing of this run.
     std::int64_t settled_clock_ms = 0;
+    /// Worker clock of the list in which its percentage last changed.
+    std::int64_t moved_clock_ms = 0;
     bool stop_answered = false;
     std::optional<core::TimePoint> stop_sent;
     ActiveRun active;
@@ -137,6 +139,8 @@
   void StartNewLife(const WorkerDescription& description);
   void ObserveClock(std::int64_t worker_clock_ms, core::TimePoint now);
   void Reject(const RunKey& key, RejectReason reason);
+  /// Takes over what a list says of a run.
+  void TakeListed(Run& run, const ActiveRun& listed, std::int64_t listed_at_ms);
   void TakeRunning(const WorkerListing& listing);
   void TakeEnds(const WorkerListing& listing);
   void DropVanished(const WorkerListing& listing);
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -162,6 +162,27 @@
   BOOST_TEST(supervisor.DueStops(At(1410)).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ReportsARunThatStandsStill) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  run.percent = 10;
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  run.percent = 20;
+  supervisor.OnListing({1700, 1000, {run}, {}}, At(2200));
+  supervisor.MakeReport();
+  supervisor.OnListing({2200, 1000, {run}, {}}, At(2700));
+  BOOST_TEST(!supervisor.HasNews());
+  supervisor.OnListing({2700, 1000, {run}, {}}, At(3200));
+  BOOST_TEST(supervisor.HasNews());
+  BOOST_TEST((supervisor.MakeReport().active.front().still ==
+              core::Duration::Seconds(1)));
+  run.percent = 21;
+  supervisor.OnListing({2800, 1000, {run}, {}}, At(3300));
+  BOOST_TEST(
+      (supervisor.MakeReport().active.front().still == core::Duration()));
+}
+
 // Neither a leaving worker nor another life of it gets a copy.
 BOOST_AUTO_TEST_CASE(SendsNoCopyToALeavingOrRestartedWorker) {
   for (const bool restarts : {false, true}) {
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -123,6 +123,7 @@
                                                 confirmed,
                                                 checkpoint,
                                                 percent,
+                                                still,
                                                 gauge)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunEnd,
                                                 number,
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -35,6 +35,8 @@
   bool confirmed = false;
   std::string checkpoint;
   int percent = 0;
+  /// How long `percent` has not changed.
+  core::Duration still;
   /// Tail latency in milliseconds of a serving task, else millicores in use.
   std::int64_t gauge = 0;
 };
--- a/modules/batch/model/messages_test.cc
+++ b/modules/batch/model/messages_test.cc
@@ -28,6 +28,7 @@
   ActiveRun run;
   run.key = {{core::JobId("j"), 0, 0, 1}, 2};
   run.percent = 40;
+  run.still = core::Duration::Milliseconds(1200);
   report.active = {run};
   report.ends = {{7, run.key, RunEndKind::kBroken, "ck"}};
   report.rejections = {{run.key, RejectReason::kRoom}};
@@ -35,6 +36,7 @@
   BOOST_REQUIRE(decoded.has_value());
   BOOST_TEST((decoded->worker->identity == report.worker->identity));
   BOOST_TEST((decoded->active[0].key == run.key));
+  BOOST_TEST((decoded->active[0].still == run.still));
   BOOST_TEST((decoded->ends[0].kind == RunEndKind::kBroken));
   BOOST_TEST((decoded->rejections[0].reason == RejectReason::kRoom));
   BOOST_TEST(decoded->is_complete);
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -31,6 +31,8 @@
   core::TimePoint since;
   std::string checkpoint;
   int percent = 0;
+  /// How long `percent` had not changed when it was last reported.
+  core::Duration still;
 };
 
 enum class UnitPhase {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -20,6 +20,17 @@
 constexpr core::Duration kRejectPause = core::Duration::Milliseconds(150);
 /// Capacity is kept for a unit so long while its victims stop.
 constexpr core::Duration kReservation = core::Duration::Milliseconds(2500);
+/// Without progress for so long, and for so many percentage points at the usual
+/// pace, a run stands still. Agents look each second.
+constexpr core::Duration kStalled = core::Duration::Milliseconds(900);
+constexpr std::int64_t kStalledPoints = 10;
+/// A worker whose runs stand still gets nothing new for so long after the last
+/// report that says so.
+constexpr core::Duration kStallSuspension = core::Duration::Milliseconds(1500);
+/// A run that stands still is expected to do so for this much longer; stalls on
+/// the deployments last 5 to 7 s. It is started elsewhere when it has done
+/// less.
+constexpr core::Duration kExpectedStall = core::Duration::Milliseconds(2500);
 /// Longest time that a worker takes to stop a task and save its progress; the
 /// deployments' bounds are up to 900 ms.
 constexpr core::Duration kLongestStop = core::Duration::Milliseconds(1000);
@@ -474,6 +485,7 @@
     }
     member->confirmed = active.confirmed;
     member->percent = active.percent;
+    member->still = active.still;
     if (!active.checkpoint.empty()) {
       member->checkpoint = active.checkpoint;
     }
@@ -697,6 +709,7 @@
     this->CheckGangs();
   }
   this->EvacuateLeaving(now);
+  this->MoveStalled(now);
   this->Schedule(now);
   return this->CollectOrders(now);
 }
@@ -865,6 +878,82 @@
   }
 }
 
+bool Planner::IsStalled(const Job& job,
+                        const Unit& unit,
+                        const Member& member) const {
+  constexpr int kWhole = 100;
+  const bool may_wait_for_others = unit.size > 1 && member.percent == 0;
+  if (!member.confirmed || member.stop_wanted || may_wait_for_others ||
+      member.percent >= kWhole || job.StepOf(unit).long_running) {
+    return false;
+  }
+  const core::Duration point = this->TypicalRun(job, unit) / kWhole;
+  return member.still >= std::max(kStalled, point * kStalledPoints);
+}
+
+bool Planner::LosesLittle(const Job& job, const Unit& unit) const {
+  constexpr int kWhole = 100;
+  int percent = 0;
+  for (const Member& member : unit.members) {
+    percent = std::max(percent, member.percent);
+  }
+  return job.StepOf(unit).checkpoints ||
+         this->TypicalRun(job, unit) * percent / kWhole <= kExpectedStall;
+}
+
+std::set<core::AgentId> Planner::StalledAgents() const {
+  std::set<core::AgentId> stalled;
+  std::set<core::AgentId> moving;
+  for (const auto& [id, job] : this->jobs) {
+    for (const Unit& unit : job.units) {
+      for (const Member& member : unit.members) {
+        if (this->IsStalled(job, unit, member)) {
+          stalled.insert(member.agent);
+        } else if (member.percent > 0 && member.still < kStalled / 2) {
+          moving.insert(member.agent);
+        }
+      }
+    }
+  }
+  std::erase_if(stalled, [&moving](const core::AgentId& agent) {
+    return moving.contains(agent);
+  });
+  return stalled;
+}
+
+void Planner::MoveStalled(core::TimePoint now) {
+  const std::set<core::AgentId> stalled = this->StalledAgents();
+  for (const core::AgentId& agent : stalled) {
+    AgentView& view = this->fleet[agent];
+    if (now >= view.suspended_until) {
+      this->Note("worker_suspended", {},
+                 "agent=" + agent.Text() + " reason=runs-stand-still");
+    }
+    view.suspended_until =
+        std::max(view.suspended_until, now + kStallSuspension);
+  }
+  if (stalled.empty()) {
+    return;
+  }
+  for (auto& [id, job] : this->jobs) {
+    for (Unit& unit : job.units) {
+      const bool stands_still = std::any_of(
+          unit.members.begin(), unit.members.end(), [&](const Member& member) {
+            return stalled.contains(member.agent) &&
+                   this->IsStalled(job, unit, member);
+          });
+      const bool may_gain =
+          stands_still && job.IsOpen() && this->LosesLittle(job, unit) &&
+          FindPlacement(this->fleet, this->RequestFor(job, unit, now));
+      if (may_gain) {
+        this->StopUnit(unit);
+        this->Note("unit_moved_from_stall", id,
+                   "task=" + job.NameOf(unit, unit.first).ToText());
+      }
+    }
+  }
+}
+
 void Planner::SetLending(std::int64_t borrowed) {
   std::int64_t accelerators = 0;
   for (const auto& [agent, view] : this->fleet) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -168,6 +169,13 @@
                       const Unit& unit,
                       core::TimePoint leaves,
                       core::TimePoint now) const;
+  bool IsStalled(const Job& job, const Unit& unit, const Member& member) const;
+  /// Starting the unit again loses less than a stall is expected to take.
+  bool LosesLittle(const Job& job, const Unit& unit) const;
+  /// Agents of workers on which some runs stand still and none moves.
+  std::set<core::AgentId> StalledAgents() const;
+  /// Suspends such workers, and moves from them what gains by it.
+  void MoveStalled(core::TimePoint now);
   core::Duration RemainingRun(const Job& job,
                               const Unit& unit,
                               core::TimePoint now) const;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -362,6 +362,64 @@
   }
 }
 
+void StandStill(PlannedFleet& fleet, const std::string& worker, int seconds) {
+  for (ActiveRun& run : fleet.ReportOf(worker).active) {
+    run.percent = 30;
+    run.still = core::Duration::Seconds(seconds);
+  }
+}
+
+// On kzps-hemlock trouble-1 an urgent task waited 5 s on a worker whose tasks
+// stood still, although others were free.
+BOOST_AUTO_TEST_CASE(WorkLeavesAWorkerOnWhichRunsStandStill) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  JobRecord record = MakeJob("j", {MakeStep(1, kSmall)});
+  record.slack_factor = 3;
+  fleet.planner.AddJob(record, fleet.now);
+  fleet.Settle();
+  const std::string first = OnlyWorker(fleet);
+  StandStill(fleet, first, 1);
+  fleet.Settle();
+  BOOST_TEST(!OnlyWorker(fleet).empty());
+  BOOST_TEST(OnlyWorker(fleet) != first);
+  // Nothing new starts there meanwhile.
+  fleet.planner.AddJob(MakeJob("k", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  for (const auto& [worker, key] : fleet.Active()) {
+    BOOST_TEST(worker != first);
+  }
+}
+
+// What a run has done is worth more than the rest of the stall.
+BOOST_AUTO_TEST_CASE(AStalledRunStaysWhenMuchWouldBeLost) {
+  for (const bool has_much : {false, true}) {
+    PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+    StepSpec step = MakeStep(1, kSmall);
+    step.estimate = core::Duration::Seconds(has_much ? 20 : 4);
+    fleet.planner.AddJob(MakeJob("j", {step}), fleet.now);
+    fleet.Settle();
+    const std::string first = OnlyWorker(fleet);
+    StandStill(fleet, first, 3);
+    fleet.Settle();
+    BOOST_TEST((OnlyWorker(fleet) == first) == has_much);
+  }
+}
+
+// A slow task beside others that move is no fault of the worker.
+BOOST_AUTO_TEST_CASE(AWorkerWithMovingRunsIsNotSuspended) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  JobRecord record = MakeJob("j", {MakeStep(2, kSmall)});
+  record.slack_factor = 3;
+  fleet.planner.AddJob(record, fleet.now);
+  fleet.Settle();
+  const auto before = fleet.Active();
+  BOOST_REQUIRE(before[0].first == before[1].first);
+  StandStill(fleet, before[0].first, 1);
+  fleet.ReportOf(before[0].first).active.back().still = core::Duration();
+  fleet.Settle();
+  BOOST_TEST((fleet.Active() == before));
+}
+
 BOOST_AUTO_TEST_CASE(UrgentWorkBeyondItsGuaranteeSparesCostlyRuns) {
   PlannedFleet fleet({MakeWorker("w1")});
   StepSpec costly = MakeStep(1, kWide);
