Serve for a second after an entry turns unready

Cause: an entry that got SIGTERM refused submissions at once, but balancers ask /readyz about each second and send requests until they have seen its answer: two of 311 requests of a rolling restart got 503 "draining" (known red LeavingTest/RollingRestartLosesNoRequest).

Change: /readyz turns false at once; the drain begins a second later, or after a tenth of the drain timeout when that is less.

The new test AStoppingEntryServesUntilBalancersHaveSeenIt submits after /readyz has turned false; the former code refuses that by design (not run against it).

--- a/modules/entry/process/entry_process.cc
+++ b/modules/entry/process/entry_process.cc
@@ -3,7 +3,9 @@
 #include <malloc.h>
 
 #include <QAbstractEventDispatcher>
+#include <QObject>
 #include <QTimer>
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -57,6 +59,12 @@
   return (high << 32U) | device();
 }
 
+/// An entry that is no longer ready goes on serving for so long: balancers ask
+/// about each second, and send requests until they have seen the answer.
+constexpr core::Duration kDrainNotice = core::Duration::Seconds(1);
+/// The notice takes at most this part of the drain timeout.
+constexpr std::int64_t kNoticeShare = 10;
+
 /// Reads the initial catalogue; an empty name means none.
 core::Expected<std::optional<model::Catalogue>> LoadCatalogue(
     const std::string& file) {
@@ -162,6 +170,8 @@
   std::unique_ptr<StoreDuty<store::MemoryStore>> memory_store;
   std::unique_ptr<StoreDuty<store::EtcdGatewayStore>> etcd_store;
   std::atomic<bool> drain_begun = false;
+  /// Receives the end of the drain notice; lives on the creating thread.
+  QObject drain_context;
   /// Bytes that the state machine holds and needs.
   std::atomic<std::size_t> needed_bytes = 0;
 };
@@ -381,7 +391,11 @@
     return;
   }
   this->UpdateRouting([](RoutingState& state) { state.draining = true; });
-  this->Offer(std::make_shared<Event>(DrainRequested{}));
+  const core::Duration notice = std::min(
+      kDrainNotice, this->settings.common.drain_timeout / kNoticeShare);
+  wire::RunLater(&this->drain_context, notice, [this] {
+    this->Offer(std::make_shared<Event>(DrainRequested{}));
+  });
 }
 
 std::shared_ptr<const RoutingState> EntryProcess::Shell::Routing() const {
--- a/tests/leaving_test.cc
+++ b/tests/leaving_test.cc
@@ -149,6 +149,27 @@
   }
 }
 
+// Guards against the loss of requests that a balancer sends before it has seen
+// that the entry is no longer ready.
+BOOST_AUTO_TEST_CASE(AStoppingEntryServesUntilBalancersHaveSeenIt) {
+  Deployment deployment;
+  deployment.WaitUntilReady();
+  deployment.Entry(0).Terminate();
+  BOOST_REQUIRE(WaitUntil(
+      [&] {
+        const auto ready =
+            deployment.Operate(0, wire::HttpMethod::kGet, "/readyz");
+        return ready && ready->status == wire::http_status::kUnavailable;
+      },
+      core::Duration::Seconds(1)));
+  TestJob job;
+  job.payload = R"({"run_ms":20,"result":"served"})";
+  const JobAnswer answer = deployment.Submit(0, job);
+  BOOST_TEST(answer.outcome == "done", answer.body);
+  BOOST_TEST((deployment.Entry(0).WaitForExit(core::Duration::Seconds(30)) ==
+              std::optional<int>(0)));
+}
+
 // Guards against requests that are cut by a rolling restart of all entries and
 // agents under load.
 BOOST_AUTO_TEST_CASE(RollingRestartLosesNoRequest) {
