--- a/modules/batch/planner/load_replay_test.cc
+++ b/modules/batch/planner/load_replay_test.cc
@@ -34,6 +34,17 @@
   }
 }
 
+// The grown registry's worst day offers a third more than the fleet can do.
+BOOST_AUTO_TEST_CASE(GrownRegistryEarnsItsTargetAtTheCrest) {
+  for (const std::uint64_t seed : {1U, 2U}) {
+    const ReplayResult result =
+        LoadReplay(RegistryPattern(true, 2.0), seed).Run();
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST(result.Earned() >= kRegistryTarget);
+    }
+  }
+}
+
 // The crest: one and a half times the usual load for the whole time.
 BOOST_AUTO_TEST_CASE(NoClassStarvesAtTheCrest) {
   for (const std::uint64_t seed : {1U, 2U, 3U}) {
