Keep the rank of work that lasts and of scheduled work

The order of starts went by the time since a job's acceptance, so tasks that last, which have to be started again however they end, fell behind all other work once their job was older than its objective; scheduled work alike. They also waited for the lending limit, and stayed on a leaving worker until it was gone.

Change: such work counts as in time, and the lending limit leaves it out. Both new tests fail on the former code.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -63,7 +63,8 @@
 
 /// Work that fills gaps and saves nothing when it is stopped.
 bool LosesWorkWhenStopped(const Job& job, const StepSpec& step) {
-  return job.record.priority >= kFillingPriority && !step.checkpoints;
+  return job.record.priority >= kFillingPriority && !step.checkpoints &&
+         !step.long_running;
 }
 
 /// How long a worker may keep a lease that was asked for within a term.
@@ -964,6 +965,10 @@
 Prospect Planner::ProspectOf(const Job& job,
                              const Unit& unit,
                              core::TimePoint now) const {
+  // Neither ends by an objective that counts from its acceptance.
+  if (job.StepOf(unit).long_running || job.record.spec.occurrences > 0) {
+    return Prospect::kInTime;
+  }
   const core::Duration run = this->TypicalRun(job, unit);
   return ProspectAt(job, unit.step, run, now);
 }
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -16,6 +16,24 @@
 constexpr Resources kSmall{5600, 23000, 1};
 constexpr Resources kWide{26000, 110000, 8};
 
+void Leave(PlannedFleet& fleet, const std::string& worker, int seconds) {
+  AgentReport& report = fleet.ReportOf(worker);
+  report.worker->state = WorkerState::kDraining;
+  report.worker->remaining = core::Duration::Seconds(seconds);
+}
+
+std::string OnlyWorker(const PlannedFleet& fleet) {
+  const auto active = fleet.Active();
+  return active.size() == 1 ? active.front().first : std::string();
+}
+
+void StandStill(PlannedFleet& fleet, const std::string& worker, int seconds) {
+  for (ActiveRun& run : fleet.ReportOf(worker).active) {
+    run.percent = 30;
+    run.still = core::Duration::Seconds(seconds);
+  }
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(PlannerTest)
@@ -250,6 +268,37 @@
   BOOST_TEST((fleet.Active().front().second.task.job == core::JobId("fresh")));
 }
 
+// Work that lasts is older than its objective for most of its life, and has to
+// be started again however it ends.
+BOOST_AUTO_TEST_CASE(LastingWorkKeepsItsPlaceInTheOrder) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  StepSpec lasting = MakeStep(1, kWide);
+  lasting.long_running = true;
+  fleet.planner.AddJob(MakeJob("lasting", {lasting}, 2), fleet.now);
+  fleet.Advance(60'000);
+  JobRecord other = MakeJob("other", {MakeStep(1, kWide)}, 2);
+  other.slack_factor = 3;
+  fleet.planner.AddJob(other, fleet.now);
+  fleet.End("w1", fleet.Active().front().second, RunEndKind::kFailed);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(
+      (fleet.Active().front().second.task.job == core::JobId("lasting")));
+}
+
+BOOST_AUTO_TEST_CASE(LastingWorkLeavesALeavingWorkerAtOnce) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  StepSpec lasting = MakeStep(1, kWide);
+  lasting.long_running = true;
+  fleet.planner.AddJob(MakeJob("lasting", {lasting}), fleet.now);
+  fleet.Advance(60'000);
+  const std::string first = OnlyWorker(fleet);
+  Leave(fleet, first, 30);
+  fleet.Settle();
+  BOOST_TEST(!OnlyWorker(fleet).empty());
+  BOOST_TEST(OnlyWorker(fleet) != first);
+}
+
 // A stop saves what such work has done, so an ordinary gang may take its place.
 BOOST_AUTO_TEST_CASE(OrdinaryWorkTakesThePlaceOfWorkThatLosesNothing) {
   for (const bool saves : {false, true}) {
@@ -305,17 +354,6 @@
   BOOST_TEST(!fleet.planner.MayEndSoon(job));
 }
 
-void Leave(PlannedFleet& fleet, const std::string& worker, int seconds) {
-  AgentReport& report = fleet.ReportOf(worker);
-  report.worker->state = WorkerState::kDraining;
-  report.worker->remaining = core::Duration::Seconds(seconds);
-}
-
-std::string OnlyWorker(const PlannedFleet& fleet) {
-  const auto active = fleet.Active();
-  return active.size() == 1 ? active.front().first : std::string();
-}
-
 // Runs that a leaving worker took along began again from nothing.
 BOOST_AUTO_TEST_CASE(SavingWorkLeavesJustBeforeItsWorker) {
   PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
@@ -362,13 +400,6 @@
   }
 }
 
-void StandStill(PlannedFleet& fleet, const std::string& worker, int seconds) {
-  for (ActiveRun& run : fleet.ReportOf(worker).active) {
-    run.percent = 30;
-    run.still = core::Duration::Seconds(seconds);
-  }
-}
-
 // On kzps-hemlock trouble-1 an urgent task waited 5 s on a worker whose tasks
 // stood still, although others were free.
 BOOST_AUTO_TEST_CASE(WorkLeavesAWorkerOnWhichRunsStandStill) {
