Name what the planner and its replay computed twice

Read as a newcomer: processors and accelerators were added up to cores in the planner and three times in the load replay; the drift of worker clocks was a constant of the planner and of the agent; "a stop is wanted" was written out in two loops; the replay summed accelerator seconds that nothing read. Each decision looked up the agent of every run for leaving workers, also while none leaves, and the typical run of every run for stalls, also of those that move.

Change: CoresOf and kCoresPerAccelerator beside Resources, kClockDriftDivisor beside the term, Unit::IsStopping; the unread sum is gone; leaving workers are gathered first, and a run that moves is no stall before anything is looked up.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -10,8 +10,6 @@
 
 /// Rejections kept for the next reports; a batch has far fewer starts.
 constexpr std::size_t kMaxRejections = 64;
-/// Slack for a worker clock that runs 2% slow.
-constexpr std::int64_t kClockDriftDivisor = 50;
 /// Pause before a stop that got no answer, or showed no effect, is sent again.
 /// Above the time a worker may take to stop a task.
 constexpr core::Duration kStopRetry = core::Duration::Milliseconds(500);
--- a/modules/batch/model/job_spec.h
+++ b/modules/batch/model/job_spec.h
@@ -36,6 +36,17 @@
   bool operator==(const Resources&) const = default;
 };
 
+/// An accelerator weighs as many cores when work is measured; from the users'
+/// rules on prices.
+inline constexpr double kCoresPerAccelerator = 8.0;
+
+/// Processors and accelerators of `resources` as a number of cores.
+inline double CoresOf(const Resources& resources) {
+  constexpr double kMillicoresPerCore = 1000.0;
+  return static_cast<double>(resources.millicores) / kMillicoresPerCore +
+         kCoresPerAccelerator * static_cast<double>(resources.accelerators);
+}
+
 /// One step of a job: `count` tasks of the same shape.
 struct StepSpec {
   int count = 1;
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -101,6 +101,10 @@
   std::vector<Rejection> rejections;
 };
 
+/// Worker clocks may run 2% slow, so a lease lasts that much longer: its length
+/// divided by this.
+inline constexpr std::int64_t kClockDriftDivisor = 50;
+
 /// The planner's answer to a report.
 struct ReportAnswer {
   core::SchedulingEpoch epoch;
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -1,6 +1,7 @@
 // A job in the planner: its units, their runs and what is recorded of them.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -62,6 +63,12 @@
   /// Capacity kept for it while others are being stopped, by agent.
   std::map<core::AgentId, Resources> reserved;
   core::TimePoint reserved_until;
+
+  /// A stop of some of its runs is wanted.
+  bool IsStopping() const {
+    return std::any_of(this->members.begin(), this->members.end(),
+                       [](const Member& member) { return member.stop_wanted; });
+  }
 };
 
 /// One job.
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Worker clocks may run 2% slow, so a lease lasts that much longer.
-constexpr std::int64_t kClockDriftDivisor = 50;
+/// Beyond the drift of clocks, until a lease is held for over.
 constexpr core::Duration kLeaseMargin = core::Duration::Milliseconds(150);
 /// Ends of unfinished jobs are stored together; the ends stay listed at the
 /// worker meanwhile, so nothing is lost.
@@ -29,8 +28,6 @@
 /// Runs of an earlier term that were never seen have lower numbers than this
 /// many per epoch.
 constexpr std::int64_t kRunsPerEpoch = 64;
-/// An accelerator weighs as many cores when work is thrown away.
-constexpr double kCoresPerAccelerator = 8.0;
 /// Share of its own work that a unit may throw away of others', while it can
 /// end in time and later. By the users' worths a core-second of urgent work is
 /// worth about seven times as much as one of other work, and about five times
@@ -55,14 +52,9 @@
 /// elsewhere a task takes three times as long.
 constexpr std::int64_t kRemoteWaitFactor = 1;
 
-double Weight(const StepSpec& step) {
-  constexpr double kMillicoresPerCore = 1000.0;
-  return static_cast<double>(step.need.millicores) / kMillicoresPerCore +
-         kCoresPerAccelerator * static_cast<double>(step.need.accelerators);
-}
-
 /// Work that fills gaps and saves nothing when it is stopped.
-bool LosesWorkWhenStopped(const Job& job, const StepSpec& step) {
+bool LosesWorkWhenStopped(const Job& job, const Unit& unit) {
+  const StepSpec& step = job.StepOf(unit);
   return job.record.priority >= kFillingPriority && !step.checkpoints &&
          !step.long_running;
 }
@@ -780,7 +772,7 @@
   for (auto& [id, job] : this->jobs) {
     for (const Unit& unit : job.units) {
       const Resources need = CountedNeed(job.StepOf(unit));
-      if (LosesWorkWhenStopped(job, job.StepOf(unit))) {
+      if (LosesWorkWhenStopped(job, unit)) {
         borrowed +=
             need.accelerators * static_cast<std::int64_t>(unit.members.size());
       }
@@ -911,7 +903,7 @@
 
 bool Planner::MayBorrow(const Job& job, const Unit& unit, core::TimePoint now) {
   const StepSpec& step = job.StepOf(unit);
-  return !LosesWorkWhenStopped(job, step) ||
+  return !LosesWorkWhenStopped(job, unit) ||
          this->lending.Allows(step.need.accelerators * unit.size, now);
 }
 
@@ -979,7 +971,7 @@
   if (this->IsWithinGuarantee(job)) {
     return std::numeric_limits<double>::infinity();
   }
-  const double own_work = Weight(job.StepOf(unit)) *
+  const double own_work = CoresOf(job.StepOf(unit).need) *
                           static_cast<double>(unit.size) *
                           Seconds(this->TypicalRun(job, unit));
   const bool in_time = this->ProspectOf(job, unit, now) == Prospect::kInTime;
@@ -996,7 +988,7 @@
   // A stop saves what there is.
   const double lost =
       step.checkpoints ? 0.0 : Seconds(now - unit.members.front().since);
-  return (lost + kRestartSeconds) * Weight(step) *
+  return (lost + kRestartSeconds) * CoresOf(step.need) *
          static_cast<double>(unit.size);
 }
 
@@ -1007,10 +999,7 @@
       continue;
     }
     for (Unit& unit : other.units) {
-      const bool is_stopping =
-          std::any_of(unit.members.begin(), unit.members.end(),
-                      [](const Member& member) { return member.stop_wanted; });
-      if (!unit.members.empty() && !is_stopping) {
+      if (!unit.members.empty() && !unit.IsStopping()) {
         victims.push_back(
             {&other, &unit, this->CostOfStopping(other, unit, now)});
       }
@@ -1052,7 +1041,7 @@
   this->Reserve(job, unit, placement->agents, now);
   for (const Victim& victim : placement->victims) {
     this->StopUnit(*victim.unit);
-    if (LosesWorkWhenStopped(*victim.job, victim.job->StepOf(*victim.unit))) {
+    if (LosesWorkWhenStopped(*victim.job, *victim.unit)) {
       this->lending.OnStopped(now);
     }
     this->Note("unit_preempted", victim.job->record.spec.id,
@@ -1068,7 +1057,7 @@
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
   this->ReturnReserved(job, unit);
-  if (LosesWorkWhenStopped(job, job.StepOf(unit))) {
+  if (LosesWorkWhenStopped(job, unit)) {
     this->lending.OnStarted(need.accelerators * unit.size);
   }
   ++unit.highest_run;
--- a/modules/batch/planner/planner_moves.cc
+++ b/modules/batch/planner/planner_moves.cc
@@ -62,20 +62,25 @@
 }
 
 void Planner::EvacuateLeaving(core::TimePoint now) {
+  std::map<core::AgentId, core::TimePoint> leaving;
+  for (const auto& [agent, view] : this->fleet) {
+    if (view.IsLeaving()) {
+      leaving.emplace(agent, view.leaves);
+    }
+  }
+  if (leaving.empty()) {
+    return;
+  }
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
       std::optional<core::TimePoint> leaves;
       for (const Member& member : unit.members) {
-        const auto found = this->fleet.find(member.agent);
-        if (found != this->fleet.end() && found->second.IsLeaving()) {
-          leaves = leaves ? std::min(*leaves, found->second.leaves)
-                          : found->second.leaves;
+        const auto found = leaving.find(member.agent);
+        if (found != leaving.end()) {
+          leaves = leaves ? std::min(*leaves, found->second) : found->second;
         }
       }
-      const bool is_stopping =
-          std::any_of(unit.members.begin(), unit.members.end(),
-                      [](const Member& member) { return member.stop_wanted; });
-      if (!leaves || is_stopping || !job.IsOpen() ||
+      if (!leaves || unit.IsStopping() || !job.IsOpen() ||
           !this->ShouldEvacuate(job, unit, *leaves, now)) {
         continue;
       }
@@ -96,12 +101,13 @@
                         const Member& member) const {
   constexpr int kWhole = 100;
   const bool may_wait_for_others = unit.size > 1 && member.percent == 0;
-  if (!member.confirmed || member.stop_wanted || may_wait_for_others ||
-      member.percent >= kWhole || job.StepOf(unit).long_running) {
+  if (member.still < kStalled || !member.confirmed || member.stop_wanted ||
+      may_wait_for_others || member.percent >= kWhole ||
+      job.StepOf(unit).long_running) {
     return false;
   }
   const core::Duration point = this->TypicalRun(job, unit) / kWhole;
-  return member.still >= std::max(kStalled, point * kStalledPoints);
+  return member.still >= point * kStalledPoints;
 }
 
 bool Planner::LosesLittle(const Job& job, const Unit& unit) const {
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -83,8 +83,6 @@
   /// Core-seconds of stopped work that was not saved.
   double wasted = 0;
   int stops = 0;
-  /// In use, also by work that was stopped later.
-  double accelerator_seconds = 0;
   double Earned() const {
     double owed = 0;
     double earned = 0;
@@ -325,14 +323,6 @@
     return away || split ? 1.0 / this->pattern.remote_factor : 1.0;
   }
 
-  double WeightOf(const SimRun& run) const {
-    constexpr double kMillicores = 1000;
-    constexpr double kAcceleratorCores = 8;
-    const Resources& need = this->StepOf(run).need;
-    return static_cast<double>(need.millicores) / kMillicores +
-           kAcceleratorCores * static_cast<double>(need.accelerators);
-  }
-
   void EndRun(SimRun& run, RunEndKind kind) {
     AgentReport& report = this->reports.at(run.agent);
     RunEnd end;
@@ -351,7 +341,7 @@
     }
     if (kind != RunEndKind::kDone) {
       this->result.wasted += std::max(0.0, run.done_ms - saved) / kMsPerSecond *
-                             this->WeightOf(run);
+                             CoresOf(this->StepOf(run).need);
     }
     std::erase_if(report.active, [&run](const ActiveRun& active) {
       return active.key == run.key;
@@ -363,9 +353,6 @@
     std::map<std::pair<core::JobId, std::int64_t>, RunEndKind> gang_ends;
     for (SimRun& run : this->runs) {
       run.done_ms += static_cast<double>(kStepMs) * run.speed;
-      this->result.accelerator_seconds +=
-          static_cast<double>(this->StepOf(run).need.accelerators * kStepMs) /
-          kMsPerSecond;
       const bool stopped =
           run.stops_at >= 0 && this->now.InMilliseconds() >= run.stops_at;
       const bool failed = run.fails_at >= 0 && run.done_ms >= run.fails_at;
@@ -487,16 +474,13 @@
       ClassResult& sum = this->result.classes[job.load->name];
       const StepSpec& step = job.record.spec.steps.front();
       constexpr double kMeanAccelerators = 4.6;
-      constexpr double kAcceleratorCores = 8;
-      const double mean_weight =
-          static_cast<double>(job.load->need.millicores) / 1000 +
-          kAcceleratorCores *
-              (job.load->accelerators.empty()
-                   ? static_cast<double>(job.load->need.accelerators)
-                   : kMeanAccelerators);
-      const double weight =
-          static_cast<double>(step.need.millicores) / 1000 +
-          kAcceleratorCores * static_cast<double>(step.need.accelerators);
+      double mean_weight = CoresOf(job.load->need);
+      if (!job.load->accelerators.empty()) {
+        mean_weight += kCoresPerAccelerator *
+                       (kMeanAccelerators -
+                        static_cast<double>(job.load->need.accelerators));
+      }
+      const double weight = CoresOf(step.need);
       const double relative =
           job.work_ms * weight * step.count /
           (job.load->work_ms * mean_weight * job.load->width_mean);
