Answer callers that wait for a job's end when planning ends

Cause: a state request waits up to 150 ms for the end of a job that may end soon, and the timer that answers it was stopped when the entry resigned. A caller that asked just before a planned stop of the planner got no answer; one that asked as planning ended for another reason waited for the next tick.

Change: when planning ends, all waits are answered; the entry then reads the state from the store, as it does when no planner knows the job.

Tests: PlannerServiceTest with the memory store and an agent that carries out orders. TellsAStoredEndToACallerThatAskedJustBefore fails when states are answered at once, as before the wait was built.

--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -253,6 +253,7 @@
     this->planner.reset();
     observe::Log(observe::LogLevel::kWarn, "planning ends: " + reason, {},
                  {{"event", "planner_ended"}});
+    this->AnswerStateWaits();
   }
 
   /// Runs `step` unless the term has ended since.
--- /dev/null
+++ b/modules/batch/process/planner_service_test.cc
@@ -0,0 +1,145 @@
+#include "modules/batch/process/planner_service.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QEventLoop>
+#include <boost/test/unit_test.hpp>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+constexpr const char* kJob = "j";
+
+bool WaitFor(const std::function<bool()>& condition, int limit_ms) {
+  QElapsedTimer timer;
+  timer.start();
+  while (!condition()) {
+    if (timer.elapsed() > limit_ms) {
+      return false;
+    }
+    QCoreApplication::processEvents(
+        QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 5);
+  }
+  return true;
+}
+
+/// An agent that carries out each order at once.
+class OrderedAgent {
+ public:
+  OrderedAgent() {
+    auto listening = wire::HttpServer::Listen(
+        "127.0.0.1", 0, wire::HttpServerLimits(),
+        [this](const wire::HttpRequest& request,
+               const wire::HttpResponder& responder) {
+          const core::Expected<OrderBatch> batch =
+              OrderBatchFromText(request.body);
+          BOOST_REQUIRE(batch.has_value());
+          this->report.epoch = batch->epoch;
+          this->report.batch = batch->number;
+          for (const StartOrder& start : batch->starts) {
+            ActiveRun run;
+            run.key = start.key;
+            run.confirmed = true;
+            this->report.active.push_back(run);
+          }
+          wire::HttpResponse response;
+          response.body = ToText(this->NextReport());
+          responder.Respond(std::move(response));
+        });
+    BOOST_REQUIRE(listening.has_value());
+    this->server = std::move(*listening);
+    this->report.agent = core::AgentId("agent");
+    this->report.endpoint = "127.0.0.1:" + std::to_string(this->server->Port());
+    this->report.incarnation = core::Incarnation(7);
+    this->report.worker = testing::MakeWorker("w1");
+    this->report.is_complete = true;
+  }
+
+  const AgentReport& NextReport() {
+    ++this->report.sequence;
+    return this->report;
+  }
+  bool Runs() const { return !this->report.active.empty(); }
+  void EndRun() {
+    this->report.ends = {
+        {1, this->report.active.front().key, RunEndKind::kDone, {}}};
+    this->report.active.clear();
+  }
+
+ private:
+  AgentReport report;
+  std::unique_ptr<wire::HttpServer> server;
+};
+
+/// A planner with one agent that runs the only task of a job.
+struct RunningJob {
+  RunningJob() {
+    this->store.DriveByTimer();
+    BOOST_REQUIRE(
+        WaitFor([this] { return this->service.Active() != nullptr; }, 5000));
+    this->service.OnSubmitted(
+        testing::MakeJob(kJob, {testing::MakeStep(1, {1000, 1000, 1})}));
+    this->service.OnReport(this->agent.NextReport());
+    BOOST_REQUIRE(WaitFor([this] { return this->agent.Runs(); }, 5000));
+  }
+
+  static PlannerServiceOptions Options() {
+    PlannerServiceOptions options;
+    options.entry = core::EntryId("entry");
+    options.endpoint = "127.0.0.1:1";
+    options.term = core::Duration::Seconds(5);
+    return options;
+  }
+
+  store::MemoryStore store;
+  OrderedAgent agent;
+  PlannerService<store::MemoryStore> service{Options(), store};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PlannerServiceTest)
+
+// Callers ask at the end of the last task; told "running" they asked again a
+// quarter of a second later.
+BOOST_AUTO_TEST_CASE(TellsAStoredEndToACallerThatAskedJustBefore) {
+  RunningJob running;
+  std::optional<JobState> state;
+  running.service.FindState(
+      core::JobId(kJob),
+      [&state](std::optional<JobState> found) { state = found; });
+  BOOST_TEST(!state.has_value());
+  running.agent.EndRun();
+  running.service.OnReport(running.agent.NextReport());
+  BOOST_REQUIRE(WaitFor([&state] { return state.has_value(); }, 1000));
+  BOOST_TEST((*state == JobState::kCompleted));
+}
+
+// The answer about a job that goes on must not wait long.
+BOOST_AUTO_TEST_CASE(AnswersAboutAJobThatGoesOnAfterAShortWait) {
+  RunningJob running;
+  std::optional<JobState> state;
+  running.service.FindState(
+      core::JobId(kJob),
+      [&state](std::optional<JobState> found) { state = found; });
+  // Callers wait three seconds for an answer; a tenth of it is short.
+  BOOST_REQUIRE(WaitFor([&state] { return state.has_value(); }, 300));
+  BOOST_TEST((*state == JobState::kRunning));
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsNoCallerWhenItStopsPlanning) {
+  RunningJob running;
+  bool answered = false;
+  running.service.FindState(
+      core::JobId(kJob),
+      [&answered](std::optional<JobState> /*found*/) { answered = true; });
+  running.service.Resign();
+  BOOST_TEST(WaitFor([&answered] { return answered; }, 300));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch
