Take answers to orders while the planning lease is late

Cause: the answer to a batch of orders that came while the planning lease was not renewed in time was dropped: neither OnOrdersAnswered nor OnOrdersUnanswered was called, so the batch stayed open and the agent got no orders any more. There: the store resets connections from 11.9 s, the batch goes out at 14.156 s, planning waits from 14.165 s, the answer comes at 14.2 s, planning resumes at 16.8 s.

Why nothing noticed for 30 s: an open batch was supervised by its call alone. Whether an agent is in use is judged by its reports, and these went on; nothing compared them with orders that it should have had.

Change: an answer settles its batch and its report is taken whether or not the lease is late at that moment; only decisions wait for the lease. Independently, a batch that is open for two seconds counts as unanswered, with a line orders_overdue, and is settled by the next one. Ends of calls name their batch, so that a late one does not close a newer batch.

Ruled out: taking the answer as unanswered.

Looked for the same shape: ends of starts, stops, looks, reports, store calls, watches, renewals. Each clears what its call set on every way.

--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -43,6 +43,7 @@
   /// Orders: one batch at a time.
   std::uint64_t batch = 0;
   bool batch_open = false;
+  core::TimePoint batch_sent;
   /// A batch ended without an answer; the next one settles it.
   bool needs_probe = false;
   core::TimePoint next_batch;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -19,6 +19,9 @@
 constexpr core::Duration kRejectPause = core::Duration::Milliseconds(150);
 /// Capacity is kept for a unit so long while its victims stop.
 constexpr core::Duration kReservation = core::Duration::Milliseconds(2500);
+/// A batch is answered, or its call ends, within a second. One that is open for
+/// longer than two has lost its call, and the agent would get nothing any more.
+constexpr core::Duration kBatchOverdue = core::Duration::Milliseconds(2000);
 /// Pause between probes of an agent that does not answer.
 constexpr core::Duration kProbePause = core::Duration::Milliseconds(250);
 /// Distinct jobs that fail in a row before a worker is suspended.
@@ -528,22 +531,45 @@
   }
 }
 
-void Planner::OnOrdersAnswered(const core::AgentId& agent) {
+AgentView* Planner::WithOpenBatch(const core::AgentId& agent,
+                                  std::uint64_t batch) {
   const auto found = this->fleet.find(agent);
-  if (found != this->fleet.end()) {
-    found->second.batch_open = false;
+  const bool is_open = found != this->fleet.end() && found->second.batch_open &&
+                       found->second.batch == batch;
+  return is_open ? &found->second : nullptr;
+}
+
+void Planner::OnOrdersAnswered(const core::AgentId& agent,
+                               std::uint64_t batch) {
+  if (AgentView* view = this->WithOpenBatch(agent, batch)) {
+    view->batch_open = false;
   }
 }
 
 void Planner::OnOrdersUnanswered(const core::AgentId& agent,
+                                 std::uint64_t batch,
                                  core::TimePoint now) {
-  const auto found = this->fleet.find(agent);
-  if (found == this->fleet.end()) {
-    return;
+  if (AgentView* view = this->WithOpenBatch(agent, batch)) {
+    view->batch_open = false;
+    view->needs_probe = true;
+    view->next_batch = now + kProbePause;
+  }
+}
+
+void Planner::CloseOverdueBatches(core::TimePoint now) {
+  for (auto& [agent, view] : this->fleet) {
+    if (!view.batch_open || now < view.batch_sent + kBatchOverdue) {
+      continue;
+    }
+    this->Note("orders_overdue", {},
+               "agent=" + agent.Text() +
+                   " batch=" + Text(static_cast<std::int64_t>(view.batch)) +
+                   " open_ms=" +
+                   Text((now - view.batch_sent).InMilliseconds()) +
+                   " last_contact_ms=" +
+                   Text((now - view.last_contact).InMilliseconds()));
+    this->OnOrdersUnanswered(agent, view.batch, now);
   }
-  found->second.batch_open = false;
-  found->second.needs_probe = true;
-  found->second.next_batch = now + kProbePause;
 }
 
 void Planner::OnMembersRecorded(const std::vector<MemberRecord>& members) {
@@ -681,6 +707,7 @@
 
 std::vector<AgentOrders> Planner::Decide(core::TimePoint now,
                                          std::int64_t wall_ms) {
+  this->CloseOverdueBatches(now);
   this->DropLost(now);
   this->UpdatePhases(now, wall_ms);
   this->RecountUsage();
@@ -1137,6 +1164,7 @@
     batch.agent_incarnation = view.incarnation;
     batch.worker = view.worker ? view.worker->identity : WorkerIdentity();
     view.batch_open = true;
+    view.batch_sent = now;
     if (!view.strays.empty()) {
       view.next_batch = now + kStopRetry;
     }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -87,10 +87,13 @@
 
   /// An agent's report, brought by itself or as the answer to orders.
   ReportAnswer OnReport(const AgentReport& report, core::TimePoint now);
-  /// Orders to an agent got no answer: what they did is not known.
-  void OnOrdersUnanswered(const core::AgentId& agent, core::TimePoint now);
-  /// The agent answered the batch that was open.
-  void OnOrdersAnswered(const core::AgentId& agent);
+  /// The call that carried a batch got no answer: what it did is not known.
+  void OnOrdersUnanswered(const core::AgentId& agent,
+                          std::uint64_t batch,
+                          core::TimePoint now);
+  /// The agent answered a batch. A batch that is not open any more is ignored,
+  /// here and above.
+  void OnOrdersAnswered(const core::AgentId& agent, std::uint64_t batch);
   /// The stored member list now holds these agents.
   void OnMembersRecorded(const std::vector<MemberRecord>& members);
   void OnProgressRecorded(const core::JobId& job, std::uint64_t version);
@@ -211,6 +214,10 @@
                         const Unit& unit,
                         core::TimePoint now) const;
   std::vector<Victim> VictimsFor(const Job& job, core::TimePoint now);
+  /// The agent, when that batch is its open one; else nullptr.
+  AgentView* WithOpenBatch(const core::AgentId& agent, std::uint64_t batch);
+  /// Takes batches whose call did not end for unanswered.
+  void CloseOverdueBatches(core::TimePoint now);
   std::vector<AgentOrders> CollectOrders(core::TimePoint now);
   void RecountUsage();
   void SetLending(std::int64_t borrowed);
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -503,6 +503,19 @@
   BOOST_TEST(plain == 4U);
 }
 
+// Whatever became of a call, an agent that reports gets orders again soon.
+BOOST_AUTO_TEST_CASE(ABatchWhoseCallNeverEndsIsSettledByTheNextOne) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.LoseOrders("w1");
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().empty());
+  fleet.KeepOrders("w1");
+  // Within the 5 s of a lease, so that the agent counts as reachable all along.
+  fleet.Advance(5000);
+  BOOST_TEST(fleet.Active().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -448,7 +448,8 @@
     if (!endpoint) {
       observe::Log(observe::LogLevel::kError, endpoint.error().message, {},
                    {{"event", "agent_endpoint_invalid"}});
-      this->planner->OnOrdersUnanswered(orders.agent, core::Clock::Now());
+      this->planner->OnOrdersUnanswered(orders.agent, orders.batch.number,
+                                        core::Clock::Now());
       return;
     }
     wire::HttpCall call;
@@ -460,7 +461,7 @@
     call.single_send = true;
     this->client.Send(
         call,
-        this->InTerm([this, agent = orders.agent](
+        this->InTerm([this, agent = orders.agent, number = orders.batch.number](
                          const core::Expected<wire::HttpResponse>& answer) {
           const core::TimePoint now = core::Clock::Now();
           const core::Expected<AgentReport> report =
@@ -475,9 +476,11 @@
                 observe::LogLevel::kWarn,
                 "orders unanswered: " + report.error().message, {},
                 {{"event", "orders_unanswered"}, {"agent", agent.Text()}});
-            this->planner->OnOrdersUnanswered(agent, now);
-          } else if (this->Active() != nullptr) {
-            this->planner->OnOrdersAnswered(agent);
+            this->planner->OnOrdersUnanswered(agent, number, now);
+          } else {
+            // What the agent did is known, also while the planning lease is
+            // late; only decisions wait for the lease.
+            this->planner->OnOrdersAnswered(agent, number);
             this->planner->OnReport(*report, now);
           }
           this->DecideSoon();
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -45,9 +45,10 @@
             run.confirmed = true;
             this->report.active.push_back(run);
           }
-          wire::HttpResponse response;
-          response.body = ToText(this->NextReport());
-          responder.Respond(std::move(response));
+          this->waiting.push_back(responder);
+          if (!this->holds_answers) {
+            this->Answer();
+          }
         });
     BOOST_REQUIRE(listening.has_value());
     this->server = std::move(*listening);
@@ -63,6 +64,18 @@
     return this->report;
   }
   bool Runs() const { return !this->report.active.empty(); }
+  std::size_t RunCount() const { return this->report.active.size(); }
+  /// From now on orders are carried out and not answered until `Answer`.
+  void HoldAnswers() { this->holds_answers = true; }
+  void Answer() {
+    this->holds_answers = false;
+    for (const wire::HttpResponder& responder : this->waiting) {
+      wire::HttpResponse response;
+      response.body = ToText(this->NextReport());
+      responder.Respond(std::move(response));
+    }
+    this->waiting.clear();
+  }
   void EndRun() {
     this->report.ends = {
         {1, this->report.active.front().key, RunEndKind::kDone, {}}};
@@ -71,32 +84,41 @@
 
  private:
   AgentReport report;
+  std::vector<wire::HttpResponder> waiting;
+  bool holds_answers = false;
   std::unique_ptr<wire::HttpServer> server;
 };
 
 /// A planner with one agent that runs the only task of a job.
 struct RunningJob {
-  RunningJob() {
+  explicit RunningJob(core::Duration lease = entry::kPlanningLease)
+      : service(Options(lease), store) {
     this->store.DriveByTimer();
     BOOST_REQUIRE(
         WaitFor([this] { return this->service.Active() != nullptr; }, 5000));
-    this->service.OnSubmitted(
-        testing::MakeJob(kJob, {testing::MakeStep(1, {1000, 1000, 1})}));
+    this->Submit(kJob);
     this->service.OnReport(this->agent.NextReport());
     BOOST_REQUIRE(WaitFor([this] { return this->agent.Runs(); }, 5000));
   }
 
-  static PlannerServiceOptions Options() {
+  static PlannerServiceOptions Options(core::Duration lease) {
     PlannerServiceOptions options;
     options.entry = core::EntryId("entry");
     options.endpoint = "127.0.0.1:1";
     options.term = core::Duration::Seconds(5);
+    options.ownership.lease = lease;
+    options.ownership.renewal = lease / 6;
     return options;
   }
 
+  void Submit(const std::string& job) {
+    this->service.OnSubmitted(
+        testing::MakeJob(job, {testing::MakeStep(1, {1000, 1000, 1})}));
+  }
+
   store::MemoryStore store;
   OrderedAgent agent;
-  PlannerService<store::MemoryStore> service{Options(), store};
+  PlannerService<store::MemoryStore> service;
 };
 
 }  // namespace
@@ -140,6 +162,33 @@
   BOOST_TEST(WaitFor([&answered] { return answered; }, 300));
 }
 
+// On insigne-qc (mix, seed 773277612604) the store reset connections while an
+// agent answered: the agent got no orders any more, and four jobs were lost.
+BOOST_AUTO_TEST_CASE(AnAnswerThatComesWhileTheLeaseIsLateSettlesItsOrders) {
+  constexpr core::Duration kLease = core::Duration::Milliseconds(600);
+  RunningJob running(kLease);
+  running.agent.HoldAnswers();
+  running.Submit("second");
+  BOOST_REQUIRE(
+      WaitFor([&] { return running.agent.RunCount() == 2; }, 1000));
+  // Renewals take effect, and the planner hears of them too late.
+  store::MemoryStoreFaults slow;
+  slow.delay = kLease * 3 / 4;
+  running.store.SetFaults(slow);
+  BOOST_REQUIRE(
+      WaitFor([&] { return running.service.Active() == nullptr; }, 3000));
+  running.agent.Answer();
+  // The answer arrives within some milliseconds.
+  WaitFor([] { return false; }, 50);
+  BOOST_REQUIRE(running.service.Active() == nullptr);
+  running.store.SetFaults(store::MemoryStoreFaults());
+  BOOST_REQUIRE(
+      WaitFor([&] { return running.service.Active() != nullptr; }, 3000));
+  running.Submit("third");
+  running.service.OnReport(running.agent.NextReport());
+  BOOST_TEST(WaitFor([&] { return running.agent.RunCount() == 3; }, 500));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -92,6 +92,14 @@
   void Silence(const std::string& worker) {
     this->silent.insert(core::AgentId("agent-" + worker));
   }
+  /// Orders to the worker's agent vanish: their sender hears of no end of the
+  /// call. Reports go on.
+  void LoseOrders(const std::string& worker) {
+    this->deaf.insert(core::AgentId("agent-" + worker));
+  }
+  void KeepOrders(const std::string& worker) {
+    this->deaf.erase(core::AgentId("agent-" + worker));
+  }
 
   /// Decides, carries out the orders and reports, until nothing is ordered.
   void Settle() {
@@ -162,8 +170,12 @@
  private:
   void CarryOut(const AgentOrders& orders) {
     AgentReport& report = this->reports.at(orders.agent);
+    if (this->deaf.contains(orders.agent)) {
+      return;
+    }
     if (this->silent.contains(orders.agent)) {
-      this->planner.OnOrdersUnanswered(orders.agent, this->now);
+      this->planner.OnOrdersUnanswered(orders.agent, orders.batch.number,
+                                       this->now);
       return;
     }
     report.epoch = orders.batch.epoch;
@@ -183,12 +195,13 @@
       }
     }
     ++report.sequence;
-    this->planner.OnOrdersAnswered(orders.agent);
+    this->planner.OnOrdersAnswered(orders.agent, orders.batch.number);
     this->planner.OnReport(report, this->now);
   }
 
   std::map<core::AgentId, AgentReport> reports;
   std::set<core::AgentId> silent;
+  std::set<core::AgentId> deaf;
 };
 
 }  // namespace hemlockdoor::batch::testing
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -431,7 +431,7 @@
           }
         }
       }
-      this->planner.OnOrdersAnswered(each.agent);
+      this->planner.OnOrdersAnswered(each.agent, each.batch.number);
     }
     for (SimRun& run : this->runs) {
       if (run.since == this->now) {
