Release a planning lease whose claim ends after the entry has resigned

An entry stopped while its claim of the planning lease was on the way became owner after it had resigned: it loaded all jobs, could order for as long as it drained, and kept others from planning until the lease lapsed (2.5 s hosted, 5 s on the own interface).

Change: PlanningOwnership does not become owner once resigned; it asks for the release instead, on both interfaces. A release that fails is logged.

Tests, which failed without the change: AClaimThatEndsAfterResigningIsToBeReleased, ReleasesAClaimThatEndsAfterItResigned (store with answers 100 ms late).

--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -117,8 +117,7 @@
     this->ownership.Resign();
     this->timer.stop();
     if (this->ownership.IsOwner()) {
-      this->adapter.Commit(this->ownership.ReleaseTransaction(),
-                           [](const auto& /*released*/) {});
+      this->Release();
       this->EndTerm("resigned");
     }
   }
@@ -209,6 +208,9 @@
         this->adapter.Commit(
             this->ownership.ClaimTransaction(), [this](const auto& claimed) {
               this->ownership.OnClaimed(claimed, core::Clock::Now());
+              if (this->ownership.MustRelease()) {
+                this->Release();
+              }
               this->CheckTerm();
             });
         break;
@@ -222,6 +224,19 @@
     }
   }
 
+  void Release() {
+    this->adapter.Commit(
+        this->ownership.ReleaseTransaction(),
+        [](const core::Expected<store::TransactionResult>& released) {
+          if (!released) {
+            observe::Log(observe::LogLevel::kWarn,
+                         "planning lease not released, so it has to lapse: " +
+                             released.error().message,
+                         {}, {{"event", "release_failed"}});
+          }
+        });
+  }
+
   void CheckTerm() {
     const bool holds = this->ownership.HoldsLease(core::Clock::Now());
     if (holds && !this->term_running) {
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -189,6 +189,27 @@
   BOOST_TEST(WaitFor([&] { return running.agent.RunCount() == 3; }, 500));
 }
 
+// No other entry plans until the lease of one that stops has ended.
+BOOST_AUTO_TEST_CASE(ReleasesAClaimThatEndsAfterItResigned) {
+  store::MemoryStore store;
+  store.DriveByTimer();
+  store::MemoryStoreFaults slow;
+  slow.delay = core::Duration::Milliseconds(100);
+  store.SetFaults(slow);
+  const auto is_owned = [&store] {
+    return store.TakeSnapshot().items.contains(
+        entry::PlanningOwnership::kOwnerKey);
+  };
+  PlannerService<store::MemoryStore> service(
+      RunningJob::Options(entry::kPlanningLease), store);
+  // The claim has taken effect; its answer is on the way.
+  BOOST_REQUIRE(WaitFor(is_owned, 3000));
+  BOOST_REQUIRE(service.Active() == nullptr);
+  service.Resign();
+  // Much less than the lease of 5 s.
+  BOOST_TEST(WaitFor([&is_owned] { return !is_owned(); }, 1000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -320,6 +320,9 @@
       this->context.Commit(
           ownership.ClaimTransaction(), [this](const auto& claimed) {
             this->context.ownership.OnClaimed(claimed, this->context.now);
+            if (this->context.ownership.MustRelease()) {
+              this->Release();
+            }
             this->CheckRole();
           });
       return;
@@ -560,9 +563,20 @@
     this->context.ownership.Resign();
     return;
   }
-  this->context.Commit(this->context.ownership.ReleaseTransaction(),
-                       [](const auto&) {});
+  this->Release();
   this->context.ownership.Resign();
 }
 
+void OwnershipService::Release() {
+  this->context.Commit(
+      this->context.ownership.ReleaseTransaction(),
+      [this](const core::Expected<store::TransactionResult>& released) {
+        if (!released) {
+          this->context.Log(observe::LogLevel::kWarn,
+                            "planning lease not released, so it has to lapse: " +
+                                released.error().message);
+        }
+      });
+}
+
 }  // namespace hemlockdoor::entry
--- a/modules/entry/core/ownership_service.h
+++ b/modules/entry/core/ownership_service.h
@@ -65,6 +65,8 @@
 
  private:
   void RunStep();
+  /// Gives up a lease that is held.
+  void Release();
   void CheckRole();
   void BecomeOwner();
   void LoseOwnership();
--- a/modules/entry/core/planning_ownership.cc
+++ b/modules/entry/core/planning_ownership.cc
@@ -116,10 +116,14 @@
   if (!claimed->succeeded) {
     return;
   }
+  this->owner_revision = claimed->revision;
+  if (this->resigned) {
+    this->must_release = true;
+    return;
+  }
   this->is_owner = true;
   this->outage_seen.reset();
   this->epoch = this->epoch.Next();
-  this->owner_revision = claimed->revision;
   this->epoch_revision = claimed->revision;
   this->owner = PlanningOwner{this->entry, this->endpoint, this->epoch};
   this->held_until = this->renew_sent + this->timing.lease;
--- a/modules/entry/core/planning_ownership.h
+++ b/modules/entry/core/planning_ownership.h
@@ -66,6 +66,9 @@
   store::Transaction ReleaseTransaction() const;
 
   bool IsOwner() const { return this->is_owner; }
+  /// A claim took effect after this entry had resigned: `ReleaseTransaction` is
+  /// due, so that others need not wait for the lease to lapse.
+  bool MustRelease() const { return this->must_release; }
   /// True when this entry may plan now. After a pause longer than the lease it
   /// may not, until a renewal has ended. It may while the store is down, since
   /// no other entry can take the lease then; an outage counts as seen for the
@@ -101,6 +104,7 @@
   OwnershipTiming timing;
   bool is_owner = false;
   bool resigned = false;
+  bool must_release = false;
   bool call_open = false;
   bool store_answers = true;
   OwnershipStep next = OwnershipStep::kRead;
--- a/modules/entry/core/planning_ownership_test.cc
+++ b/modules/entry/core/planning_ownership_test.cc
@@ -109,6 +109,24 @@
   BOOST_TEST((ownership.NextStep(At(9000)) == OwnershipStep::kNone));
 }
 
+// Guards against an entry that stops and keeps the lease until it lapses: its
+// claim was on the way when it resigned.
+BOOST_AUTO_TEST_CASE(AClaimThatEndsAfterResigningIsToBeReleased) {
+  PlanningOwnership ownership(core::EntryId("e1"), "e1:1");
+  ownership.NextStep(At(1000));
+  ownership.OnRead(store::Listing{}, At(1000));
+  ownership.NextStep(At(1000));
+  ownership.OnGranted(store::LeaseId(7), At(1000));
+  BOOST_REQUIRE((ownership.NextStep(At(1000)) == OwnershipStep::kClaim));
+  ownership.Resign();
+  BOOST_TEST(!ownership.MustRelease());
+  ownership.OnClaimed(store::TransactionResult{true, store::ModRevision(3)},
+                      At(1010));
+  BOOST_TEST(ownership.MustRelease());
+  BOOST_TEST(!ownership.HoldsLease(At(1010)));
+  BOOST_TEST(!ownership.MayPlan(At(1010)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::entry
