Store checkpoints while runs go on, and keep those of lost workers

Cause: a checkpoint reached the store only with the end of its run, and a planner that dropped a lost agent's runs dropped the checkpoints that they had reported, though it kept them when a worker answered that a run was gone.

A run remembers the checkpoint it was started from: all members of a gang get the same, and only runs that began anew count as samples of run times.

Ruled out: marking the job's progress as changed. Each report would be stored within 400 ms, and jobs of later ids might never be.

Tests, which failed before: WorkOfALostWorkerGoesOnFromItsReportedCheckpoint, CheckpointsAreStoredWhileRunsGoOn, CheckpointsOfManyJobsAreStoredInTurn.

--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -30,7 +30,9 @@
   std::optional<core::TimePoint> stop_sent;
   /// When it was ordered or first seen.
   core::TimePoint since;
-  std::string checkpoint;
+  /// The checkpoint that it was started from; empty: it began anew. All members
+  /// of a gang have the same.
+  std::string started_from;
   int percent = 0;
   /// How long `percent` had not changed when it was last reported.
   core::Duration still;
@@ -54,6 +56,7 @@
   std::vector<Member> members;
   std::set<std::int64_t> failed_runs;
   std::int64_t highest_run = 0;
+  /// The newest that its runs saved, as far as reported.
   std::string checkpoint;
   /// Workers on which it failed or was turned away.
   std::set<WorkerId> avoided;
@@ -86,6 +89,8 @@
   std::uint64_t recorded_version = 0;
   /// When the oldest unrecorded change was made.
   core::TimePoint changed;
+  /// Since when a checkpoint of a run that goes on waits to be stored.
+  std::optional<core::TimePoint> checkpoint_waits;
   core::TimePoint ended;
 
   /// Makes the units of a record, with what is known of its progress.
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -13,6 +13,10 @@
 /// Ends of unfinished jobs are stored together; the ends stay listed at the
 /// worker meanwhile, so nothing is lost.
 constexpr core::Duration kProgressDelay = core::Duration::Milliseconds(400);
+/// Checkpoints of runs that go on are stored in one call of so many, so that
+/// the number of calls does not grow with the number of jobs. Workers save each
+/// half to two seconds.
+constexpr core::Duration kCheckpointPeriod = core::Duration::Milliseconds(1000);
 /// A stop that shows no effect is ordered again.
 constexpr core::Duration kStopRetry = core::Duration::Milliseconds(1500);
 /// Pause before a unit that was turned away is tried again.
@@ -329,7 +333,7 @@
       });
   const bool is_sample = end.kind == RunEndKind::kDone &&
                          member != unit.members.end() && !member->adopted &&
-                         unit.checkpoint.empty();
+                         member->started_from.empty();
   if (!is_sample) {
     return;
   }
@@ -468,9 +472,7 @@
     member->confirmed = active.confirmed;
     member->percent = active.percent;
     member->still = active.still;
-    if (!active.checkpoint.empty()) {
-      member->checkpoint = active.checkpoint;
-    }
+    this->TakeCheckpoint(job, *unit, active, now);
   }
   for (const auto& [key, resources] : strays) {
     if (!view.strays.contains(key)) {
@@ -484,6 +486,23 @@
   view.strays.merge(strays);
 }
 
+void Planner::TakeCheckpoint(Job& job,
+                             Unit& unit,
+                             const ActiveRun& active,
+                             core::TimePoint now) {
+  // An earlier run, which is about to be stopped, has done less.
+  const bool is_newer = active.key.run >= unit.highest_run &&
+                        !active.checkpoint.empty() &&
+                        active.checkpoint != unit.checkpoint;
+  if (!is_newer || unit.phase == UnitPhase::kDone) {
+    return;
+  }
+  unit.checkpoint = active.checkpoint;
+  if (!job.checkpoint_waits) {
+    job.checkpoint_waits = now;
+  }
+}
+
 void Planner::TakeMissing(AgentView& view,
                           const AgentReport& report,
                           core::TimePoint now) {
@@ -518,9 +537,6 @@
           unit.not_before = now + kRejectPause;
           unit.avoided.insert(member->worker.id);
         }
-        if (!member->checkpoint.empty()) {
-          unit.checkpoint = member->checkpoint;
-        }
         member = unit.members.erase(member);
         left = true;
       }
@@ -561,13 +577,13 @@
     if (!view.batch_open || now < view.batch_sent + kBatchOverdue) {
       continue;
     }
-    this->Note("orders_overdue", {},
-               "agent=" + agent.Text() +
-                   " batch=" + Text(static_cast<std::int64_t>(view.batch)) +
-                   " open_ms=" +
-                   Text((now - view.batch_sent).InMilliseconds()) +
-                   " last_contact_ms=" +
-                   Text((now - view.last_contact).InMilliseconds()));
+    this->Note(
+        "orders_overdue", {},
+        "agent=" + agent.Text() +
+            " batch=" + Text(static_cast<std::int64_t>(view.batch)) +
+            " open_ms=" + Text((now - view.batch_sent).InMilliseconds()) +
+            " last_contact_ms=" +
+            Text((now - view.last_contact).InMilliseconds()));
     this->OnOrdersUnanswered(agent, view.batch, now);
   }
 }
@@ -624,20 +640,45 @@
                                                  std::int64_t wall_ms,
                                                  std::size_t limit) {
   std::vector<ProgressWrite> writes;
-  bool is_due = false;
-  for (const auto& [id, job] : this->jobs) {
-    const bool changed = job.version > job.recorded_version;
-    is_due = is_due || (changed && (job.outcome != JobOutcome::kOpen ||
-                                    now >= job.changed + kProgressDelay));
+  const auto take = [&writes, wall_ms](Job& job) {
+    // Whatever becomes of the write, the run's next checkpoint waits again.
+    job.checkpoint_waits.reset();
+    writes.push_back({job.Progress(wall_ms), job.version});
+  };
+  const bool is_due = std::any_of(
+      this->jobs.begin(), this->jobs.end(), [now](const auto& entry) {
+        const Job& job = entry.second;
+        return job.version > job.recorded_version &&
+               (job.outcome != JobOutcome::kOpen ||
+                now >= job.changed + kProgressDelay);
+      });
+  if (is_due) {
+    for (auto& [id, job] : this->jobs) {
+      if (job.version > job.recorded_version && writes.size() < limit) {
+        take(job);
+      }
+    }
   }
-  if (!is_due) {
+  if (now < this->checkpoints_due) {
     return writes;
   }
-  for (const auto& [id, job] : this->jobs) {
-    if (job.version > job.recorded_version && writes.size() < limit) {
-      writes.push_back({job.Progress(wall_ms), job.version});
+  std::vector<Job*> waiting;
+  for (auto& [id, job] : this->jobs) {
+    if (job.checkpoint_waits && job.IsOpen()) {
+      waiting.push_back(&job);
     }
   }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const Job* left, const Job* right) {
+              return *left->checkpoint_waits < *right->checkpoint_waits;
+            });
+  waiting.resize(std::min(waiting.size(), limit - writes.size()));
+  for (Job* job : waiting) {
+    take(*job);
+  }
+  if (!waiting.empty()) {
+    this->checkpoints_due = now + kCheckpointPeriod;
+  }
   return writes;
 }
 
@@ -1098,6 +1139,7 @@
     member.index = unit.first + static_cast<int>(i);
     member.run = unit.highest_run;
     member.since = now;
+    member.started_from = unit.checkpoint;
     unit.members.push_back(member);
     where += (i == 0 ? "" : ",") + view.worker->identity.id.Text();
   }
@@ -1132,7 +1174,7 @@
               (!member->stop_sent || now >= *member->stop_sent + kStopRetry);
           if (!member->sent && !view.needs_probe) {
             batches[member->agent].starts.push_back(
-                {key, job.record.spec.payload, unit.checkpoint, ""});
+                {key, job.record.spec.payload, member->started_from, ""});
             member->sent = true;
             member->batch = number;
           } else if (member->sent && stop_due) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -101,7 +101,8 @@
   /// Decides what to do now; `wall_ms` is for due times. At most one batch an
   /// agent is open at a time.
   std::vector<AgentOrders> Decide(core::TimePoint now, std::int64_t wall_ms);
-  /// Progress that is due to be stored, at most `limit` records.
+  /// Progress that is due to be stored, at most `limit` records: changes first,
+  /// then checkpoints of runs that go on, those that wait longest first.
   std::vector<ProgressWrite> TakeProgress(core::TimePoint now,
                                           std::int64_t wall_ms,
                                           std::size_t limit);
@@ -142,6 +143,11 @@
   void TakeActive(AgentView& view,
                   const AgentReport& report,
                   core::TimePoint now);
+  /// Keeps what a run that goes on has saved.
+  void TakeCheckpoint(Job& job,
+                      Unit& unit,
+                      const ActiveRun& active,
+                      core::TimePoint now);
   void TakeMissing(AgentView& view,
                    const AgentReport& report,
                    core::TimePoint now);
@@ -234,6 +240,8 @@
   /// Run times of what ended, by queue.
   std::map<QueueName, RunTimes> run_times;
   LendingLimit lending;
+  /// When checkpoints of runs that go on may be stored again.
+  core::TimePoint checkpoints_due;
   std::vector<DecisionNote> notes;
 };
 
--- a/modules/batch/planner/planner_moves.cc
+++ b/modules/batch/planner/planner_moves.cc
@@ -35,7 +35,7 @@
   for (const Member& member : unit.members) {
     const core::Duration elapsed = now - member.since;
     const bool has_pace = member.percent >= kLeastPercent && !member.adopted &&
-                          unit.checkpoint.empty();
+                          member.started_from.empty();
     const core::Duration left =
         has_pace ? elapsed * (kWhole - member.percent) / member.percent
                  : this->TypicalRun(job, unit) - elapsed;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -22,6 +22,13 @@
   report.worker->remaining = core::Duration::Seconds(seconds);
 }
 
+StepSpec SavingStep(const Resources& need) {
+  StepSpec step = MakeStep(1, need);
+  step.checkpoints = true;
+  step.estimate = core::Duration::Seconds(60);
+  return step;
+}
+
 std::string OnlyWorker(const PlannedFleet& fleet) {
   const auto active = fleet.Active();
   return active.size() == 1 ? active.front().first : std::string();
@@ -357,10 +364,7 @@
 // Runs that a leaving worker took along began again from nothing.
 BOOST_AUTO_TEST_CASE(SavingWorkLeavesJustBeforeItsWorker) {
   PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
-  StepSpec step = MakeStep(1, kWide);
-  step.checkpoints = true;
-  step.estimate = core::Duration::Seconds(60);
-  fleet.planner.AddJob(MakeJob("j", {step}), fleet.now);
+  fleet.planner.AddJob(MakeJob("j", {SavingStep(kWide)}), fleet.now);
   fleet.Settle();
   const std::string first = OnlyWorker(fleet);
   Leave(fleet, first, 4);
@@ -516,6 +520,75 @@
   BOOST_TEST(fleet.Active().size() == 1U);
 }
 
+// A worker that was lost with its agent took along what its runs had saved,
+// although it had been reported.
+BOOST_AUTO_TEST_CASE(WorkOfALostWorkerGoesOnFromItsReportedCheckpoint) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {SavingStep(kWide)}), fleet.now);
+  fleet.Settle();
+  const std::string first = OnlyWorker(fleet);
+  fleet.Save(first, fleet.Active().front().second, "saved");
+  fleet.Silence(first);
+  fleet.Advance(10'000);
+  for (const auto& [worker, key] : fleet.Active()) {
+    if (worker != first) {
+      const AgentReport& report = fleet.ReportOf(worker);
+      BOOST_TEST(report.active.front().checkpoint == "saved");
+    }
+  }
+  BOOST_TEST(fleet.Active().size() == 2U);
+}
+
+// On days that end with a loss of power all work began again from nothing,
+// since checkpoints were stored with the ends of runs only.
+BOOST_AUTO_TEST_CASE(CheckpointsAreStoredWhileRunsGoOn) {
+  constexpr std::size_t kLimit = 15;
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.planner.AddJob(MakeJob("j", {SavingStep(kWide)}), fleet.now);
+  fleet.Settle();
+  const RunKey run = fleet.Active().front().second;
+  BOOST_TEST(fleet.StoreProgress(kLimit).empty());
+  fleet.Save("w1", run, "first");
+  fleet.Advance(1000);
+  const std::vector<ProgressRecord> stored = fleet.StoreProgress(kLimit);
+  BOOST_REQUIRE(stored.size() == 1U);
+  BOOST_REQUIRE(stored.front().checkpoints.size() == 1U);
+  BOOST_TEST(stored.front().checkpoints.front().checkpoint == "first");
+  // One that is stored is not stored again, and a newer one waits for its turn.
+  fleet.Advance(2000);
+  BOOST_TEST(fleet.StoreProgress(kLimit).empty());
+  fleet.Save("w1", run, "second");
+  BOOST_TEST(fleet.StoreProgress(kLimit).size() == 1U);
+  fleet.Save("w1", run, "third");
+  BOOST_TEST(fleet.StoreProgress(kLimit).empty());
+}
+
+// Guards against jobs whose checkpoints are never stored while others save more
+// often, and against store calls that grow with the number of jobs.
+BOOST_AUTO_TEST_CASE(CheckpointsOfManyJobsAreStoredInTurn) {
+  constexpr std::size_t kLimit = 2;
+  constexpr int kJobs = 6;
+  PlannedFleet fleet({MakeWorker("w1")});
+  for (int i = 0; i < kJobs; ++i) {
+    fleet.planner.AddJob(MakeJob("j" + std::to_string(i), {SavingStep(kSmall)}),
+                         fleet.now);
+  }
+  fleet.Settle();
+  BOOST_REQUIRE(fleet.Active().size() == static_cast<std::size_t>(kJobs));
+  std::set<core::JobId> stored;
+  for (int second = 0; second < kJobs / static_cast<int>(kLimit); ++second) {
+    for (const auto& [worker, key] : fleet.Active()) {
+      fleet.Save(worker, key, "at " + std::to_string(second));
+    }
+    fleet.Advance(1000);
+    for (const ProgressRecord& record : fleet.StoreProgress(kLimit)) {
+      stored.insert(record.job);
+    }
+    BOOST_TEST(fleet.StoreProgress(kLimit).empty());
+  }
+  BOOST_TEST(stored.size() == static_cast<std::size_t>(kJobs));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -169,8 +169,7 @@
   RunningJob running(kLease);
   running.agent.HoldAnswers();
   running.Submit("second");
-  BOOST_REQUIRE(
-      WaitFor([&] { return running.agent.RunCount() == 2; }, 1000));
+  BOOST_REQUIRE(WaitFor([&] { return running.agent.RunCount() == 2; }, 1000));
   // Renewals take effect, and the planner hears of them too late.
   store::MemoryStoreFaults slow;
   slow.delay = kLease * 3 / 4;
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -137,13 +137,33 @@
     report.ends.push_back({number, key, kind, {}});
   }
 
+  /// A run of the worker saves its progress.
+  void Save(const std::string& worker,
+            const RunKey& key,
+            const std::string& checkpoint) {
+    for (ActiveRun& run : this->ReportOf(worker).active) {
+      if (run.key == key) {
+        run.checkpoint = checkpoint;
+      }
+    }
+    this->ReportAll();
+  }
+
+  /// Progress that is due, at most `limit` records, which is then stored.
+  std::vector<ProgressRecord> StoreProgress(std::size_t limit) {
+    std::vector<ProgressRecord> stored;
+    for (ProgressWrite& write : this->planner.TakeProgress(
+             this->now, this->now.InMilliseconds(), limit)) {
+      this->planner.OnProgressRecorded(write.record.job, write.version);
+      stored.push_back(std::move(write.record));
+    }
+    return stored;
+  }
+
   /// Stores all progress that is due.
   void RecordProgress() {
     constexpr std::size_t kAll = 1000;
-    for (const ProgressWrite& write : this->planner.TakeProgress(
-             this->now, this->now.InMilliseconds(), kAll)) {
-      this->planner.OnProgressRecorded(write.record.job, write.version);
-    }
+    this->StoreProgress(kAll);
   }
 
   void RecordMembers() {
@@ -184,6 +204,7 @@
       ActiveRun run;
       run.key = start.key;
       run.confirmed = true;
+      run.checkpoint = start.checkpoint;
       report.active.push_back(run);
     }
     for (const RunKey& key : orders.batch.stops) {
--- a/modules/entry/core/ownership_service.cc
+++ b/modules/entry/core/ownership_service.cc
@@ -572,9 +572,10 @@
       this->context.ownership.ReleaseTransaction(),
       [this](const core::Expected<store::TransactionResult>& released) {
         if (!released) {
-          this->context.Log(observe::LogLevel::kWarn,
-                            "planning lease not released, so it has to lapse: " +
-                                released.error().message);
+          this->context.Log(
+              observe::LogLevel::kWarn,
+              "planning lease not released, so it has to lapse: " +
+                  released.error().message);
         }
       });
 }
