Keep the processes' logs when a test of whole processes fails

Change: a deployment whose test case failed keeps its folder and names it. No test changes what it checks.

--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -1,8 +1,10 @@
 #include "tests/support/deployment.h"
 
 #include <QCryptographicHash>
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <charconv>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
@@ -17,6 +19,14 @@
 constexpr core::Duration kStartTimeout = core::Duration::Seconds(20);
 constexpr const char* kKeyVariable = "HEMLOCKDOOR_TEST_KEY";
 
+/// False also outside of test cases.
+bool TestCaseFailed() {
+  namespace framework = boost::unit_test::framework;
+  const auto id = framework::current_test_case_id();
+  return id != boost::unit_test::INV_TEST_UNIT_ID &&
+         !boost::unit_test::results_collector.results(id).passed();
+}
+
 JobAnswer ReadAnswer(const core::Expected<wire::HttpResponse>& response) {
   JobAnswer answer;
   if (!response) {
@@ -140,6 +150,10 @@
       }
     }
   }
+  if (TestCaseFailed()) {
+    this->folder.setAutoRemove(false);
+    std::cerr << "the processes' logs are kept in " << this->Folder() << "\n";
+  }
 }
 
 std::string Deployment::Path(const std::string& name) const {
