--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -338,20 +338,21 @@
     this->DecideSoon();
   }
 
+  static void LogUnreadable(const std::string& key, const core::Error& error) {
+    observe::Log(observe::LogLevel::kError,
+                 "cannot read a stored item: " + error.message, {},
+                 {{"event", "item_unreadable"}, {"key", key}});
+  }
+
   void Classify(const store::KeyValue& item,
                 std::map<std::string, ProgressRecord>& progress,
                 std::set<std::string>& cancelled,
                 std::vector<MemberRecord>& members,
                 std::vector<JobRecord>& records) {
-    const auto unreadable = [&item](const core::Error& error) {
-      observe::Log(observe::LogLevel::kError,
-                   "cannot read a stored item: " + error.message, {},
-                   {{"event", "item_unreadable"}, {"key", item.key}});
-    };
     if (item.key.starts_with(store_keys::kJobs)) {
       core::Expected<JobRecord> record = JobRecordFromText(item.value);
       record ? records.push_back(std::move(*record))
-             : unreadable(record.error());
+             : LogUnreadable(item.key, record.error());
     } else if (item.key.starts_with(store_keys::kCancellations)) {
       cancelled.insert(
           item.key.substr(std::string(store_keys::kCancellations).size()));
@@ -360,7 +361,7 @@
       if (record) {
         progress.insert_or_assign(record->job.Text(), std::move(*record));
       } else {
-        unreadable(record.error());
+        LogUnreadable(item.key, record.error());
       }
     } else if (item.key == store_keys::kMembers) {
       core::Expected<std::vector<MemberRecord>> list =
@@ -368,7 +369,7 @@
       if (list) {
         members = std::move(*list);
       } else {
-        unreadable(list.error());
+        LogUnreadable(item.key, list.error());
       }
     }
   }
@@ -421,9 +422,8 @@
     }
     if (event.key.starts_with(store_keys::kJobs)) {
       core::Expected<JobRecord> record = JobRecordFromText(*event.value);
-      if (record) {
-        this->planner->AddJob(std::move(*record), now);
-      }
+      record ? this->planner->AddJob(std::move(*record), now)
+             : LogUnreadable(event.key, record.error());
     } else if (event.key.starts_with(store_keys::kCancellations)) {
       const std::size_t start = std::string(store_keys::kCancellations).size();
       this->planner->CancelJob(core::JobId(event.key.substr(start)), now);
