Send starts only to agents that hold a term

What callers saw: after each change of planner all work that was ready waited longer than it had to, and went to other workers than the best.

Each refused task waits and avoids that worker from then on.

Ruled out: granting the term with the orders. A planner cannot know when delayed orders arrive, and so not when the leases that they allow are over.

Change: reports say whether the agent can start (it has a term and knows its worker's clock), an agent that comes to a term reports at once, and the planner places nothing on agents that cannot. Reports without the field count as before.

Tests, which failed before: SaysAtOnceWhetherItCanStart, AnAgentThatCannotStartGetsNoStarts.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -99,6 +99,7 @@
     this->epoch = answer.epoch;
     this->batch = 0;
   }
+  this->news = this->news || !this->HasTerm(sent);
   this->term_until = std::max(this->term_until, sent + answer.term);
   if (this->worker && answer.worker == this->worker->identity) {
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
@@ -399,7 +400,7 @@
                      });
 }
 
-AgentReport WorkerSupervisor::MakeReport() {
+AgentReport WorkerSupervisor::MakeReport(core::TimePoint now) {
   AgentReport report;
   report.agent = this->agent;
   report.endpoint = this->endpoint;
@@ -410,6 +411,7 @@
   report.worker = this->worker;
   report.worker_reachable = this->IsWorkerReachable();
   report.is_complete = this->is_complete;
+  report.can_start = this->LeaseDeadline(now).has_value();
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
@@ -423,6 +425,7 @@
 
 void WorkerSupervisor::ObserveClock(std::int64_t worker_clock_ms,
                                     core::TimePoint now) {
+  this->news = this->news || !this->clock_ms;
   if (!this->clock_ms || worker_clock_ms > *this->clock_ms) {
     this->clock_ms = worker_clock_ms;
     this->clock_heard = now;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -112,7 +112,7 @@
   bool HasNews() const { return this->news; }
   /// True while a start waits for the worker's answer.
   bool AwaitsStarts() const;
-  AgentReport MakeReport();
+  AgentReport MakeReport(core::TimePoint now);
 
  private:
   enum class RunState { kStarting, kRunning, kStopping };
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -50,11 +50,11 @@
 BOOST_AUTO_TEST_CASE(ReportsIncompleteListsUntilItHasLooked) {
   WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
                               core::Incarnation(7), At(0));
-  BOOST_TEST(!supervisor.MakeReport().is_complete);
+  BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
   supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
-  BOOST_TEST(!supervisor.MakeReport().is_complete);
+  BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
   supervisor.OnListing({510, 1000, {}, {}}, At(10));
-  BOOST_TEST(supervisor.MakeReport().is_complete);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).is_complete);
 }
 
 // The lease that a predecessor asked for goes on: a look that fails before
@@ -67,9 +67,9 @@
   run.key = kRun;
   supervisor.OnListing({510, 1000, {run}, {}}, At(10));
   supervisor.OnLookFailed(At(20));
-  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   supervisor.OnLookFailed(At(20) + kLongestLease);
-  BOOST_TEST(supervisor.MakeReport().active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
 BOOST_AUTO_TEST_CASE(RefusesOldBatchesAndEpochs) {
@@ -91,7 +91,7 @@
   OrderBatch batch = MakeBatch(1, {{kRun, "p", "", ""}});
   batch.worker.born_wall_ms = 999;
   BOOST_TEST(other.OnOrders(batch, At(1100))->starts.empty());
-  BOOST_TEST((other.MakeReport().rejections.front().reason ==
+  BOOST_TEST((other.MakeReport(At(1100)).rejections.front().reason ==
               RejectReason::kNoWorker));
 }
 
@@ -109,10 +109,10 @@
   BOOST_TEST(supervisor.DueStops(At(1500)).size() == 1U);
   supervisor.OnListing({900, 1000, {}, {}}, At(1501));
   // No answer to the stop yet: the start may still arrive.
-  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   supervisor.OnStopAnswer(kRun, true, 1000, At(1600));
   supervisor.OnListing({1100, 1000, {}, {}}, At(1700));
-  BOOST_TEST(supervisor.MakeReport().active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
 // Stopping it would throw away the run that the worker has begun.
@@ -130,10 +130,10 @@
   supervisor.OnStartAnswer(kRun, StartResult::kStarted, RejectReason::kInvalid,
                            910, At(1410));
   BOOST_TEST(supervisor.DueStops(At(2000)).empty());
-  BOOST_TEST(supervisor.MakeReport().active.front().confirmed);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.front().confirmed);
   // Listed as gone later, it is gone without a stop.
   supervisor.OnListing({1000, 1000, {}, {}}, At(1500));
-  BOOST_TEST(supervisor.MakeReport().active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
 BOOST_AUTO_TEST_CASE(TakesAListedRunForTheAnswerToItsStart) {
@@ -146,7 +146,7 @@
   supervisor.OnListing({900, 1000, {run}, {}}, At(1401));
   BOOST_TEST(supervisor.DueStarts(At(1402)).empty());
   BOOST_TEST(supervisor.DueStops(At(1402)).empty());
-  BOOST_TEST(supervisor.MakeReport().active.front().confirmed);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.front().confirmed);
 }
 
 // The copy is turned away although an earlier one may still arrive.
@@ -158,7 +158,7 @@
   BOOST_TEST(supervisor.DueStarts(At(1400)).size() == 1U);
   supervisor.OnStartAnswer(kRun, StartResult::kRejected, RejectReason::kRoom,
                            910, At(1410));
-  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   BOOST_TEST(supervisor.DueStops(At(1410)).size() == 1U);
 }
 
@@ -170,17 +170,17 @@
   supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
   run.percent = 20;
   supervisor.OnListing({1700, 1000, {run}, {}}, At(2200));
-  supervisor.MakeReport();
+  supervisor.MakeReport(At(1100));
   supervisor.OnListing({2200, 1000, {run}, {}}, At(2700));
   BOOST_TEST(!supervisor.HasNews());
   supervisor.OnListing({2700, 1000, {run}, {}}, At(3200));
   BOOST_TEST(supervisor.HasNews());
-  BOOST_TEST((supervisor.MakeReport().active.front().still ==
+  BOOST_TEST((supervisor.MakeReport(At(1100)).active.front().still ==
               core::Duration::Seconds(1)));
   run.percent = 21;
   supervisor.OnListing({2800, 1000, {run}, {}}, At(3300));
-  BOOST_TEST(
-      (supervisor.MakeReport().active.front().still == core::Duration()));
+  BOOST_TEST((supervisor.MakeReport(At(1100)).active.front().still ==
+              core::Duration()));
 }
 
 // Neither a leaving worker nor another life of it gets a copy.
@@ -208,9 +208,9 @@
   supervisor.OnStartAnswer(kRun, StartResult::kStarted, RejectReason::kInvalid,
                            620, At(1120));
   supervisor.OnListing({615, 1000, {}, {}}, At(1130));
-  BOOST_TEST(supervisor.MakeReport().active.size() == 1U);
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   supervisor.OnListing({700, 1000, {}, {}}, At(1210));
-  BOOST_TEST(supervisor.MakeReport().active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
 BOOST_AUTO_TEST_CASE(ANewLifeEndsAllRuns) {
@@ -221,12 +221,31 @@
   WorkerDescription reborn = MakeWorker("w1");
   reborn.identity.born_wall_ms = 2000;
   supervisor.OnAnnouncement(reborn, 1, 5, At(1300));
-  BOOST_TEST(supervisor.MakeReport().active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
   // An announcement of the earlier life that was delayed.
   supervisor.OnAnnouncement(MakeWorker("w1"), 9, 900, At(1400));
   BOOST_TEST((supervisor.Worker()->identity == reborn.identity));
 }
 
+// After each change of planner all first starts were refused, since the planner
+// sent them before the agents had a term.
+BOOST_AUTO_TEST_CASE(SaysAtOnceWhetherItCanStart) {
+  WorkerSupervisor supervisor(core::AgentId("a"), "127.0.0.1:1",
+                              core::Incarnation(7), At(1000));
+  supervisor.OnAnnouncement(testing::MakeWorker("w1"), 1, 500, At(1000));
+  BOOST_TEST(!supervisor.MakeReport(At(1000)).can_start);
+  BOOST_TEST(!supervisor.HasNews());
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(3);
+  answer.term = core::Duration::Seconds(5);
+  supervisor.OnReportAnswer(answer, At(1000));
+  BOOST_TEST(supervisor.HasNews());
+  BOOST_TEST(supervisor.MakeReport(At(1010)).can_start);
+  supervisor.OnReportAnswer(answer, At(2000));
+  BOOST_TEST(!supervisor.HasNews());
+  BOOST_TEST(!supervisor.MakeReport(At(7000)).can_start);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -173,6 +173,7 @@
           {"batch", report.batch},
           {"worker_reachable", report.worker_reachable},
           {"is_complete", report.is_complete},
+          {"can_start", report.can_start},
           {"active", report.active},
           {"ends", report.ends},
           {"rejections", report.rejections}};
@@ -190,6 +191,7 @@
   json.at("batch").get_to(report.batch);
   json.at("worker_reachable").get_to(report.worker_reachable);
   json.at("is_complete").get_to(report.is_complete);
+  report.can_start = json.value("can_start", true);
   json.at("active").get_to(report.active);
   json.at("ends").get_to(report.ends);
   json.at("rejections").get_to(report.rejections);
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -96,6 +96,9 @@
   /// The lists below hold all that is on the worker. False while a restarted
   /// agent, or one with a restarted worker, has not looked at it yet.
   bool is_complete = false;
+  /// The agent holds a term and knows its worker's clock. Without both it
+  /// cannot lease what it starts, and refuses starts.
+  bool can_start = true;
   std::vector<ActiveRun> active;
   std::vector<RunEnd> ends;
   std::vector<Rejection> rejections;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -32,6 +32,8 @@
   core::TimePoint leaves;
   /// The last report listed all that is on the worker.
   bool is_complete = false;
+  /// It said that it can lease what it starts.
+  bool can_start = false;
   /// Its place in the member list is stored; only then it gets starts.
   bool is_recorded = false;
   /// It has reported in this planner's term.
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -265,6 +265,7 @@
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
+  view.can_start = report.can_start;
 }
 
 void Planner::TakeEnds(AgentView& view,
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -589,6 +589,18 @@
   BOOST_TEST(stored.size() == static_cast<std::size_t>(kJobs));
 }
 
+BOOST_AUTO_TEST_CASE(AnAgentThatCannotStartGetsNoStarts) {
+  PlannedFleet fleet({MakeWorker("w1")});
+  fleet.ReportOf("w1").can_start = false;
+  fleet.Settle();
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().empty());
+  fleet.ReportOf("w1").can_start = true;
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -269,7 +269,7 @@
         continue;
       }
       wire::HttpResponse response;
-      response.body = ToText(this->supervisor.MakeReport());
+      response.body = ToText(this->supervisor.MakeReport(now));
       waiting.responder.Respond(std::move(response));
     }
     this->waiting_orders = std::move(kept);
@@ -369,7 +369,7 @@
     call.endpoint = *endpoint;
     call.method = wire::HttpMethod::kPost;
     call.target = internal_api::kReport;
-    call.body = ToText(this->supervisor.MakeReport());
+    call.body = ToText(this->supervisor.MakeReport(now));
     call.timeout = kReportTimeout;
     this->client.Send(
         call, [this, now](const core::Expected<wire::HttpResponse>& response) {
