Send no empty orders to agents that are lost and no members any more

What operators saw: after a worker had left with its agent, an orders_unanswered line each second for the rest of the planner's term, and a call to an address that may belong to another machine by then.

Cause: a lost agent's orders are not settled, so it was probed for ever.

Change: an agent that is lost and out of the stored member list is not probed. When it comes back it reports by itself, and is probed then.

Test, which failed before: ALostAgentThatLeftTheMemberListGetsNoOrders.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1194,7 +1194,8 @@
     for (const auto& [key, held] : view.strays) {
       batches[agent].stops.push_back(key);
     }
-    if (view.needs_probe) {
+    // One that is lost and no member any more reports when it comes back.
+    if (view.needs_probe && (view.is_recorded || !view.is_lost)) {
       batches[agent];
     }
   }
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -601,6 +601,22 @@
   BOOST_TEST(fleet.Active().size() == 1U);
 }
 
+// On insigne-qc (incident inc-c477) a worker that had left with its agent was
+// sent empty orders each second for the rest of the term.
+BOOST_AUTO_TEST_CASE(ALostAgentThatLeftTheMemberListGetsNoOrders) {
+  PlannedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  const std::string first = OnlyWorker(fleet);
+  fleet.Silence(first);
+  fleet.Advance(10'000);
+  fleet.RecordMembers();
+  fleet.now = fleet.now + core::Duration::Milliseconds(1000);
+  const auto orders =
+      fleet.planner.Decide(fleet.now, fleet.now.InMilliseconds());
+  BOOST_TEST(orders.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
