A restarted planner takes over from its predecessor at once

Change: an entry that finds its own id and endpoint in the owner key replaces it by a conditional write on its revision: only one process at a time listens on the endpoint of an entry, so the predecessor has ended, and its writes in flight fail on that revision. Tests: RestartedOwnerTakesOverFromItsPredecessorAtOnce, AnAbsentKeyIsLeftToOthersForTheClaimDelay (written with the change; the code before has neither step).

--- a/modules/entry/core/planning_ownership.cc
+++ b/modules/entry/core/planning_ownership.cc
@@ -62,7 +62,8 @@
 }
 
 void PlanningOwnership::OnRead(const core::Expected<store::Listing>& listing,
-                               core::TimePoint now) {
+                               core::TimePoint now,
+                               core::Duration claim_delay) {
   this->call_open = false;
   this->due = now + this->timing.renewal;
   this->store_reachable = listing.has_value();
@@ -80,12 +81,24 @@
       this->epoch_revision = item.mod_revision;
     }
   }
-  if (this->owner_revision == store::ModRevision()) {
+  if (this->owner_revision != store::ModRevision() &&
+      !this->IsOwnedByPredecessor()) {
+    this->absent_since.reset();
+    return;
+  }
+  this->absent_since = this->absent_since.value_or(now);
+  if (now >= *this->absent_since + claim_delay) {
+    this->absent_since.reset();
     this->next = OwnershipStep::kGrant;
     this->due = now;
   }
 }
 
+bool PlanningOwnership::IsOwnedByPredecessor() const {
+  return this->owner && this->owner->entry == this->entry &&
+         this->owner->endpoint == this->endpoint;
+}
+
 void PlanningOwnership::OnGranted(const core::Expected<store::LeaseId>& granted,
                                   core::TimePoint now) {
   this->call_open = false;
@@ -170,7 +183,7 @@
   nlohmann::json epoch_doc;
   epoch_doc["epoch"] = std::to_string(claim.epoch.Number());
   store::Transaction transaction;
-  transaction.compares = {{kOwnerKey, store::ModRevision()},
+  transaction.compares = {{kOwnerKey, this->owner_revision},
                           {kEpochKey, this->epoch_revision}};
   transaction.writes = {{kOwnerKey, OwnerToText(claim), this->lease},
                         {kEpochKey, model::DumpJson(epoch_doc), std::nullopt}};
--- a/modules/entry/core/planning_ownership.h
+++ b/modules/entry/core/planning_ownership.h
@@ -49,9 +49,12 @@
   /// Returns the next store call, which the caller then has to make. Returns
   /// kNone when no call is due, a call is in flight, or the entry has resigned.
   OwnershipStep NextStep(core::TimePoint now);
-  /// Handle the results of the store calls.
+  /// Handle the results of the store calls. `claim_delay` is the time for which
+  /// this entry leaves an absent owner key to others, for example because it
+  /// does not reach the store by itself.
   void OnRead(const core::Expected<store::Listing>& listing,
-              core::TimePoint now);
+              core::TimePoint now,
+              core::Duration claim_delay = {});
   void OnGranted(const core::Expected<store::LeaseId>& granted,
                  core::TimePoint now);
   void OnClaimed(const core::Expected<store::TransactionResult>& claimed,
@@ -66,8 +69,8 @@
 
   /// Returns the transaction of `kClaim`. It creates the owner key, which the
   /// store deletes when the lease ends, and increments the epoch, which
-  /// persists. It succeeds only when there is no owner key and the epoch key is
-  /// unchanged.
+  /// persists. It succeeds only when the epoch key is unchanged, and there is
+  /// still no owner key or that of the predecessor of this process.
   store::Transaction ClaimTransaction() const;
   /// Returns the transaction that deletes the owner key if this entry still
   /// owns it.
@@ -110,6 +113,10 @@
 
  private:
   void Lose(core::TimePoint now);
+  /// Returns whether the owner key is that of an earlier process of this entry.
+  /// Only one process at a time listens on the endpoint of an entry, so that
+  /// one has ended, and its lease need not be waited for.
+  bool IsOwnedByPredecessor() const;
 
   core::EntryId entry;
   std::string endpoint;
@@ -122,6 +129,8 @@
   OwnershipStep next = OwnershipStep::kRead;
   /// Earliest time of the next call.
   core::TimePoint due;
+  /// When a read first found the owner key absent or that of a predecessor.
+  std::optional<core::TimePoint> absent_since;
   /// When the last renewal or grant was sent.
   core::TimePoint renew_sent;
   /// Time until which this entry certainly holds the lease.
--- a/modules/entry/core/planning_ownership_test.cc
+++ b/modules/entry/core/planning_ownership_test.cc
@@ -128,6 +128,62 @@
   BOOST_TEST(!ownership.MayPlan(At(1010)));
 }
 
+// A killed entry that starts again need not wait until the lease of its
+// predecessor expires. The entry of another machine must.
+BOOST_AUTO_TEST_CASE(RestartedOwnerTakesOverFromItsPredecessorAtOnce) {
+  struct Case {
+    const char* entry;
+    const char* endpoint;
+    OwnershipStep next;
+  };
+  const Case cases[] = {{"e1", "e1:1", OwnershipStep::kGrant},
+                        {"e2", "e2:1", OwnershipStep::kNone},
+                        {"e1", "other:1", OwnershipStep::kNone}};
+  for (const Case& each : cases) {
+    store::Listing listing;
+    const store::Transaction claim = [] {
+      PlanningOwnership owner(core::EntryId("e1"), "e1:1");
+      return owner.ClaimTransaction();
+    }();
+    for (const store::Write& write : claim.writes) {
+      listing.items.push_back({write.key, *write.value, store::ModRevision(3)});
+    }
+    PlanningOwnership restarted(core::EntryId(each.entry), each.endpoint);
+    restarted.NextStep(At(1500));
+    restarted.OnRead(listing, At(1500));
+    BOOST_TEST_CONTEXT(each.entry << " at " << each.endpoint) {
+      BOOST_TEST((restarted.NextStep(At(1500)) == each.next));
+    }
+    if (each.next != OwnershipStep::kGrant) {
+      continue;
+    }
+    restarted.OnGranted(store::LeaseId(8), At(1510));
+    BOOST_TEST((restarted.NextStep(At(1510)) == OwnershipStep::kClaim));
+    const store::Transaction taken = restarted.ClaimTransaction();
+    // The predecessor's writes in flight are conditional on its key.
+    BOOST_TEST((taken.compares.front().mod_revision == store::ModRevision(3)));
+    restarted.OnClaimed(store::TransactionResult{true, store::ModRevision(4)},
+                        At(1520));
+    BOOST_TEST(restarted.IsOwner());
+    BOOST_TEST((restarted.Epoch() == core::SchedulingEpoch(2)));
+  }
+}
+
+// An entry that reaches the store only through others is a worse planner.
+BOOST_AUTO_TEST_CASE(AnAbsentKeyIsLeftToOthersForTheClaimDelay) {
+  constexpr core::Duration kDelay = core::Duration::Milliseconds(1500);
+  PlanningOwnership ownership(core::EntryId("e1"), "e1:1");
+  std::int64_t now_ms = 0;
+  for (; now_ms < 1500; now_ms += 1000) {
+    BOOST_TEST((ownership.NextStep(At(now_ms)) == OwnershipStep::kRead));
+    ownership.OnRead(store::Listing{}, At(now_ms), kDelay);
+    BOOST_TEST((ownership.NextStep(At(now_ms)) == OwnershipStep::kNone));
+  }
+  BOOST_TEST((ownership.NextStep(At(now_ms)) == OwnershipStep::kRead));
+  ownership.OnRead(store::Listing{}, At(now_ms), kDelay);
+  BOOST_TEST((ownership.NextStep(At(now_ms)) == OwnershipStep::kGrant));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::entry
