Odd entries are left out one by one and never stop a process

Cause: decoders of platform/ converted fields of any type and size (value("gpu", 0) and value("removed", false) throw on another type; a number of 1e300 was converted to an integer, which is undefined; row counts and clocks had no limit), and stored records were read by a library that converts silently. Worse, found on the way: a job of 1000 steps of 100,000 tasks, 10,000 times, was accepted and stored, and each planner that loads it runs out of memory; a job of some 40 steps that all depend on each other kept the planner busy for ever, since the longest chain was searched along each of 2^n chains; one odd entry in the list of members made the whole list unreadable, so that a new planner started their tasks again; an announcement of another writer with a clock that is too high made leases longer than granted; a platform whose grace time is a fraction of a second could not be served at all, since its settings were rendered as 2.5000. Change: one reader of fields with checked types and ranges, also for numbers; stored records and messages are accepted only if they would be written the same; job sizes are limited when they come in and when they are read; members, queues, organisations and rows of listings are left out one by one, with a log line that names the field; the store's items likewise, and the watch goes on.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -58,7 +58,7 @@
   this->unreported_change =
       this->unreported_change || this->worker->state != description.state;
   this->worker = description;
-  this->ObserveClock(worker_clock_ms, now);
+  this->ObserveAnnouncedClock(worker_clock_ms, now);
 }
 
 void WorkerSupervisor::ResetForNewIncarnation(
@@ -440,9 +440,20 @@
 void WorkerSupervisor::ObserveClock(std::int64_t worker_clock_ms,
                                     core::TimePoint now) {
   this->unreported_change = this->unreported_change || !this->clock_ms;
-  if (!this->clock_ms || worker_clock_ms > *this->clock_ms) {
+  const bool replaces_announced = this->clock_is_announced;
+  if (!this->clock_ms || replaces_announced ||
+      worker_clock_ms > *this->clock_ms) {
     this->clock_ms = worker_clock_ms;
     this->clock_read_at = now;
+    this->clock_is_announced = false;
+  }
+}
+
+void WorkerSupervisor::ObserveAnnouncedClock(std::int64_t worker_clock_ms,
+                                             core::TimePoint now) {
+  if (!this->clock_ms) {
+    this->ObserveClock(worker_clock_ms, now);
+    this->clock_is_announced = true;
   }
 }
 
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -159,7 +159,12 @@
   /// worker. The recorded expiry allows for the drift between the clocks.
   void RecordRequestedLease(core::TimePoint now);
   void ResetForNewIncarnation(const WorkerDescription& description);
+  /// Takes the clock from an answer of the worker.
   void ObserveClock(std::int64_t worker_clock_ms, core::TimePoint now);
+  /// Takes the clock from an announcement, until the worker has answered a
+  /// call. Others can send announcements too, and a clock that is too high
+  /// would make leases longer than granted.
+  void ObserveAnnouncedClock(std::int64_t worker_clock_ms, core::TimePoint now);
   void Reject(const RunKey& key, RejectReason reason);
   /// Updates the run from its row in a listing.
   void UpdateRun(Run& run,
@@ -185,6 +190,8 @@
   /// the agent received that reading.
   std::optional<std::int64_t> clock_ms;
   core::TimePoint clock_read_at;
+  /// `clock_ms` comes from an announcement.
+  bool clock_is_announced = false;
   /// The agent has received a listing of the current worker incarnation, or the
   /// worker has deregistered.
   bool is_complete = false;
--- a/modules/batch/model/job_spec.h
+++ b/modules/batch/model/job_spec.h
@@ -122,6 +122,21 @@
   std::int64_t accepted_wall_ms = 0;
 };
 
+/// Largest number of tasks of a job, over all steps and occurrences. The
+/// planner keeps state for each of them, and every planner loads each stored
+/// job.
+inline constexpr std::int64_t kMaxTasksPerJob = 20'000;
+
+/// Fails with kInvalidArgument, naming the field, unless each number of the job
+/// is in range, each step depends on earlier steps only, and the job has at
+/// most `kMaxTasksPerJob` tasks.
+core::Expected<void> ValidateJobSpec(const JobSpec& spec);
+
+/// Returns for each step the number of steps, itself included, on the longest
+/// chain of steps that depend on each other and begins with it. Expects a valid
+/// job.
+std::vector<int> ChainLengths(const JobSpec& spec);
+
 /// Returns the resources of one task that count against a worker's capacity.
 inline Resources CountedNeed(const StepSpec& step) {
   Resources need = step.need;
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -1,6 +1,11 @@
 #include "modules/batch/model/messages.h"
 
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
 #include "modules/model/model.h"
+#include "modules/wire/wire.h"
 
 namespace hemlockdoor::core {
 
@@ -208,19 +213,134 @@
   return model::DumpJson(nlohmann::json(value));
 }
 
-/// The JSON library throws on missing or mistyped fields. The exception is
-/// turned into an error here.
+tl::unexpected<core::Error> Invalid(const std::string& message,
+                                    const std::string& path = {}) {
+  return core::MakeError(core::ErrorCode::kInvalidArgument, message, path);
+}
+
+/// Returns false if some number is too large for the JSON library to convert to
+/// an integer field; such a conversion has undefined behaviour.
+bool HasConvertibleNumbers(const nlohmann::json& node) {
+  // Integers up to this magnitude are exact in every JSON parser.
+  constexpr double kMaxMagnitude = 9007199254740992.0;
+  if (node.is_structured()) {
+    return std::all_of(node.begin(), node.end(), HasConvertibleNumbers);
+  }
+  return !node.is_number() || std::abs(node.get<double>()) <= kMaxMagnitude;
+}
+
+/// Returns true if each field of `read` that `written` has as well is the same
+/// there. Detects values that the JSON library converts silently: numbers that
+/// do not fit in their field, booleans for numbers, unknown names of enum
+/// values, and texts that are no task names.
+bool IsUnchanged(const nlohmann::json& read, const nlohmann::json& written) {
+  if (read.is_object() && written.is_object()) {
+    return std::all_of(written.items().begin(), written.items().end(),
+                       [&read](const auto& field) {
+                         const auto found = read.find(field.key());
+                         return found == read.end() ||
+                                IsUnchanged(*found, field.value());
+                       });
+  }
+  if (read.is_array() && written.is_array()) {
+    return std::equal(read.begin(), read.end(), written.begin(), written.end(),
+                      IsUnchanged);
+  }
+  return read.is_boolean() == written.is_boolean() && read == written;
+}
+
+core::Expected<void> ValidateEndpoint(const std::string& endpoint,
+                                      const std::string& path) {
+  const core::Expected<wire::Endpoint> parsed = wire::Endpoint::Parse(endpoint);
+  if (!parsed) {
+    return Invalid(parsed.error().message, path);
+  }
+  return {};
+}
+
+core::Expected<void> Validate(const JobRecord& record) {
+  constexpr int kMaxPriority = 1000;
+  constexpr int kMaxAttempts = 1000;
+  constexpr double kMaxSlackFactor = 1000;
+  const bool valid =
+      record.priority >= 0 && record.priority <= kMaxPriority &&
+      record.max_attempts >= 1 && record.max_attempts <= kMaxAttempts &&
+      record.slack_factor >= 0 && record.slack_factor <= kMaxSlackFactor &&
+      record.objective >= core::Duration() && record.accepted_wall_ms >= 0;
+  if (!valid) {
+    return Invalid("priority, attempts or objective out of range");
+  }
+  return ValidateJobSpec(record.spec);
+}
+
+core::Expected<void> Validate(const ProgressRecord& record) {
+  if (record.job.IsEmpty() || record.highest_run < 0) {
+    return Invalid("job missing or run number out of range");
+  }
+  return {};
+}
+
+core::Expected<void> Validate(const MemberRecord& member) {
+  if (member.agent.IsEmpty()) {
+    return Invalid("expected an id", "agent");
+  }
+  return ValidateEndpoint(member.endpoint, "endpoint");
+}
+
+core::Expected<void> Validate(const AgentReport& report) {
+  if (report.agent.IsEmpty()) {
+    return Invalid("expected an id", "agent");
+  }
+  const bool runs_valid = std::all_of(
+      report.active.begin(), report.active.end(), [](const ActiveRun& run) {
+        return run.key.run >= 0 && run.still >= core::Duration();
+      });
+  if (!runs_valid) {
+    return Invalid("run number or time out of range", "active");
+  }
+  return ValidateEndpoint(report.endpoint, "endpoint");
+}
+
+core::Expected<void> Validate(const ReportAnswer& answer) {
+  if (answer.term < core::Duration()) {
+    return Invalid("expected a positive length of time", "term");
+  }
+  return {};
+}
+
+core::Expected<void> Validate(const OrderBatch& /*batch*/) {
+  return {};
+}
+
+/// Decodes one JSON value. The JSON library throws on missing and mistyped
+/// fields; the exception is turned into an error here.
+template <typename T>
+core::Expected<T> DecodeValue(const nlohmann::json& document) {
+  if (!HasConvertibleNumbers(document)) {
+    return Invalid("number out of range");
+  }
+  T value;
+  try {
+    value = document.get<T>();
+  } catch (const nlohmann::json::exception& failure) {
+    return Invalid(failure.what());
+  }
+  if (!IsUnchanged(document, nlohmann::json(value))) {
+    return Invalid("a field has a value that it cannot hold");
+  }
+  if (const core::Expected<void> valid = Validate(value); !valid) {
+    return tl::unexpected<core::Error>(valid.error());
+  }
+  return value;
+}
+
 template <typename T>
 core::Expected<T> Decode(const std::string& text) {
   const core::Expected<nlohmann::json> document = model::ParseJson(text);
   if (!document) {
     return tl::unexpected<core::Error>(document.error());
   }
-  try {
-    return document->get<T>();
-  } catch (const nlohmann::json::exception& failure) {
-    return core::MakeError(core::ErrorCode::kInvalidArgument, failure.what());
-  }
+  return DecodeValue<T>(*document);
 }
 
 template <typename T>
@@ -254,9 +374,24 @@
 core::Expected<ProgressRecord> ProgressFromText(const std::string& text) {
   return Decode<ProgressRecord>(text);
 }
-core::Expected<std::vector<MemberRecord>> MembersFromText(
-    const std::string& text) {
-  return Decode<std::vector<MemberRecord>>(text);
+core::Expected<MemberList> MembersFromText(const std::string& text) {
+  const core::Expected<nlohmann::json> document = model::ParseJson(text);
+  if (!document) {
+    return tl::unexpected<core::Error>(document.error());
+  }
+  if (!document->is_array()) {
+    return Invalid("expected a list of agents");
+  }
+  MemberList list;
+  for (const nlohmann::json& element : *document) {
+    core::Expected<MemberRecord> member = DecodeValue<MemberRecord>(element);
+    if (member) {
+      list.members.push_back(std::move(*member));
+    } else {
+      list.errors.push_back(member.error());
+    }
+  }
+  return list;
 }
 core::Expected<AgentReport> ReportFromText(const std::string& text) {
   return Decode<AgentReport>(text);
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -190,8 +190,16 @@
   std::string endpoint;
 };
 
-/// Encode to and decode from JSON. Decoding malformed text fails with
-/// kInvalidArgument.
+/// The stored member list, without the entries that cannot be decoded.
+struct MemberList {
+  std::vector<MemberRecord> members;
+  /// One error for each entry that was left out.
+  std::vector<core::Error> errors;
+};
+
+/// Encode to and decode from JSON. Decoding fails with kInvalidArgument if the
+/// text is malformed, or if a field has a value that it cannot hold. Unknown
+/// fields are ignored.
 std::string ToText(const JobRecord& record);
 std::string ToText(const ProgressRecord& record);
 std::string ToText(const std::vector<MemberRecord>& members);
@@ -200,8 +208,9 @@
 std::string ToText(const OrderBatch& batch);
 core::Expected<JobRecord> JobRecordFromText(const std::string& text);
 core::Expected<ProgressRecord> ProgressFromText(const std::string& text);
-core::Expected<std::vector<MemberRecord>> MembersFromText(
-    const std::string& text);
+/// Fails only if the text is no list; an entry that cannot be decoded is left
+/// out.
+core::Expected<MemberList> MembersFromText(const std::string& text);
 core::Expected<AgentReport> ReportFromText(const std::string& text);
 core::Expected<ReportAnswer> ReportAnswerFromText(const std::string& text);
 core::Expected<OrderBatch> OrderBatchFromText(const std::string& text);
--- a/modules/batch/model/messages_test.cc
+++ b/modules/batch/model/messages_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "modules/batch/testing/fixtures.h"
+#include "modules/model/testing/odd_json.h"
 
 namespace hemlockdoor::batch {
 
@@ -55,17 +56,103 @@
       testing::MakeJob("j", {testing::MakeStep(3, {1000, 1000, 1})}), nullptr);
   job.units[0].phase = UnitPhase::kDone;
   job.units[1].failed_runs = {1, 4};
-  job.units[1].checkpoint = "ck";
+  job.units[1].checkpoint = CheckpointState("ck");
   job.units[1].highest_run = 4;
   const auto progress = ProgressFromText(ToText(job.Progress(0)));
   BOOST_REQUIRE(progress.has_value());
   const Job restored = Job::Create(job.record, &*progress);
   BOOST_TEST((restored.units[0].phase == UnitPhase::kDone));
   BOOST_TEST((restored.units[1].failed_runs == std::set<std::int64_t>{1, 4}));
-  BOOST_TEST(restored.units[1].checkpoint == "ck");
+  BOOST_TEST(restored.units[1].checkpoint.Text() == "ck");
   BOOST_TEST(restored.units[2].highest_run == 4);
 }
 
+// Other writers may leave anything below the keys of jobs, progress and
+// members, and each new planner reads all of it.
+BOOST_AUTO_TEST_CASE(NoStoredRecordOrMessageThrows) {
+  using model::testing::ForEachVariant;
+  StepSpec second = testing::MakeStep(2, {500, 100, 1});
+  second.after = {0};
+  second.gang = true;
+  const JobRecord record =
+      testing::MakeJob("j", {testing::MakeStep(3, {1000, 1000, 1}), second});
+  ForEachVariant(ToText(record), [](const std::string& text) {
+    const auto decoded = JobRecordFromText(text);
+    if (decoded) {
+      BOOST_TEST(ValidateJobSpec(decoded->spec).has_value());
+      Job::Create(*decoded, nullptr);
+    }
+  });
+  Job job = Job::Create(record, nullptr);
+  job.units[0].phase = UnitPhase::kDone;
+  job.units[1].failed_runs = {1, 4};
+  job.units[2].checkpoint = CheckpointState("ck");
+  ForEachVariant(ToText(job.Progress(5)), [&record](const std::string& text) {
+    const auto decoded = ProgressFromText(text);
+    if (decoded) {
+      Job::Create(record, &*decoded);
+    }
+  });
+  AgentReport report;
+  report.agent = core::AgentId("a");
+  report.endpoint = "127.0.0.1:1";
+  report.worker = testing::MakeWorker("w");
+  ActiveRun run;
+  run.key = {{core::JobId("j"), 0, 0, 1}, 2};
+  report.active = {run};
+  report.ends = {{7, run.key, RunEndKind::kGangBroken, "ck"}};
+  report.rejections = {{run.key, RejectReason::kNoCapacity}};
+  ForEachVariant(ToText(report), [](const std::string& text) {
+    BOOST_CHECK_NO_THROW(ReportFromText(text));
+  });
+  OrderBatch batch;
+  batch.starts = {{run.key, "payload", "ck", ""}};
+  batch.stops = {run.key};
+  ForEachVariant(ToText(batch), [](const std::string& text) {
+    BOOST_CHECK_NO_THROW(OrderBatchFromText(text));
+  });
+  ReportAnswer answer;
+  answer.entries = {"127.0.0.1:1"};
+  ForEachVariant(ToText(answer), [](const std::string& text) {
+    BOOST_CHECK_NO_THROW(ReportAnswerFromText(text));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ValuesThatAFieldCannotHoldAreRefused) {
+  const std::string text =
+      ToText(testing::MakeJob("j", {testing::MakeStep(3, {1000, 1000, 1})}));
+  const std::string count = "\"count\":3";
+  BOOST_REQUIRE(text.find(count) != std::string::npos);
+  for (const char* odd : {"4294967299", "3000000000", "1e300", "0", "-3",
+                          "20001", "true", "\"3\"", "3.5"}) {
+    std::string changed = text;
+    changed.replace(changed.find(count), count.size(),
+                    std::string("\"count\":") + odd);
+    BOOST_TEST_CONTEXT(odd) {
+      BOOST_TEST(!JobRecordFromText(changed).has_value());
+    }
+  }
+}
+
+// Without the other members, a new planner would start their tasks again.
+BOOST_AUTO_TEST_CASE(AnOddMemberLeavesTheOthersInTheList) {
+  for (const char* odd : {"7", "null", "{}", "[]",
+                          R"({"agent":"b","endpoint":"127.0.0.1:99999"})",
+                          R"({"agent":"","endpoint":"127.0.0.1:9"})",
+                          R"({"agent":7,"endpoint":"127.0.0.1:9"})",
+                          R"({"agent":"b","endpoint":"127.0.0.1:-1"})"}) {
+    const auto list = MembersFromText(
+        std::string(R"([{"agent":"a","endpoint":"127.0.0.1:1"},)") + odd +
+        R"(,{"agent":"c","endpoint":"127.0.0.1:3"}])");
+    BOOST_TEST_CONTEXT(odd) {
+      BOOST_REQUIRE(list.has_value());
+      BOOST_TEST(list->errors.size() == 1U);
+      BOOST_REQUIRE_EQUAL(list->members.size(), 2U);
+      BOOST_TEST(list->members[1].agent.Text() == "c");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/lateness.cc
+++ b/modules/batch/planner/lateness.cc
@@ -14,47 +14,41 @@
 constexpr core::Duration kStartAndRecordOverhead =
     core::Duration::Milliseconds(150);
 
+/// Returns the time from acceptance in which the job is expected to complete.
+core::Duration ObjectiveOf(const Job& job, core::Duration run) {
+  const core::Duration chain = CriticalPath(job, run);
+  return core::Duration::Milliseconds(static_cast<std::int64_t>(
+             job.record.slack_factor *
+             static_cast<double>(chain.InMilliseconds()))) +
+         job.record.objective;
+}
+
 }  // namespace
 
-core::Duration CriticalPathFrom(const JobSpec& spec,
-                                int step,
-                                core::Duration run) {
-  core::Duration longest;
-  for (std::size_t next = 0; next < spec.steps.size(); ++next) {
-    const std::vector<int>& after = spec.steps[next].after;
-    const bool follows =
-        std::find(after.begin(), after.end(), step) != after.end();
-    // A step depends on earlier steps only, so the recursion ends.
-    if (follows && static_cast<int>(next) > step) {
-      longest = std::max(longest,
-                         CriticalPathFrom(spec, static_cast<int>(next), run));
-    }
-  }
-  return run + longest;
+core::Duration CriticalPathFrom(const Job& job, int step, core::Duration run) {
+  return run * job.chain_lengths[static_cast<std::size_t>(step)];
 }
 
-core::Duration CriticalPath(const JobSpec& spec, core::Duration run) {
-  core::Duration longest;
-  for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-    longest =
-        std::max(longest, CriticalPathFrom(spec, static_cast<int>(step), run));
-  }
-  return longest;
+core::Duration CriticalPath(const Job& job, core::Duration run) {
+  const auto longest =
+      std::max_element(job.chain_lengths.begin(), job.chain_lengths.end());
+  return longest == job.chain_lengths.end() ? core::Duration() : run * *longest;
+}
+
+core::TimePoint LatestStartInTime(const Job& job,
+                                  int step,
+                                  core::Duration run) {
+  return job.accepted + ObjectiveOf(job, run) - kStartAndRecordOverhead -
+         CriticalPathFrom(job, step, run);
 }
 
 Lateness ExpectedLateness(const Job& job,
                           int step,
                           core::Duration run,
                           core::TimePoint start) {
-  const JobSpec& spec = job.record.spec;
-  const core::Duration chain = CriticalPath(spec, run);
-  const core::Duration objective =
-      core::Duration::Milliseconds(static_cast<std::int64_t>(
-          job.record.slack_factor *
-          static_cast<double>(chain.InMilliseconds()))) +
-      job.record.objective;
+  const core::Duration objective = ObjectiveOf(job, run);
   const core::Duration took = start + kStartAndRecordOverhead +
-                              CriticalPathFrom(spec, step, run) - job.accepted;
+                              CriticalPathFrom(job, step, run) - job.accepted;
   if (took <= objective) {
     return Lateness::kOnTime;
   }
--- a/modules/batch/planner/lateness.h
+++ b/modules/batch/planner/lateness.h
@@ -14,12 +14,14 @@
 
 /// Returns the run time of the longest chain of dependent steps that begins
 /// with `step`, if each task runs for `run`.
-core::Duration CriticalPathFrom(const JobSpec& spec,
-                                int step,
-                                core::Duration run);
+core::Duration CriticalPathFrom(const Job& job, int step, core::Duration run);
 
 /// Returns the run time of the longest chain of dependent steps of the job.
-core::Duration CriticalPath(const JobSpec& spec, core::Duration run);
+core::Duration CriticalPath(const Job& job, core::Duration run);
+
+/// Returns the latest start of a unit in `step` with which the job is expected
+/// to complete within its objective, if each task runs for `run`.
+core::TimePoint LatestStartInTime(const Job& job, int step, core::Duration run);
 
 /// Returns the expected lateness of a job if its unit in `step` starts at
 /// `start` and each task runs for `run`.
--- a/modules/batch/planner/lateness_test.cc
+++ b/modules/batch/planner/lateness_test.cc
@@ -33,9 +33,26 @@
 
 BOOST_AUTO_TEST_CASE(CriticalPathFollowsTheDependenciesOfSteps) {
   const Job job = MakeChain();
-  BOOST_TEST((CriticalPathFrom(job.record.spec, 0, kRun) == kRun * 2));
-  BOOST_TEST((CriticalPathFrom(job.record.spec, 1, kRun) == kRun));
-  BOOST_TEST((CriticalPath(job.record.spec, kRun) == kRun * 2));
+  BOOST_TEST((CriticalPathFrom(job, 0, kRun) == kRun * 2));
+  BOOST_TEST((CriticalPathFrom(job, 1, kRun) == kRun));
+  BOOST_TEST((CriticalPath(job, kRun) == kRun * 2));
+}
+
+// Each step depends on all earlier ones, so the number of chains is two to the
+// power of the number of steps.
+BOOST_AUTO_TEST_CASE(CriticalPathOfManyDependenciesIsFoundAtOnce) {
+  constexpr int kSteps = 1000;
+  std::vector<StepSpec> steps;
+  for (int number = 0; number < kSteps; ++number) {
+    StepSpec step = MakeStep(1, {1000, 1000, 1});
+    for (int earlier = 0; earlier < number; ++earlier) {
+      step.after.push_back(earlier);
+    }
+    steps.push_back(step);
+  }
+  const Job job = Job::Create(MakeJob("j", steps), nullptr);
+  BOOST_TEST((CriticalPath(job, kRun) == kRun * kSteps));
+  BOOST_TEST((CriticalPathFrom(job, kSteps - 2, kRun) == kRun * 2));
 }
 
 BOOST_AUTO_TEST_CASE(AJobIsLateUpToThreeTimesItsObjective) {
--- a/modules/batch/process/hosted_settings.cc
+++ b/modules/batch/process/hosted_settings.cc
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMaxSettingsBytes = 256U * 1024U;
 constexpr std::int64_t kMaxPort = 65535;
-constexpr std::int64_t kMaxMilliseconds = 600'000;
+constexpr double kMaxMilliseconds = 600'000;
 
 std::string RequiredEndpoint(model::JsonReader& reader,
                              const std::string& name) {
@@ -23,10 +23,29 @@
   return text;
 }
 
+/// Reads a length of time in units of `unit_ms` milliseconds. The platform
+/// states whole numbers or fractions; a fraction of a millisecond is cut off.
+core::Duration RequiredLength(model::JsonReader& reader,
+                              const std::string& name,
+                              double unit_ms) {
+  if (reader.Raw(name) == nullptr) {
+    reader.Fail(name, "required field is missing");
+  }
+  const double length = reader.OptionalNumber(
+      name, 0.0, {1.0 / unit_ms, kMaxMilliseconds / unit_ms});
+  return core::Duration::Milliseconds(
+      static_cast<std::int64_t>(length * unit_ms));
+}
+
 core::Duration RequiredMilliseconds(model::JsonReader& reader,
                                     const std::string& name) {
-  return core::Duration::Milliseconds(
-      reader.RequiredInteger(name, {1, kMaxMilliseconds}));
+  return RequiredLength(reader, name, 1.0);
+}
+
+core::Duration RequiredSeconds(model::JsonReader& reader,
+                               const std::string& name) {
+  constexpr double kMsPerSecond = 1000.0;
+  return RequiredLength(reader, name, kMsPerSecond);
 }
 
 void ReadCommon(model::JsonReader& reader, HostedCommonSettings& common) {
@@ -40,7 +59,7 @@
     reader.Fail("log_level", "expected debug, info, warn or error, got \"" +
                                  common.log_level + "\"");
   }
-  common.stop_grace = RequiredMilliseconds(reader, "stop_grace_ms");
+  common.stop_grace = RequiredSeconds(reader, "stop_grace_s");
   reader.EachElement(
       "entries",
       [&common](const nlohmann::json& element,
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -140,6 +140,9 @@
       core::Duration::Milliseconds(900);
   static constexpr core::Duration kRetryDelay =
       core::Duration::Milliseconds(200);
+  /// Two reads of the owner key by the other entries.
+  static constexpr core::Duration kRelayedClaimDelay =
+      core::Duration::Milliseconds(1500);
   /// Longest delay of the answer about a job that may end soon. Covers the time
   /// from the end of its last task until the job's end is stored: a worker's
   /// answer, a report and a store write, each of a few milliseconds, with room
@@ -208,10 +211,11 @@
       case OwnershipStep::kNone:
         break;
       case OwnershipStep::kRead:
-        this->adapter.List(
-            entry::PlanningOwnership::kPrefix, [this](const auto& listing) {
-              this->ownership.OnRead(listing, core::Clock::Now());
-            });
+        this->adapter.List(entry::PlanningOwnership::kPrefix,
+                           [this](const auto& listing) {
+                             this->ownership.OnRead(listing, core::Clock::Now(),
+                                                    this->ClaimDelay());
+                           });
         break;
       case OwnershipStep::kGrant:
         this->adapter.GrantLease(
@@ -239,6 +243,14 @@
     }
   }
 
+  /// Returns how long this entry leaves an absent planning lease to others.
+  core::Duration ClaimDelay() const {
+    if constexpr (requires { this->adapter.IsRelayed(); }) {
+      return this->adapter.IsRelayed() ? kRelayedClaimDelay : core::Duration();
+    }
+    return {};
+  }
+
   void Release() {
     this->adapter.Commit(
         this->ownership.ReleaseTransaction(),
@@ -357,9 +369,21 @@
   }
 
   static void LogUnreadable(const std::string& key, const core::Error& error) {
-    observe::Log(observe::LogLevel::kError,
-                 "stored item not decoded, ignored: " + error.message, {},
-                 {{"event", "item_unreadable"}, {"key", key}});
+    observe::Log(
+        observe::LogLevel::kError,
+        "stored item not decoded, ignored: " + error.message, {},
+        {{"event", "item_unreadable"}, {"key", key}, {"field", error.path}});
+  }
+
+  /// Decodes the record of the job that the key names.
+  static core::Expected<JobRecord> ReadJobRecord(const std::string& key,
+                                                 const std::string& text) {
+    core::Expected<JobRecord> record = JobRecordFromText(text);
+    if (record && store_keys::JobKey(record->spec.id) != key) {
+      return core::MakeError(core::ErrorCode::kInvalidArgument,
+                             "the record is that of another job", "$.spec.id");
+    }
+    return record;
   }
 
   void ReadStoredItem(const store::KeyValue& item,
@@ -368,7 +392,7 @@
                       std::vector<MemberRecord>& members,
                       std::vector<JobRecord>& records) {
     if (item.key.starts_with(store_keys::kJobPrefix)) {
-      core::Expected<JobRecord> record = JobRecordFromText(item.value);
+      core::Expected<JobRecord> record = ReadJobRecord(item.key, item.value);
       record ? records.push_back(std::move(*record))
              : LogUnreadable(item.key, record.error());
     } else if (item.key.starts_with(store_keys::kCancellationPrefix)) {
@@ -382,10 +406,12 @@
         LogUnreadable(item.key, record.error());
       }
     } else if (item.key == store_keys::kMembersKey) {
-      core::Expected<std::vector<MemberRecord>> list =
-          MembersFromText(item.value);
+      core::Expected<MemberList> list = MembersFromText(item.value);
       if (list) {
-        members = std::move(*list);
+        members = std::move(list->members);
+        for (const core::Error& error : list->errors) {
+          LogUnreadable(item.key, error);
+        }
       } else {
         LogUnreadable(item.key, list.error());
       }
@@ -440,7 +466,7 @@
       return;
     }
     if (event.key.starts_with(store_keys::kJobPrefix)) {
-      core::Expected<JobRecord> record = JobRecordFromText(*event.value);
+      core::Expected<JobRecord> record = ReadJobRecord(event.key, *event.value);
       record ? this->planner->AddJob(std::move(*record), now)
              : LogUnreadable(event.key, record.error());
     } else if (event.key.starts_with(store_keys::kCancellationPrefix)) {
--- a/modules/model/json/json_reader.cc
+++ b/modules/model/json/json_reader.cc
@@ -30,7 +30,8 @@
 /// Returns a value as JSON text for an error message, truncated to 60 bytes.
 std::string ValueForMessage(const nlohmann::json& value) {
   constexpr std::size_t kMaxShownBytes = 60;
-  std::string text = DumpJson(value);
+  std::string text =
+      value.is_structured() ? value.type_name() : DumpJson(value);
   if (text.size() > kMaxShownBytes) {
     text.resize(kMaxShownBytes);
     text += "...";
@@ -171,6 +172,25 @@
   return field == nullptr ? fallback : this->ReadInteger(name, *field, range);
 }
 
+double JsonReader::OptionalNumber(const std::string& name,
+                                  double fallback,
+                                  NumberRange range) {
+  const nlohmann::json* field = this->Raw(name);
+  if (field == nullptr) {
+    return fallback;
+  }
+  const bool valid = field->is_number() &&
+                     field->get<double>() >= range.minimum &&
+                     field->get<double>() <= range.maximum;
+  if (!valid) {
+    this->Fail(name, "expected a number from " + std::to_string(range.minimum) +
+                         " to " + std::to_string(range.maximum) + ", got " +
+                         ValueForMessage(*field));
+    return range.minimum;
+  }
+  return field->get<double>();
+}
+
 std::uint64_t JsonReader::RequiredCounter(const std::string& name) {
   const std::string text = this->RequiredString(name);
   std::uint64_t number = 0;
--- a/modules/model/json/json_reader.h
+++ b/modules/model/json/json_reader.h
@@ -39,6 +39,12 @@
   std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
 };
 
+/// Range of a number field; both ends are included.
+struct NumberRange {
+  double minimum = 0;
+  double maximum = std::numeric_limits<double>::max();
+};
+
 /// Reads the fields of one JSON object. A getter that finds an invalid field
 /// records an error and returns a placeholder: an empty string, zero, the
 /// minimum of the range, or the fallback of a bool. `Finish` or `FinishLenient`
@@ -67,6 +73,11 @@
   std::int64_t OptionalInteger(const std::string& name,
                                std::int64_t fallback,
                                IntegerRange range = {});
+  /// Returns a number field, which must be within `range`, or `fallback` when
+  /// the field is absent. `fallback` may lie outside `range`.
+  double OptionalNumber(const std::string& name,
+                        double fallback,
+                        NumberRange range = {});
   /// Returns an unsigned 64-bit counter, which must be present. The field is a
   /// string of decimal digits, because some JSON parsers lose precision in
   /// numbers above 2^53.
