Urgent work waits for ends that come in time instead of stopping others

Cause: a unit that found no room stopped others at once, although hundreds of accelerators become free each second and a stop takes up to 0.9 s by itself. A gang's newest checkpoint, saved at the stop, was replaced by an older one from the last report of another member. Change: FindReservation finds the workers on which a unit is expected to fit first when running work ends (EASY backfill, on sets of workers). The unit waits there if that is no later than stops would take, or soon enough for its objective; less urgent work does not start in its place. Each preemption of a unit makes the next one dearer. Checkpoints are ordered by run, progress and kind of end.

--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -9,22 +9,31 @@
 namespace {
 
 using hemlockdoor::batch::testing::ClassResult;
+using hemlockdoor::batch::testing::DrivePattern;
+using hemlockdoor::batch::testing::LoadPattern;
 using hemlockdoor::batch::testing::LoadReplay;
 using hemlockdoor::batch::testing::RegistryPattern;
 using hemlockdoor::batch::testing::ReplayResult;
 
-void Print(bool grown, double load, int seeds) {
+LoadPattern PatternOf(const std::string& fleet, double load) {
+  return fleet == "large" ? DrivePattern(load)
+                          : RegistryPattern(fleet == "grown", load);
+}
+
+void Print(const std::string& fleet, double load, int seeds) {
   std::map<std::string, ClassResult> sums;
   double wasted = 0;
   int stops = 0;
+  int starts = 0;
   double total_owed = 0;
   double total_earned = 0;
   for (int seed = 1; seed <= seeds; ++seed) {
-    const ReplayResult result = LoadReplay(RegistryPattern(grown, load),
-                                           static_cast<std::uint64_t>(seed))
-                                    .Run();
+    const ReplayResult result =
+        LoadReplay(PatternOf(fleet, load), static_cast<std::uint64_t>(seed))
+            .Run();
     wasted += result.lost_core_seconds;
     stops += result.stops;
+    starts += result.starts;
     for (const auto& [name, each] : result.classes) {
       ClassResult& sum = sums[name];
       sum.possible_credit += each.possible_credit;
@@ -44,11 +53,11 @@
   for (const auto& [name, sum] : sums) {
     worst = std::min(worst, sum.earned_credit / sum.possible_credit);
   }
-  std::cout << (grown ? "grown" : "small") << " load " << load << ": net "
+  std::cout << fleet << " load " << load << ": net "
             << (total_earned - kWastePrice * wasted) / total_owed << " earned "
             << total_earned / total_owed << " worst class " << worst
             << ", wasted core-s a seed " << wasted / seeds << ", stops "
-            << stops / seeds << "\n";
+            << stops / seeds << " of starts " << starts / seeds << "\n";
   for (const auto& [name, sum] : sums) {
     std::cout << "  " << name << ": earned "
               << sum.earned_credit / sum.possible_credit << " jobs " << sum.jobs
@@ -63,10 +72,9 @@
 int main(int argument_count, char** arguments) {
   constexpr int kUsageError = 2;
   if (argument_count != 4) {
-    std::cerr << "usage: batch_load_bench small|grown LOAD SEEDS\n";
+    std::cerr << "usage: batch_load_bench small|grown|large LOAD SEEDS\n";
     return kUsageError;
   }
-  Print(std::string(arguments[1]) == "grown", std::atof(arguments[2]),
-        std::atoi(arguments[3]));
+  Print(arguments[1], std::atof(arguments[2]), std::atoi(arguments[3]));
   return 0;
 }
--- /dev/null
+++ b/modules/batch/planner/candidates.cc
@@ -0,0 +1,134 @@
+#include "modules/batch/planner/candidates.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace hemlockdoor::batch::detail {
+
+namespace {
+
+/// Accelerators are the scarcest resource, so they outweigh memory and
+/// processors together.
+constexpr double kAcceleratorWeight = 100.0;
+
+bool HasLabel(const WorkerDescription& worker, const std::string& label) {
+  const std::vector<std::string>& labels = worker.labels;
+  return label.empty() ||
+         std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+/// Returns the weighted sum of the shares of each resource that stay free.
+double WeightedFreeShare(const Resources& left, const Resources& capacity) {
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 0.0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  return kAcceleratorWeight * share(left.accelerators, capacity.accelerators) +
+         share(left.memory_mb, capacity.memory_mb) +
+         share(left.millicores, capacity.millicores);
+}
+
+}  // namespace
+
+bool CandidateRank::operator<(const CandidateRank& other) const {
+  return std::tie(this->is_remote, this->is_avoided, this->failing_jobs,
+                  this->free_share, *this->agent) <
+         std::tie(other.is_remote, other.is_avoided, other.failing_jobs,
+                  other.free_share, *other.agent);
+}
+
+bool IsEligible(const AgentView& view, const PlacementRequest& request) {
+  return view.worker && view.worker->service == request.service &&
+         HasLabel(*view.worker, request.step->required_label);
+}
+
+std::vector<Candidate> UsableCandidates(const Fleet& fleet,
+                                        const PlacementRequest& request) {
+  std::vector<Candidate> candidates;
+  for (const auto& [agent, view] : fleet) {
+    if (!view.IsUsable(request.now) || !IsEligible(view, request)) {
+      continue;
+    }
+    Candidate candidate{&view, view.FreeResources(request.priority), 0};
+    if (request.own_reservation != nullptr) {
+      const auto reservation = request.own_reservation->find(agent);
+      if (reservation != request.own_reservation->end()) {
+        candidate.free = candidate.free + reservation->second;
+      }
+    }
+    const auto placed = request.placed_tasks.find(agent);
+    candidate.placed_tasks =
+        placed == request.placed_tasks.end() ? 0 : placed->second;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+bool IsBelowTaskLimit(const Candidate& candidate,
+                      const PlacementRequest& request) {
+  const int limit = request.step->max_per_worker;
+  return limit == 0 || candidate.placed_tasks < limit;
+}
+
+bool HasRoom(const Candidate& candidate, const PlacementRequest& request) {
+  return IsBelowTaskLimit(candidate, request) &&
+         CountedNeed(*request.step).FitsIn(candidate.free);
+}
+
+CandidateRank RankOf(const Candidate& candidate,
+                     const PlacementRequest& request) {
+  const WorkerDescription& worker = *candidate.view->worker;
+  const Resources left = candidate.free - CountedNeed(*request.step);
+  const std::string& rack = request.step->preferred_rack;
+  CandidateRank rank;
+  rank.is_remote = !rack.empty() && worker.rack.Text() != rack;
+  rank.is_avoided = request.avoided_workers != nullptr &&
+                    request.avoided_workers->contains(worker.identity.id);
+  rank.failing_jobs = candidate.view->failing_jobs.size();
+  rank.free_share = WeightedFreeShare(left, worker.capacity);
+  rank.agent = &candidate.view->agent;
+  return rank;
+}
+
+std::vector<Candidate> InRack(const std::vector<Candidate>& candidates,
+                              const core::RackId& rack) {
+  std::vector<Candidate> chosen;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.view->worker->rack == rack) {
+      chosen.push_back(candidate);
+    }
+  }
+  return chosen;
+}
+
+std::vector<std::vector<Candidate>> ByRack(
+    const std::vector<Candidate>& candidates) {
+  std::map<core::RackId, std::vector<Candidate>> by_rack;
+  for (const Candidate& candidate : candidates) {
+    by_rack[candidate.view->worker->rack].push_back(candidate);
+  }
+  std::vector<std::vector<Candidate>> racks;
+  for (auto& [rack, members] : by_rack) {
+    racks.push_back(std::move(members));
+  }
+  return racks;
+}
+
+std::vector<std::vector<Candidate>> CandidateGroups(
+    const std::vector<Candidate>& candidates,
+    const PlacementRequest& request) {
+  std::vector<std::vector<Candidate>> groups;
+  const std::string& data_rack = request.step->preferred_rack;
+  if (!data_rack.empty() && !request.allow_remote) {
+    groups.push_back(InRack(candidates, core::RackId(data_rack)));
+  } else if (request.step->same_rack && request.size > 1) {
+    groups = ByRack(candidates);
+  }
+  if (groups.empty() || request.allow_remote) {
+    groups.push_back(candidates);
+  }
+  return groups;
+}
+
+}  // namespace hemlockdoor::batch::detail
--- a/modules/batch/planner/job_state.cc
+++ b/modules/batch/planner/job_state.cc
@@ -5,9 +5,39 @@
 
 namespace hemlockdoor::batch {
 
+bool CheckpointState::OnActive(const ActiveRun& active) {
+  const bool is_newer_run = active.key.run > this->run;
+  const bool is_newer =
+      is_newer_run || (active.key.run == this->run && !this->is_final &&
+                       active.percent >= this->percent);
+  if (active.checkpoint.empty() || !is_newer) {
+    return false;
+  }
+  this->run = active.key.run;
+  this->percent = active.percent;
+  this->is_final = false;
+  const bool changed = this->text != active.checkpoint;
+  this->text = active.checkpoint;
+  return changed;
+}
+
+void CheckpointState::OnEnd(const RunEnd& end) {
+  const bool is_final = end.kind == RunEndKind::kStopped;
+  const bool is_older =
+      end.key.run < this->run ||
+      (end.key.run == this->run && this->is_final && !is_final);
+  if (end.checkpoint.empty() || is_older) {
+    return;
+  }
+  this->run = end.key.run;
+  this->is_final = is_final;
+  this->text = end.checkpoint;
+}
+
 Job Job::Create(JobRecord job_record, const ProgressRecord* progress) {
   Job job;
   job.record = std::move(job_record);
+  job.chain_lengths = ChainLengths(job.record.spec);
   const int occurrences = std::max(1, job.record.spec.occurrences);
   const auto steps = static_cast<int>(job.record.spec.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
@@ -46,7 +76,7 @@
   }
   for (const SavedCheckpoint& saved : progress->checkpoints) {
     if (Unit* unit = job.FindUnit(saved.task)) {
-      unit->checkpoint = saved.checkpoint;
+      unit->checkpoint = CheckpointState(saved.checkpoint);
     }
   }
   return job;
@@ -83,8 +113,8 @@
       progress.failed.push_back(
           {task, {unit.failed_runs.begin(), unit.failed_runs.end()}});
     }
-    if (!unit.checkpoint.empty()) {
-      progress.checkpoints.push_back({task, unit.checkpoint});
+    if (!unit.checkpoint.Text().empty()) {
+      progress.checkpoints.push_back({task, unit.checkpoint.Text()});
     }
   }
   return progress;
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -39,12 +39,40 @@
   /// Checkpoint from which the run was started; empty if it started from the
   /// beginning. The same for all members of a gang.
   std::string started_from;
-  /// Reported progress from 0 to 100.
+  /// Reported progress from 0 to 100, and when a report first stated it.
   int percent = 0;
+  core::TimePoint percent_at;
   /// Time for which `percent` had not changed at the latest report.
   core::Duration still;
 };
 
+/// The newest checkpoint of a unit. Checkpoints are opaque, and the reports of
+/// the members of a gang arrive in any order, so their age is told from the
+/// run, its progress, and the kind of report.
+class CheckpointState {
+ public:
+  CheckpointState() = default;
+  /// Starts from a stored checkpoint.
+  explicit CheckpointState(std::string stored) : text(std::move(stored)) {}
+
+  /// Returns the checkpoint; empty if there is none.
+  const std::string& Text() const { return this->text; }
+  /// A run that is active with this progress has this checkpoint. Returns true
+  /// if it became the newest one.
+  bool OnActive(const ActiveRun& active);
+  /// A run has ended with this checkpoint. A run that is stopped saves all its
+  /// progress, so its checkpoint is newer than all others of the same run.
+  void OnEnd(const RunEnd& end);
+
+ private:
+  std::string text;
+  /// Run that reported it, and its progress, from 0 to 100.
+  std::int64_t run = 0;
+  int percent = 0;
+  /// It was saved when the run was stopped.
+  bool is_final = false;
+};
+
 enum class UnitPhase {
   kBlocked,  ///< Waits for earlier steps or for its due time.
   kReady,    ///< May be placed as long as it has no members.
@@ -66,8 +94,8 @@
   std::set<std::int64_t> failed_runs;
   /// Highest run number used so far.
   std::int64_t highest_run = 0;
-  /// Latest reported checkpoint of its runs.
-  std::string checkpoint;
+  /// Newest checkpoint of its runs. Any member of a gang may have reported it.
+  CheckpointState checkpoint;
   /// Workers on which a run failed or a start was rejected. Placement prefers
   /// others.
   std::set<WorkerId> avoided_workers;
@@ -75,9 +103,14 @@
   core::TimePoint start_not_before;
   /// When the unit became ready, or when its last member left.
   core::TimePoint ready_since;
-  /// Capacity reserved for the unit while preempted runs stop, by agent.
+  /// Capacity reserved for the unit, by agent.
   std::map<core::AgentId, Resources> reserved;
+  /// The reservation is for capacity that preempted runs free. It holds until
+  /// `reserved_until`; any other is decided anew with each decision.
+  bool reserved_by_preemption = false;
   core::TimePoint reserved_until;
+  /// Number of times it was preempted.
+  int preemptions = 0;
 
   /// Returns true if some of its runs are to be stopped.
   bool IsStopping() const {
@@ -98,6 +131,8 @@
   JobOutcome outcome = JobOutcome::kOpen;
   /// All units, ordered by occurrence, step and first task.
   std::vector<Unit> units;
+  /// See `ChainLengths`.
+  std::vector<int> chain_lengths;
   /// A run was reported, or a run number was used in an earlier term.
   bool started = false;
   /// Version of the progress; rises with each change that must be stored.
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -2,89 +2,23 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
+#include <utility>
+
+#include "modules/batch/planner/candidates.h"
 
 namespace hemlockdoor::batch {
 
 namespace {
 
-/// Accelerators are the scarcest resource, so they outweigh memory and
-/// processors together.
-constexpr double kAcceleratorWeight = 100.0;
-
-/// A worker that the unit may use, with its remaining free capacity.
-struct Candidate {
-  const AgentView* view = nullptr;
-  Resources free;
-  int placed_tasks = 0;
-};
-
-bool HasLabel(const WorkerDescription& worker, const std::string& label) {
-  const std::vector<std::string>& labels = worker.labels;
-  return label.empty() ||
-         std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
-bool IsEligible(const AgentView& view, const PlacementRequest& request) {
-  return view.worker && view.worker->service == request.service &&
-         HasLabel(*view.worker, request.step->required_label);
-}
-
-std::vector<Candidate> UsableCandidates(const Fleet& fleet,
-                                        const PlacementRequest& request) {
-  std::vector<Candidate> candidates;
-  for (const auto& [agent, view] : fleet) {
-    if (!view.IsUsable(request.now) || !IsEligible(view, request)) {
-      continue;
-    }
-    Candidate candidate{&view, view.FreeResources(request.priority), 0};
-    if (request.own_reservation != nullptr) {
-      const auto reservation = request.own_reservation->find(agent);
-      if (reservation != request.own_reservation->end()) {
-        candidate.free = candidate.free + reservation->second;
-      }
-    }
-    const auto placed = request.placed_tasks.find(agent);
-    candidate.placed_tasks =
-        placed == request.placed_tasks.end() ? 0 : placed->second;
-    candidates.push_back(candidate);
-  }
-  return candidates;
-}
-
-bool HasRoom(const Candidate& candidate, const PlacementRequest& request) {
-  const int limit = request.step->max_per_worker;
-  const bool below_limit = limit == 0 || candidate.placed_tasks < limit;
-  return below_limit && CountedNeed(*request.step).FitsIn(candidate.free);
-}
-
-/// Returns the weighted sum of the shares of each resource that stay free.
-double WeightedFreeShare(const Resources& left, const Resources& capacity) {
-  const auto share = [](std::int64_t part, std::int64_t whole) {
-    return whole == 0 ? 0.0
-                      : static_cast<double>(part) / static_cast<double>(whole);
-  };
-  return kAcceleratorWeight * share(left.accelerators, capacity.accelerators) +
-         share(left.memory_mb, capacity.memory_mb) +
-         share(left.millicores, capacity.millicores);
-}
-
-/// Returns the sort key of a candidate; the lowest is the best. Ties are broken
-/// by the agent's id, so that placement is deterministic.
-auto Rank(const Candidate& candidate, const PlacementRequest& request) {
-  const Resources left = candidate.free - CountedNeed(*request.step);
-  const double free_share =
-      WeightedFreeShare(left, candidate.view->worker->capacity);
-  const WorkerId& id = candidate.view->worker->identity.id;
-  const bool is_avoided = request.avoided_workers != nullptr &&
-                          request.avoided_workers->contains(id);
-  const std::string& rack = request.step->preferred_rack;
-  const bool remote =
-      !rack.empty() && candidate.view->worker->rack.Text() != rack;
-  const auto failing = candidate.view->failing_jobs.size();
-  return std::make_tuple(remote, is_avoided, failing, free_share,
-                         candidate.view->agent);
-}
+using detail::ByRack;
+using detail::Candidate;
+using detail::CandidateGroups;
+using detail::CandidateRank;
+using detail::HasRoom;
+using detail::InRack;
+using detail::IsBelowTaskLimit;
+using detail::IsEligible;
+using detail::UsableCandidates;
 
 /// Places one task after the other on the best candidate that still fits.
 std::optional<std::vector<core::AgentId>> PlaceGreedily(
@@ -93,11 +27,15 @@
   std::vector<core::AgentId> agents;
   for (int task = 0; task < request.size; ++task) {
     Candidate* best = nullptr;
+    CandidateRank best_rank;
     for (Candidate& candidate : candidates) {
-      const bool better =
-          best == nullptr || Rank(candidate, request) < Rank(*best, request);
-      if (HasRoom(candidate, request) && better) {
+      if (!HasRoom(candidate, request)) {
+        continue;
+      }
+      const CandidateRank rank = detail::RankOf(candidate, request);
+      if (best == nullptr || rank < best_rank) {
         best = &candidate;
+        best_rank = rank;
       }
     }
     if (best == nullptr) {
@@ -110,25 +48,6 @@
   return agents;
 }
 
-std::set<core::RackId> RacksOf(const std::vector<Candidate>& candidates) {
-  std::set<core::RackId> racks;
-  for (const Candidate& candidate : candidates) {
-    racks.insert(candidate.view->worker->rack);
-  }
-  return racks;
-}
-
-std::vector<Candidate> InRack(const std::vector<Candidate>& candidates,
-                              const core::RackId& rack) {
-  std::vector<Candidate> chosen;
-  for (const Candidate& candidate : candidates) {
-    if (candidate.view->worker->rack == rack) {
-      chosen.push_back(candidate);
-    }
-  }
-  return chosen;
-}
-
 std::int64_t FreeAccelerators(const std::vector<Candidate>& candidates) {
   std::int64_t free = 0;
   for (const Candidate& candidate : candidates) {
@@ -152,10 +71,7 @@
     }
   }
   if (one_rack) {
-    std::vector<std::vector<Candidate>> racks;
-    for (const core::RackId& rack : RacksOf(candidates)) {
-      racks.push_back(InRack(candidates, rack));
-    }
+    std::vector<std::vector<Candidate>> racks = ByRack(candidates);
     std::sort(racks.begin(), racks.end(),
               [](const auto& left, const auto& right) {
                 return FreeAccelerators(left) < FreeAccelerators(right);
@@ -222,8 +138,7 @@
     const PlacementRequest& request,
     const VictimsByAgent& by_agent,
     const std::set<const Victim*>& chosen) {
-  const int limit = request.step->max_per_worker;
-  if (limit > 0 && candidate.placed_tasks >= limit) {
+  if (!IsBelowTaskLimit(candidate, request)) {
     return std::nullopt;
   }
   const Resources need = CountedNeed(*request.step);
@@ -276,7 +191,8 @@
           selection &&
           (best == nullptr || selection->cost < best_selection->cost ||
            (selection->cost == best_selection->cost &&
-            Rank(candidate, request) < Rank(*best, request)));
+            detail::RankOf(candidate, request) <
+                detail::RankOf(*best, request)));
       if (better) {
         best = &candidate;
         best_selection = std::move(selection);
@@ -301,26 +217,6 @@
   return placement;
 }
 
-/// Returns the groups of candidates to try; the whole unit must fit in one
-/// group.
-std::vector<std::vector<Candidate>> CandidateGroups(
-    const std::vector<Candidate>& candidates,
-    const PlacementRequest& request) {
-  std::vector<std::vector<Candidate>> groups;
-  const std::string& data_rack = request.step->preferred_rack;
-  if (!data_rack.empty() && !request.allow_remote) {
-    groups.push_back(InRack(candidates, core::RackId(data_rack)));
-  } else if (request.step->same_rack && request.size > 1) {
-    for (const core::RackId& rack : RacksOf(candidates)) {
-      groups.push_back(InRack(candidates, rack));
-    }
-  }
-  if (groups.empty() || request.allow_remote) {
-    groups.push_back(candidates);
-  }
-  return groups;
-}
-
 }  // namespace
 
 std::optional<std::vector<core::AgentId>> FindPlacement(
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -71,6 +71,19 @@
 /// Fixed cost of a preemption, for the restart, in seconds of the unit's run
 /// time. Incurred even if the unit has just started.
 constexpr double kRestartSeconds = 0.3;
+/// Time from a preemption until the capacity is free; workers take up to 900 ms
+/// to stop a task. Work that is expected to end within this time is not
+/// stopped.
+constexpr core::Duration kExpectedStopTime = core::Duration::Milliseconds(600);
+/// Run times have a heavy tail: a run that should have ended is expected to
+/// last for its time so far divided by this.
+constexpr std::int64_t kOverdueDivisor = 4;
+/// Longest wait, from its acceptance, of a job of priority 0 for running work
+/// to end. Jobs within their guarantee must start within 2.7 s of it, and stops
+/// take up to 900 ms.
+constexpr core::Duration kMaxUrgentWait = core::Duration::Milliseconds(1200);
+/// Longest expected wait for which capacity is kept free for another job.
+constexpr core::Duration kMaxOrdinaryWait = core::Duration::Milliseconds(1500);
 /// Delay scheduling: a unit waits for capacity in the rack with its input data,
 /// or for a single rack, for up to this many run times. Elsewhere a task takes
 /// three times as long.
@@ -328,9 +341,7 @@
     return member.agent == view.agent && member.index == end.key.task.index &&
            member.run == end.key.run;
   });
-  if (!end.checkpoint.empty()) {
-    unit->checkpoint = end.checkpoint;
-  }
+  unit->checkpoint.OnEnd(end);
   if (end.kind == RunEndKind::kDone) {
     view.failing_jobs.clear();
     view.suspensions = 0;
@@ -443,6 +454,7 @@
 
 void Planner::ClearReservation(Unit& unit) {
   unit.reserved.clear();
+  unit.reserved_by_preemption = false;
 }
 
 void Planner::OnMembersRemoved(Job& job, Unit& unit, core::TimePoint now) {
@@ -496,7 +508,10 @@
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
-    member->percent = active.percent;
+    if (member->percent != active.percent) {
+      member->percent = active.percent;
+      member->percent_at = now;
+    }
     member->still = active.still;
     this->ApplyCheckpoint(job, *unit, active, now);
   }
@@ -517,14 +532,9 @@
                               Unit& unit,
                               const ActiveRun& active,
                               core::TimePoint now) {
-  // An earlier run is about to be stopped, and its checkpoint is older.
-  const bool is_newer = active.key.run >= unit.highest_run &&
-                        !active.checkpoint.empty() &&
-                        active.checkpoint != unit.checkpoint;
-  if (!is_newer || unit.phase == UnitPhase::kDone) {
+  if (unit.phase == UnitPhase::kDone || !unit.checkpoint.OnActive(active)) {
     return;
   }
-  unit.checkpoint = active.checkpoint;
   if (!job.checkpoint_waiting_since) {
     job.checkpoint_waiting_since = now;
   }
@@ -933,6 +943,7 @@
 }
 
 void Planner::Schedule(core::TimePoint now) {
+  this->releases.reset();
   const bool recovering = this->IsRecovering(now);
   std::vector<ReadyUnit> ready;
   for (auto& [id, job] : this->jobs) {
@@ -940,7 +951,9 @@
       continue;
     }
     for (Unit& unit : job.units) {
-      if (!unit.reserved.empty() && now >= unit.reserved_until) {
+      const bool is_outdated =
+          !unit.reserved_by_preemption || now >= unit.reserved_until;
+      if (!unit.reserved.empty() && is_outdated) {
         this->ReleaseReservedCapacity(job, unit);
       }
       const bool may_start = unit.phase == UnitPhase::kReady &&
@@ -1020,7 +1033,79 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
-  return unit.reserved.empty() && this->TryPreempt(job, unit, request, now);
+  return unit.reserved.empty() && (this->TryReserve(job, unit, request, now) ||
+                                   this->TryPreempt(job, unit, request, now));
+}
+
+core::Duration Planner::ExpectedWait(const Job& job,
+                                     const Unit& unit,
+                                     core::TimePoint now) const {
+  const core::Duration left = this->RemainingRunTime(job, unit, now);
+  const core::Duration overdue_wait =
+      (now - unit.members.front().since) / kOverdueDivisor;
+  return left > core::Duration() ? left : overdue_wait;
+}
+
+const ExpectedReleases& Planner::Releases(core::TimePoint now) {
+  if (this->releases) {
+    return *this->releases;
+  }
+  this->releases.emplace();
+  for (const auto& [id, job] : this->jobs) {
+    for (const Unit& unit : job.units) {
+      if (unit.members.empty() || job.StepOf(unit).long_running) {
+        continue;
+      }
+      const Resources need = CountedNeed(job.StepOf(unit));
+      const core::Duration left = unit.IsStopping()
+                                      ? kExpectedStopTime
+                                      : this->ExpectedWait(job, unit, now);
+      for (const UnitMember& member : unit.members) {
+        (*this->releases)[member.agent].push_back({now + left, need});
+      }
+    }
+  }
+  for (auto& [agent, list] : *this->releases) {
+    std::sort(list.begin(), list.end(),
+              [](const ExpectedRelease& left, const ExpectedRelease& right) {
+                return left.at < right.at;
+              });
+  }
+  return *this->releases;
+}
+
+core::TimePoint Planner::LatestWorthwhileWait(const Job& job,
+                                              const Unit& unit,
+                                              core::TimePoint now) const {
+  const core::TimePoint after_stops = now + kExpectedStopTime;
+  if (job.StepOf(unit).long_running || job.record.spec.occurrences > 0) {
+    return after_stops;
+  }
+  // Half of the jobs run shorter than the average, and their objectives are
+  // shorter too.
+  const core::Duration run = this->ExpectedRunTime(job, unit) / 2;
+  const core::TimePoint in_time = LatestStartInTime(job, unit.step, run);
+  const core::TimePoint longest = job.record.priority == 0
+                                      ? job.accepted + kMaxUrgentWait
+                                      : now + kMaxOrdinaryWait;
+  return std::max(after_stops, std::min(in_time, longest));
+}
+
+bool Planner::TryReserve(Job& job,
+                         Unit& unit,
+                         const PlacementRequest& request,
+                         core::TimePoint now) {
+  if (job.record.priority >= kBackfillPriority) {
+    return false;
+  }
+  const std::optional<Reservation> reservation =
+      FindReservation(this->fleet, request, this->Releases(now),
+                      this->LatestWorthwhileWait(job, unit, now));
+  if (!reservation) {
+    return false;
+  }
+  this->Reserve(job, unit, reservation->agents);
+  return true;
 }
 
 bool Planner::IsWithinGuarantee(const Job& job) const {
@@ -1094,8 +1179,10 @@
   // A task with checkpoints saves its progress when it is stopped.
   const double lost =
       step.checkpoints ? 0.0 : Seconds(now - unit.members.front().since);
-  return (lost + kRestartSeconds) * CoreEquivalents(step.need) *
-         static_cast<double>(unit.size);
+  // Each further preemption of a unit costs more, so that no unit is stopped
+  // again and again.
+  return (lost + kRestartSeconds * (1 + unit.preemptions)) *
+         CoreEquivalents(step.need) * static_cast<double>(unit.size);
 }
 
 std::vector<Victim> Planner::PreemptionCandidates(const Job& job,
@@ -1117,15 +1204,13 @@
 
 void Planner::Reserve(const Job& job,
                       Unit& unit,
-                      const std::vector<core::AgentId>& agents,
-                      core::TimePoint now) {
+                      const std::vector<core::AgentId>& agents) {
   const Resources need = CountedNeed(job.StepOf(unit));
   for (const core::AgentId& agent : agents) {
     unit.reserved[agent] = unit.reserved[agent] + need;
     Resources& reserved = this->fleet[agent].reserved[job.record.priority];
     reserved = reserved + need;
   }
-  unit.reserved_until = now + kReservationTimeout;
 }
 
 void Planner::ReleaseReservedCapacity(const Job& job, Unit& unit) {
@@ -1145,9 +1230,12 @@
   if (!placement || placement->cost > this->MaxPreemptionCost(job, unit, now)) {
     return false;
   }
-  this->Reserve(job, unit, placement->agents, now);
+  this->Reserve(job, unit, placement->agents);
+  unit.reserved_by_preemption = true;
+  unit.reserved_until = now + kReservationTimeout;
   for (const Victim& victim : placement->victims) {
     this->StopUnit(*victim.unit);
+    ++victim.unit->preemptions;
     if (IsUncheckpointedBackfill(*victim.job, *victim.unit)) {
       this->backfill_limit.OnPreempted(now);
     }
@@ -1178,7 +1266,7 @@
     member.index = unit.first + static_cast<int>(i);
     member.run = unit.highest_run;
     member.since = now;
-    member.started_from = unit.checkpoint;
+    member.started_from = unit.checkpoint.Text();
     unit.members.push_back(member);
     worker_list += (i == 0 ? "" : ",") + view.worker->identity.id.Text();
   }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -19,6 +19,7 @@
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/lateness.h"
 #include "modules/batch/planner/placement.h"
+#include "modules/batch/planner/reservation.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -248,6 +249,23 @@
   bool IsWithinBackfillLimit(const Job& job,
                              const Unit& unit,
                              core::TimePoint now);
+  /// Keeps capacity free for the unit if it is expected to start there soon
+  /// enough when running work ends, so that nothing need be stopped for it.
+  bool TryReserve(Job& job,
+                  Unit& unit,
+                  const PlacementRequest& request,
+                  core::TimePoint now);
+  /// Returns the latest time until which the unit should rather wait for
+  /// running work to end than have it stopped.
+  core::TimePoint LatestWorthwhileWait(const Job& job,
+                                       const Unit& unit,
+                                       core::TimePoint now) const;
+  /// Returns the time until the unit, which has runs, is expected to end.
+  core::Duration ExpectedWait(const Job& job,
+                              const Unit& unit,
+                              core::TimePoint now) const;
+  /// Returns when the runs that are active are expected to end.
+  const ExpectedReleases& Releases(core::TimePoint now);
   /// Stops units of less urgent jobs and reserves their capacity for the unit,
   /// if the lost work is within bounds.
   bool TryPreempt(Job& job,
@@ -264,8 +282,7 @@
               core::TimePoint now);
   void Reserve(const Job& job,
                Unit& unit,
-               const std::vector<core::AgentId>& agents,
-               core::TimePoint now);
+               const std::vector<core::AgentId>& agents);
   /// Returns the reserved capacity of the unit to the views of the agents and
   /// clears the reservation.
   void ReleaseReservedCapacity(const Job& job, Unit& unit);
@@ -319,6 +336,8 @@
   /// Average run times of completed tasks, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
   BackfillLimit backfill_limit;
+  /// Kept for the length of one decision.
+  std::optional<ExpectedReleases> releases;
   /// Earliest time of the next write of checkpoints of running tasks.
   core::TimePoint next_checkpoint_write;
   std::vector<DecisionLogEntry> decision_log;
--- a/modules/batch/planner/planner_relocation.cc
+++ b/modules/batch/planner/planner_relocation.cc
@@ -39,7 +39,9 @@
     const bool has_pace = member.percent >= kMinPercentForPace &&
                           !member.adopted && member.started_from.empty();
     const core::Duration left =
-        has_pace ? elapsed * (kFullPercent - member.percent) / member.percent
+        has_pace ? (member.percent_at - member.since) *
+                           (kFullPercent - member.percent) / member.percent -
+                       (now - member.percent_at)
                  : this->ExpectedRunTime(job, unit) - elapsed;
     remaining = std::max(remaining, left);
   }
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -99,7 +99,8 @@
   /// Core-seconds of work lost by stopped, failed and broken runs, that is work
   /// done since their last checkpoint.
   double lost_core_seconds = 0;
-  /// Number of runs that the planner stopped.
+  /// Numbers of runs that the planner started and stopped.
+  int starts = 0;
   int stops = 0;
   /// Returns the earned credit as a share of the possible credit, in [0, 1].
   double EarnedShare() const {
@@ -467,6 +468,7 @@
   void StartRun(const core::AgentId& agent,
                 AgentReport& report,
                 const StartOrder& start) {
+    ++this->result.starts;
     SimRun run;
     run.agent = agent;
     run.key = start.key;
@@ -622,4 +624,77 @@
   return pattern;
 }
 
+/// Returns the load of the drive service on its large fleet of 160 workers:
+/// three swings of demand with a burst of urgent jobs, while wide jobs that
+/// take whole workers and narrow ones fill the fleet. `load_factor` scales the
+/// arrival rates.
+inline LoadPattern DrivePattern(double load_factor) {
+  LoadPattern pattern;
+  pattern.workers = 160;
+  pattern.workers_per_rack = 13;
+  pattern.stop_grace_ms = 900;
+  pattern.checkpoint_ms = 500;
+  pattern.organisations = 24;
+  pattern.narrows_gangs = true;
+  pattern.demand_period_ms = 17'000;
+  LoadClass archive;
+  archive.name = "archive";
+  archive.priority = 1;
+  archive.max_attempts = 3;
+  archive.slack = 3.0;
+  archive.objective_ms = 1000;
+  archive.jobs_per_second = 1.12 * load_factor;
+  archive.width_mean = 13;
+  archive.width_max = 76;
+  archive.need = {26000, 75000, 8};
+  archive.accelerators = {1, 2, 4, 8, 8};
+  archive.work_ms = 5800;
+  archive.gang = true;
+  archive.same_rack_share = 0.6;
+  archive.checkpoint_share = 0.45;
+  archive.estimate_error = 0.2;
+  archive.credit = 3;
+  archive.late_credit = 0.9;
+  archive.failure_share = 0.005;
+  archive.poison_share = 0.03;
+  LoadClass redact;
+  redact.name = "redact";
+  redact.priority = 0;
+  redact.max_attempts = 4;
+  redact.slack = 1.5;
+  redact.objective_ms = 250;
+  redact.jobs_per_second = 2.87 * load_factor;
+  redact.width_mean = 5.3;
+  redact.width_max = 32;
+  redact.need = {7500, 31000, 8};
+  redact.accelerators = {1, 2, 4, 8, 8};
+  redact.work_ms = 2100;
+  redact.work_spread = 0.5;
+  redact.gang = true;
+  redact.same_rack_share = 0.8;
+  redact.estimate_error = 0.9;
+  redact.credit = 4;
+  redact.late_credit = 0.8;
+  redact.failure_share = 0.005;
+  LoadClass preview;
+  preview.name = "preview";
+  preview.priority = 2;
+  preview.max_attempts = 3;
+  preview.slack = 3.0;
+  preview.objective_ms = 3000;
+  preview.jobs_per_second = 0.881 * 1.3 * load_factor;
+  preview.width_mean = 38;
+  preview.width_max = 230;
+  preview.need = {5600, 29000, 1};
+  preview.work_ms = 6500;
+  preview.checkpoint_share = 0.45;
+  preview.estimate_error = 0.2;
+  preview.credit = 1;
+  preview.late_credit = 0.3;
+  preview.failure_share = 0.02;
+  preview.poison_share = 0.01;
+  pattern.classes = {archive, redact, preview};
+  return pattern;
+}
+
 }  // namespace hemlockdoor::batch::testing
