--- /dev/null
+++ b/tests/hosted_entry_test.cc
@@ -0,0 +1,109 @@
+// An entry on a hosting platform, as a separate process, with odd entries in
+// the platform's store.
+#include <QTemporaryDir>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "modules/model/testing/odd_json.h"
+#include "modules/wire/wire.h"
+#include "platform/testing/store_standin.h"
+#include "tests/support/child_process.h"
+
+namespace hemlockdoor {
+
+namespace {
+
+using platform::testing::StoreStandIn;
+using test_support::ChildProcess;
+using test_support::WaitUntil;
+
+constexpr core::Duration kLimit = core::Duration::Seconds(10);
+
+std::string ConfigurationText(int version, const std::string& host) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"q","host":")" + host +
+         R"(","prefix":"/q/","service":"s"}],
+            "tenants":[{"name":"t","apiKeys":["k"]}]})";
+}
+
+/// A free port of loopback.
+std::uint16_t FreePort() {
+  auto server = wire::HttpServer::Listen(
+      "127.0.0.1", 0, wire::HttpServerLimits(),
+      [](const wire::HttpRequest&, const wire::HttpResponder&) {});
+  BOOST_REQUIRE(server.has_value());
+  return (*server)->Port();
+}
+
+/// Returns the status of a GET request, or 0 without a response.
+int StatusOf(std::uint16_t port,
+             const std::string& target,
+             const std::string& host) {
+  wire::HttpClient client;
+  wire::HttpCall call;
+  call.endpoint = {"127.0.0.1", port};
+  call.target = target;
+  call.headers.Add("Host", host);
+  std::optional<int> status;
+  client.Send(call, [&status](const core::Expected<wire::HttpResponse>& end) {
+    status = end ? end->status : 0;
+  });
+  BOOST_REQUIRE(WaitUntil([&status] { return status.has_value(); }, kLimit));
+  return *status;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HostedEntryTest)
+
+BOOST_AUTO_TEST_CASE(AnEntryOutlivesOddEntriesAndFollowsLaterChanges) {
+  StoreStandIn store;
+  int number = 0;
+  for (const std::string& odd : model::testing::OddValues()) {
+    const std::string id = std::to_string(++number);
+    store.Put("hd/in/job/" + id, odd);
+    store.Put("hd/progress/" + id, odd);
+    store.Put("hd/" + id, odd);
+    store.AddOddItem("{\"key\":\"hd/in/job/x\",\"value\":7,\"revision\":-1}");
+  }
+  store.Put("hd/members", R"([7,{"agent":"a","endpoint":"127.0.0.1:99999"}])");
+  store.PutConfiguration(ConfigurationText(1, "first.example"));
+  const std::uint16_t callers = FreePort();
+  const std::uint16_t readiness = FreePort();
+  const QTemporaryDir folder;
+  const std::string settings = folder.filePath("entry.jsonc").toStdString();
+  const auto address = [](std::uint16_t port) {
+    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+  };
+  test_support::WriteFile(
+      settings,
+      R"({"node":"n","data_centre":"d","address":"127.0.0.1",
+        "entries":[],"min_store_lease_ms":1000,"max_worker_lease_ms":6000,
+        "stop_grace_s":6,"caller_endpoint":)" +
+          address(callers) + ",\"readiness_endpoint\":" + address(readiness) +
+          ",\"internal_endpoint\":" + address(FreePort()) +
+          ",\"store_endpoint\":" + address(store.Endpoint().port) + "}");
+  ChildProcess entry("hemlockdoor", {"hosted-entry", "--settings", settings},
+                     folder.filePath("entry.log").toStdString());
+  const auto finds_queue = [callers](const std::string& host) {
+    constexpr int kUnknownKey = 401;
+    return StatusOf(callers, "/q/", host) == kUnknownKey;
+  };
+  BOOST_TEST(WaitUntil([&] { return finds_queue("first.example"); }, kLimit));
+  BOOST_TEST(StatusOf(readiness, "/-/ready", "n") == 200);
+  BOOST_TEST(WaitUntil([&store] { return store.Contains("owner"); }, kLimit));
+  for (const std::string& odd : model::testing::OddValues()) {
+    store.PutConfiguration(odd);
+    store.Put("hd/in/job/later", odd);
+  }
+  store.PutConfiguration(ConfigurationText(2, "second.example"));
+  BOOST_TEST(WaitUntil([&] { return finds_queue("second.example"); }, kLimit));
+  BOOST_TEST(entry.IsRunning());
+  entry.Terminate();
+  BOOST_TEST((entry.WaitForExit(kLimit) == std::optional<int>(0)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor
