--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "modules/batch/process/outage_hold.h"
 #include "modules/batch/process/planner_service.h"
 
 namespace hemlockdoor::batch {
@@ -38,12 +39,20 @@
   PlannerService<Store>& Planning() { return this->planning; }
 
   /// Stores the job. Retries the commit until `deadline` while its outcome is
-  /// unknown. The commit requires that the job's key does not exist, so at most
-  /// one attempt takes effect.
+  /// unknown, and for the time of `OutageHoldEnd` while the store is away. The
+  /// commit requires that the job's key does not exist, so at most one attempt
+  /// takes effect.
   void Submit(std::shared_ptr<const JobRecord> record,
               core::TimePoint deadline,
               std::function<void(SubmitResult)> done) {
-    this->TrySubmit(std::move(record), deadline, false, std::move(done));
+    const core::TimePoint now = core::Clock::Now();
+    core::TimePoint hold_end = now;
+    if constexpr (requires { this->adapter.OutageDuration(now); }) {
+      hold_end =
+          OutageHoldEnd(this->adapter.OutageDuration(now), deadline, now);
+    }
+    this->TrySubmit({std::move(record), deadline, hold_end, std::move(done)},
+                    false);
   }
 
   /// Stores the cancellation of the job; `done` gets kNoSuchJob when the job
@@ -172,48 +181,53 @@
     return std::nullopt;
   }
 
-  void TrySubmit(std::shared_ptr<const JobRecord> record,
-                 core::TimePoint deadline,
-                 bool may_be_stored,
-                 std::function<void(SubmitResult)> done) {
-    const std::string key = store_keys::JobKey(record->spec.id);
+  struct Submission {
+    std::shared_ptr<const JobRecord> record;
+    core::TimePoint deadline;
+    /// Until this time the commit is tried again although it certainly had no
+    /// effect.
+    core::TimePoint hold_end;
+    std::function<void(SubmitResult)> done;
+  };
+
+  void TrySubmit(Submission submission, bool may_be_stored) {
+    const std::string key = store_keys::JobKey(submission.record->spec.id);
     store::Transaction transaction;
     transaction.compares = {{key, store::ModRevision()}};
-    transaction.writes = {{key, ToText(*record), std::nullopt}};
+    transaction.writes = {{key, ToText(*submission.record), std::nullopt}};
     this->adapter.Commit(
         transaction,
-        [this, record, deadline, may_be_stored, done = std::move(done)](
+        [this, submission = std::move(submission), may_be_stored](
             const core::Expected<store::TransactionResult>& outcome) mutable {
           if (outcome && outcome->succeeded) {
-            this->NotifyPlanner(internal_api::kSubmitted, ToText(*record));
-            this->planning.OnSubmitted(*record);
-            done(SubmitResult::kAccepted);
+            const JobRecord& record = *submission.record;
+            this->NotifyPlanner(internal_api::kSubmitted, ToText(record));
+            this->planning.OnSubmitted(record);
+            submission.done(SubmitResult::kAccepted);
           } else if (outcome) {
-            this->CompareStored(record, std::move(done));
+            this->CompareStored(submission.record, std::move(submission.done));
           } else {
             const bool lost = may_be_stored ||
                               outcome.error().code == core::ErrorCode::kTimeout;
-            this->HandleSubmitFailure(record, deadline, lost, std::move(done));
+            this->HandleSubmitFailure(std::move(submission), lost);
           }
         });
   }
 
-  void HandleSubmitFailure(std::shared_ptr<const JobRecord> record,
-                           core::TimePoint deadline,
-                           bool may_be_stored,
-                           std::function<void(SubmitResult)> done) {
-    if (!may_be_stored) {
-      done(SubmitResult::kNotStored);
-      return;
-    }
-    if (core::Clock::Now() + kCommitRetryDelay >= deadline) {
-      done(SubmitResult::kUnknown);
+  void HandleSubmitFailure(Submission submission, bool may_be_stored) {
+    const core::TimePoint next = core::Clock::Now() + kCommitRetryDelay;
+    const core::TimePoint last =
+        may_be_stored ? submission.deadline : submission.hold_end;
+    if (next >= last) {
+      submission.done(may_be_stored ? SubmitResult::kUnknown
+                                    : SubmitResult::kNotStored);
       return;
     }
-    wire::RunLater(&this->context, kCommitRetryDelay,
-                   [this, record, deadline, done = std::move(done)]() mutable {
-                     this->TrySubmit(record, deadline, true, std::move(done));
-                   });
+    wire::RunLater(
+        &this->context, kCommitRetryDelay,
+        [this, submission = std::move(submission), may_be_stored]() mutable {
+          this->TrySubmit(std::move(submission), may_be_stored);
+        });
   }
 
   /// Handles a commit that failed because the key exists: either the same job
