Reports of other operators: tests, and the configuration after a pause

Found by looking for the reports here: an entry that was paused for seconds answered the requests that waited for it with the configuration from before the pause, so a key that was withdrawn meanwhile was accepted once more. Change: a time of 1.5 s without an event shows a pause; requests then wait until the configuration has been read again, for 1 s at most.

--- /dev/null
+++ b/modules/batch/planner/permission_test.cc
@@ -0,0 +1,162 @@
+// What other operators reported: silent agents, hand-overs between planners,
+// pauses longer than a permission lasts, and restarts.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch {
+
+namespace {
+
+using testing::At;
+using testing::MakeJob;
+using testing::MakeStep;
+using testing::MakeWorker;
+using testing::SimulatedFleet;
+
+constexpr Resources kSmall{5600, 23000, 1};
+const RunKey kRun{{core::JobId("j"), 0, 0, 0}, 1};
+
+/// An agent with a term of 5 s that began at 1000 ms.
+WorkerSupervisor MakeAgent() {
+  WorkerSupervisor agent(core::AgentId("agent"), "127.0.0.1:1",
+                         core::Incarnation(7), At(0));
+  agent.OnAnnouncement(MakeWorker("w1"), 1, 500, At(1000));
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  agent.OnReportAnswer(answer, At(1000));
+  agent.OnListing({510, 1000, {}, {}}, At(1010));
+  return agent;
+}
+
+OrderBatch MakeBatch(std::uint64_t epoch, std::uint64_t number) {
+  OrderBatch batch;
+  batch.epoch = core::SchedulingEpoch(epoch);
+  batch.number = number;
+  batch.worker = MakeWorker("w1").identity;
+  batch.starts = {{kRun, "payload", "", ""}};
+  return batch;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PermissionTest)
+
+// An agent is only silent for a while: nothing of its work is started
+// elsewhere, stopped or given up.
+BOOST_AUTO_TEST_CASE(ASilentAgentKeepsItsRuns) {
+  for (const std::int64_t silence_ms : {500, 1800, 3000, 4500, 5000}) {
+    SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+    fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+    fleet.Settle();
+    const auto before = fleet.Active();
+    fleet.DisconnectAgent(before.front().first);
+    fleet.Advance(silence_ms);
+    fleet.ConnectAgent(before.front().first);
+    fleet.Advance(20'000);
+    BOOST_TEST_CONTEXT("silent for " << silence_ms) {
+      BOOST_TEST((fleet.Active() == before));
+    }
+  }
+}
+
+// Two planners around a hand-over: once an agent has heard of the new one, by
+// an order or by an answer, it carries out nothing for the old one.
+BOOST_AUTO_TEST_CASE(OrdersOfTwoPlannersAreNotBothCarriedOut) {
+  for (const bool heard_by_order : {false, true}) {
+    WorkerSupervisor agent = MakeAgent();
+    if (heard_by_order) {
+      BOOST_TEST(agent.OnOrders(MakeBatch(2, 1), At(1100)).has_value());
+    } else {
+      ReportAnswer answer;
+      answer.epoch = core::SchedulingEpoch(2);
+      answer.term = core::Duration::Seconds(5);
+      agent.OnReportAnswer(answer, At(1100));
+    }
+    for (const std::uint64_t number : {1U, 2U, 1000U}) {
+      const auto calls = agent.OnOrders(MakeBatch(1, number), At(1200));
+      BOOST_TEST(!calls.has_value());
+    }
+    // An answer of the old planner grants no term either.
+    ReportAnswer old_answer;
+    old_answer.epoch = core::SchedulingEpoch(1);
+    old_answer.term = core::Duration::Seconds(60);
+    agent.OnReportAnswer(old_answer, At(1300));
+    BOOST_TEST(!agent.HasTerm(At(7000)));
+  }
+}
+
+// An agent is paused with an order in its hands. It asks for a lease and starts
+// the run only within its term.
+BOOST_AUTO_TEST_CASE(APausedAgentStartsNothingAfterItsTerm) {
+  for (const std::int64_t pause_ms : {0, 1000, 4900, 5100, 8000, 60'000}) {
+    const bool in_term = pause_ms < 4990;
+    const core::TimePoint now = At(1010 + pause_ms);
+    BOOST_TEST_CONTEXT("paused for " << pause_ms) {
+      WorkerSupervisor agent = MakeAgent();
+      const auto calls = agent.OnOrders(MakeBatch(1, 1), now);
+      BOOST_REQUIRE(calls.has_value());
+      BOOST_TEST(calls->starts.size() == (in_term ? 1U : 0U));
+      BOOST_TEST(agent.BeginPoll(now).has_value() == in_term);
+      // Paused between a start without an answer and its repetition.
+      WorkerSupervisor repeating = MakeAgent();
+      BOOST_REQUIRE(repeating.OnOrders(MakeBatch(1, 1), At(1010)).has_value());
+      repeating.OnStartAnswer(kRun, StartResult::kUnknown,
+                              RejectReason::kInvalid, 0, At(1010));
+      BOOST_TEST(repeating.DueStarts(now).size() == (in_term ? 1U : 0U));
+    }
+  }
+}
+
+// A start that was sent just before a pause carries the end of the term on the
+// worker's clock, so that a worker refuses it when it arrives late.
+BOOST_AUTO_TEST_CASE(AStartCarriesTheEndOfTheTerm) {
+  WorkerSupervisor agent = MakeAgent();
+  const auto calls = agent.OnOrders(MakeBatch(1, 1), At(5900));
+  BOOST_REQUIRE(calls.has_value());
+  BOOST_REQUIRE_EQUAL(calls->starts.size(), 1U);
+  // The worker's clock showed 510 at 1010, and the term ends at 6000.
+  BOOST_TEST(calls->starts.front().deadline_ms == 5500);
+}
+
+// After a restart of the planner, a worker is used only when its agent has
+// reported to the new one, and a worker that has left is not used again.
+BOOST_AUTO_TEST_CASE(ARestartedPlannerDoesNotUseWorkersThatHaveLeft) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.BeginTerm(core::SchedulingEpoch(2),
+                          {{core::AgentId("agent-w1"), "127.0.0.1:1"},
+                           {core::AgentId("agent-w2"), "127.0.0.1:1"}},
+                          fleet.now);
+  fleet.ReportOf("w1").worker.reset();
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(8, kSmall)}), fleet.now);
+  BOOST_TEST(fleet.planner.Decide(fleet.now, 0).size() == 2U);
+  fleet.Advance(10'000);
+  for (const auto& orders : fleet.planner.Decide(fleet.now, 0)) {
+    BOOST_TEST(orders.agent.Text() != "agent-w1");
+  }
+  BOOST_TEST(fleet.ReportOf("w2").active.size() == 8U);
+  BOOST_TEST(fleet.ReportOf("w1").active.empty());
+}
+
+// The clock of an announcement, which others can send too, does not make leases
+// longer than the term once the worker itself has answered.
+BOOST_AUTO_TEST_CASE(AnAnnouncedClockDoesNotExtendLeases) {
+  WorkerSupervisor agent(core::AgentId("agent"), "127.0.0.1:1",
+                         core::Incarnation(7), At(0));
+  agent.OnAnnouncement(MakeWorker("w1"), 1, 900'000'000, At(1000));
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  agent.OnReportAnswer(answer, At(1000));
+  agent.OnListing({510, 1000, {}, {}}, At(1010));
+  BOOST_TEST((agent.BeginPoll(At(1010)) == std::optional<std::int64_t>(5500)));
+  agent.OnAnnouncement(MakeWorker("w1"), 2, 900'000'000, At(1020));
+  BOOST_TEST((agent.BeginPoll(At(1020)) == std::optional<std::int64_t>(5500)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch
--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -1,11 +1,13 @@
 // Keeps the operators' configuration up to date from the store.
 #pragma once
 
+#include <QTimer>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "modules/batch/model/configuration.h"
 #include "modules/core/core.h"
@@ -34,15 +36,66 @@
         key(std::move(config_key)),
         decode(std::move(decoder)),
         on_change(std::move(change_handler)) {
+    QObject::connect(&this->timer, &QTimer::timeout,
+                     [this] { this->OnTick(core::Clock::Now()); });
+    this->timer.start(kTickMs);
     this->Read();
   }
 
+  /// Detects that this process was paused, which a long time since the previous
+  /// call shows. The configuration may have changed meanwhile, so it is read
+  /// again. The timer calls this; a request that is the first event after a
+  /// pause calls it through `WhenConfirmed`.
+  void OnTick(core::TimePoint now) {
+    const bool was_paused =
+        this->last_tick && now >= *this->last_tick + kPauseThreshold;
+    this->last_tick = now;
+    if (!was_paused || this->unconfirmed || !this->current) {
+      return;
+    }
+    observe::Log(observe::LogLevel::kWarn,
+                 "process was paused; reading the configuration again", {},
+                 {{"event", "configuration_unconfirmed"},
+                  {"version", std::to_string(this->current->version)}});
+    this->unconfirmed = true;
+    this->Read();
+    wire::RunLater(&this->context, kMaxUnconfirmed,
+                   [this] { this->Confirm(); });
+  }
+
+  /// Calls `use` at once, or after a pause of this process once the
+  /// configuration has been read again, so that no key that was withdrawn
+  /// meanwhile is accepted. If the store does not answer, the configuration is
+  /// used as it is after `kMaxUnconfirmed`.
+  void WhenConfirmed(core::TimePoint now, std::function<void()> use) {
+    this->OnTick(now);
+    if (this->unconfirmed) {
+      this->waiting.push_back(std::move(use));
+    } else {
+      use();
+    }
+  }
+
   /// Returns the active configuration, or nullptr before the first one is read.
   std::shared_ptr<const Configuration> Current() const { return this->current; }
 
  private:
   static constexpr core::Duration kRetryDelay =
       core::Duration::Milliseconds(250);
+  static constexpr int kTickMs = 200;
+  /// A process without an event for this long was paused. Longer than a slow
+  /// machine needs for the work between two ticks.
+  static constexpr core::Duration kPauseThreshold =
+      core::Duration::Milliseconds(1500);
+  static constexpr core::Duration kMaxUnconfirmed =
+      core::Duration::Milliseconds(1000);
+
+  void Confirm() {
+    this->unconfirmed = false;
+    for (const std::function<void()>& use : std::exchange(this->waiting, {})) {
+      use();
+    }
+  }
 
   void Read() {
     this->adapter.List(this->key,
@@ -56,6 +109,7 @@
                              this->Apply(item.value);
                            }
                          }
+                         this->Confirm();
                          this->Watch(listing->revision);
                        });
   }
@@ -119,6 +173,12 @@
   std::shared_ptr<const Configuration> current;
   std::optional<store::WatchId> watch;
   bool failing = false;
+  std::optional<core::TimePoint> last_tick;
+  /// The configuration has not been read since a pause of this process.
+  bool unconfirmed = false;
+  /// Requests that wait for `Confirm`.
+  std::vector<std::function<void()>> waiting;
+  QTimer timer;
   QObject context;
 };
 
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -94,6 +94,10 @@
   void DisconnectAgent(const std::string& worker) {
     this->disconnected.insert(core::AgentId("agent-" + worker));
   }
+  /// Reverts `DisconnectAgent`.
+  void ConnectAgent(const std::string& worker) {
+    this->disconnected.erase(core::AgentId("agent-" + worker));
+  }
   /// From now on orders to the worker's agent are lost, and the planner learns
   /// neither of an answer nor of a failure. The agent still sends reports.
   void DropOrders(const std::string& worker) {
