--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -170,4 +170,14 @@
   std::map<std::pair<int, int>, std::size_t> first_units;
 };
 
+/// Jobs of this and higher priority numbers are backfill work.
+inline constexpr int kBackfillPriority = 2;
+
+/// Returns true for backfill work that loses its progress when it is stopped.
+inline bool IsUncheckpointedBackfill(const Job& job, const Unit& unit) {
+  const StepSpec& step = job.StepOf(unit);
+  return job.record.priority >= kBackfillPriority && !step.checkpoints &&
+         !step.long_running;
+}
+
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -726,6 +726,32 @@
   BOOST_TEST(state.Text() == "at 50%");
 }
 
+// A task on one of the deployments was preempted 307 times within one term. A
+// worker rejects a run number that is not higher than one that it has seen.
+BOOST_AUTO_TEST_CASE(RunNumbersOfALaterTermAreHigherAfterManyStarts) {
+  constexpr int kStarts = 400;
+  SimulatedFleet fleet({MakeWorker("w1")});
+  const JobRecord record = MakeJob("j", {MakeStep(1, kSmall)});
+  fleet.planner.AddJob(record, fleet.now);
+  std::int64_t last = 0;
+  for (int start = 0; start < kStarts; ++start) {
+    fleet.Settle();
+    BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+    const auto [worker, key] = fleet.Active().front();
+    last = key.run;
+    fleet.End(worker, key, RunEndKind::kStopped);
+  }
+  fleet.planner.BeginTerm(core::SchedulingEpoch(2),
+                          {{core::AgentId("agent-w1"), "127.0.0.1:1"}},
+                          fleet.now);
+  fleet.planner.LoadJob(record, nullptr, false, fleet.now,
+                        fleet.now.InMilliseconds());
+  fleet.ReportOf("w1").ends.clear();
+  fleet.Advance(1000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().second.run > last);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
