--- a/modules/agent/process/agent_process_test.cc
+++ b/modules/agent/process/agent_process_test.cc
@@ -1,8 +1,5 @@
 #include "modules/agent/process/agent_process.h"
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <optional>
@@ -10,31 +7,19 @@
 
 #include "modules/agent/upstream/upstream_messages.h"
 #include "modules/model/model.h"
+#include "modules/wire/testing/wait_for.h"
 #include "modules/wire/wire.h"
 
 namespace hemlockdoor::agent {
 
 namespace {
 
+using wire::testing::WaitFor;
+
 namespace status = wire::http_status;
 
 constexpr const char* kKey = "test-key";
 
-/// Runs the event loop until `condition` holds; returns false when it does not
-/// within `limit_ms`.
-bool WaitFor(const std::function<bool()>& condition, int limit_ms = 10'000) {
-  QElapsedTimer timer;
-  timer.start();
-  while (!condition()) {
-    if (timer.elapsed() > limit_ms) {
-      return false;
-    }
-    QCoreApplication::processEvents(
-        QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 5);
-  }
-  return true;
-}
-
 std::unique_ptr<wire::HttpServer> Serve(wire::HttpServer::Handler handler) {
   auto server =
       wire::HttpServer::Listen("127.0.0.1", 0, {}, std::move(handler));
--- a/modules/batch/process/configuration_watch_test.cc
+++ b/modules/batch/process/configuration_watch_test.cc
@@ -1,8 +1,6 @@
 #include "modules/batch/process/configuration_watch.h"
+#include "modules/wire/testing/wait_for.h"
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
@@ -13,21 +11,9 @@
 
 namespace {
 
-constexpr const char* kKey = "configuration";
+using wire::testing::WaitFor;
 
-bool WaitFor(const std::function<bool()>& condition) {
-  constexpr int kLimitMs = 5000;
-  QElapsedTimer timer;
-  timer.start();
-  while (!condition()) {
-    if (timer.elapsed() > kLimitMs) {
-      return false;
-    }
-    QCoreApplication::processEvents(
-        QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 5);
-  }
-  return true;
-}
+constexpr const char* kKey = "configuration";
 
 /// A configuration whose text is its version.
 core::Expected<Configuration> Decode(const std::string& text) {
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -1,30 +1,17 @@
 #include "modules/batch/process/planner_service.h"
 
-#include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
 #include <boost/test/unit_test.hpp>
 
 #include "modules/batch/testing/fixtures.h"
+#include "modules/wire/testing/wait_for.h"
 
 namespace hemlockdoor::batch {
 
 namespace {
 
-constexpr const char* kJob = "j";
+using wire::testing::WaitFor;
 
-bool WaitFor(const std::function<bool()>& condition, int limit_ms) {
-  QElapsedTimer timer;
-  timer.start();
-  while (!condition()) {
-    if (timer.elapsed() > limit_ms) {
-      return false;
-    }
-    QCoreApplication::processEvents(
-        QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 5);
-  }
-  return true;
-}
+constexpr const char* kJob = "j";
 
 /// An agent that executes each order at once.
 class ObedientAgent {
