--- a/tests/hosted_entry_test.cc
+++ b/tests/hosted_entry_test.cc
@@ -20,13 +20,6 @@
 
 constexpr core::Duration kLimit = core::Duration::Seconds(10);
 
-std::string ConfigurationText(int version, const std::string& host) {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"q","host":")" + host +
-         R"(","prefix":"/q/","service":"s"}],
-            "tenants":[{"name":"t","apiKeys":["k"]}]})";
-}
-
 /// A free port of loopback.
 std::uint16_t FreePort() {
   auto server = wire::HttpServer::Listen(
@@ -68,7 +61,7 @@
     store.AddOddItem("{\"key\":\"hd/in/job/x\",\"value\":7,\"revision\":-1}");
   }
   store.Put("hd/members", R"([7,{"agent":"a","endpoint":"127.0.0.1:99999"}])");
-  store.PutConfiguration(ConfigurationText(1, "first.example"));
+  store.PutConfiguration(1, "first.example");
   const std::uint16_t callers = FreePort();
   const std::uint16_t readiness = FreePort();
   const QTemporaryDir folder;
@@ -94,10 +87,10 @@
   BOOST_TEST(StatusOf(readiness, "/-/ready", "n") == 200);
   BOOST_TEST(WaitUntil([&store] { return store.Contains("owner"); }, kLimit));
   for (const std::string& odd : model::testing::OddValues()) {
-    store.PutConfiguration(odd);
+    store.PutConfigurationText(odd);
     store.Put("hd/in/job/later", odd);
   }
-  store.PutConfiguration(ConfigurationText(2, "second.example"));
+  store.PutConfiguration(2, "second.example");
   BOOST_TEST(WaitUntil([&] { return finds_queue("second.example"); }, kLimit));
   BOOST_TEST(entry.IsRunning());
   entry.Terminate();
