--- a/modules/entry/core/planning_ownership.cc
+++ b/modules/entry/core/planning_ownership.cc
@@ -95,7 +95,8 @@
 }
 
 bool PlanningOwnership::IsOwnedByPredecessor() const {
-  return this->owner && this->owner->entry == this->entry &&
+  return this->timing.replaces_predecessor && this->owner &&
+         this->owner->entry == this->entry &&
          this->owner->endpoint == this->endpoint;
 }
 
--- a/modules/entry/core/planning_ownership.h
+++ b/modules/entry/core/planning_ownership.h
@@ -22,6 +22,10 @@
 struct OwnershipTiming {
   core::Duration lease = kPlanningLease;
   core::Duration renewal = kPlanningRenewal;
+  /// An entry takes the lease over at once from an earlier process of its own.
+  /// Only for a planner that finds out by other means than the length of the
+  /// lease what its predecessor had started.
+  bool replaces_predecessor = false;
 };
 
 /// The planning owner according to the store.
--- a/modules/entry/core/planning_ownership_test.cc
+++ b/modules/entry/core/planning_ownership_test.cc
@@ -134,11 +134,13 @@
   struct Case {
     const char* entry;
     const char* endpoint;
+    bool replaces_predecessor;
     OwnershipStep next;
   };
-  const Case cases[] = {{"e1", "e1:1", OwnershipStep::kGrant},
-                        {"e2", "e2:1", OwnershipStep::kNone},
-                        {"e1", "other:1", OwnershipStep::kNone}};
+  const Case cases[] = {{"e1", "e1:1", true, OwnershipStep::kGrant},
+                        {"e1", "e1:1", false, OwnershipStep::kNone},
+                        {"e2", "e2:1", true, OwnershipStep::kNone},
+                        {"e1", "other:1", true, OwnershipStep::kNone}};
   for (const Case& each : cases) {
     store::Listing listing;
     const store::Transaction claim = [] {
@@ -148,7 +150,10 @@
     for (const store::Write& write : claim.writes) {
       listing.items.push_back({write.key, *write.value, store::ModRevision(3)});
     }
-    PlanningOwnership restarted(core::EntryId(each.entry), each.endpoint);
+    OwnershipTiming timing;
+    timing.replaces_predecessor = each.replaces_predecessor;
+    PlanningOwnership restarted(core::EntryId(each.entry), each.endpoint,
+                                timing);
     restarted.NextStep(At(1500));
     restarted.OnRead(listing, At(1500));
     BOOST_TEST_CONTEXT(each.entry << " at " << each.endpoint) {
