Starts of a restarted agent are revoked before their tasks run again (TWICE)

Cause: only the process of an agent knew which starts its worker had not answered. After its restart the planner took the first complete list of the new process for proof that such a run would never begin, though the worker carried out the start later. Nobody stopped the run or waited for its deadline. Ruled out: the deadline of the start (the worker kept it) and the numbering of batches (the old batch was never carried out twice).

Change: at a restart the planner marks starts that no report has confirmed as doubtful and orders their revocation once the new process has read its worker's list. The new process stops each of them and lists it until the worker has answered the stop and does not list the run, so that capacity stays counted. A revocation is repeated after a lost batch; late reports of ended processes are ignored. Related path: a new planner does not know the starts of the previous one, so an agent that has just started calls its lists complete only after the worker has seen the new epoch, from which on it refuses those starts.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -35,7 +35,7 @@
     : agent(std::move(agent_id)),
       endpoint(std::move(own_endpoint)),
       incarnation(own_incarnation),
-      leases_expired_at(now + kMaxWorkerLease) {}
+      earlier_process_limit(now + kMaxWorkerLease) {}
 
 void WorkerSupervisor::OnAnnouncement(const WorkerDescription& description,
                                       std::uint64_t announcement_sequence,
@@ -78,6 +78,7 @@
   this->acknowledged = 0;
   this->clock_ms.reset();
   this->last_listing_clock_ms = 0;
+  this->last_listing_epoch = core::SchedulingEpoch();
   this->is_complete = false;
   this->worker = description;
   this->unreported_change = true;
@@ -160,9 +161,30 @@
     found->second.stop_sent = now;
     calls.stops.push_back({key, this->epoch, this->worker->identity});
   }
+  for (const RunKey& key : orders.revoked_starts) {
+    this->Revoke(key, now, calls);
+  }
   return calls;
 }
 
+void WorkerSupervisor::Revoke(const RunKey& key,
+                              core::TimePoint now,
+                              BatchCalls& calls) {
+  const bool is_known = this->runs.contains(key);
+  if (!is_known && (this->HasEnded(key) || !this->MayEarlierProcessAct(now))) {
+    return;
+  }
+  Run& run = this->runs[key];
+  run.active.key = key;
+  run.uncertain = run.uncertain || !is_known;
+  run.state = RunState::kStopping;
+  run.start_due = false;
+  if (this->worker) {
+    run.stop_sent = now;
+    calls.stops.push_back({key, this->epoch, this->worker->identity});
+  }
+}
+
 void WorkerSupervisor::OnStartAnswer(const RunKey& key,
                                      StartResult result,
                                      RejectReason reason,
@@ -238,8 +260,10 @@
   }
   this->last_listing_clock_ms = listing.worker_clock_ms;
   this->ObserveClock(listing.worker_clock_ms, now);
-  this->unreported_change = this->unreported_change || !this->is_complete;
+  const bool was_complete = this->IsComplete(now);
+  this->last_listing_epoch = std::max(this->last_listing_epoch, listing.epoch);
   this->is_complete = true;
+  this->unreported_change = this->unreported_change || !was_complete;
   this->RecordEnds(listing);
   this->MergeRunning(listing);
   this->RemoveMissingRuns(listing);
@@ -264,10 +288,7 @@
     Run& run = entry->second;
     if (is_new) {
       // The listing is older than an end that the agent already knows.
-      const bool ended = std::any_of(
-          this->ends.begin(), this->ends.end(),
-          [&listed](const auto& end) { return end.second.key == listed.key; });
-      if (ended) {
+      if (this->HasEnded(listed.key)) {
         this->runs.erase(entry);
         continue;
       }
@@ -286,6 +307,11 @@
   }
 }
 
+bool WorkerSupervisor::HasEnded(const RunKey& key) const {
+  return std::any_of(this->ends.begin(), this->ends.end(),
+                     [&key](const auto& end) { return end.second.key == key; });
+}
+
 void WorkerSupervisor::UpdateRun(Run& run,
                                  const ActiveRun& listed,
                                  std::int64_t listing_clock_ms) {
@@ -382,7 +408,7 @@
 void WorkerSupervisor::OnPollFailed(core::TimePoint now) {
   this->unreported_change = this->unreported_change || this->failed_polls == 0;
   ++this->failed_polls;
-  if (now < this->leases_expired_at) {
+  if (now < this->leases_expired_at || this->MayEarlierProcessAct(now)) {
     return;
   }
   const std::size_t before = this->runs.size();
@@ -414,6 +440,21 @@
                      });
 }
 
+bool WorkerSupervisor::IsComplete(core::TimePoint now) const {
+  // Until the worker has seen this epoch, it may carry out starts that an
+  // earlier process of this agent sent for an earlier planner.
+  const bool has_fenced =
+      !this->worker || this->last_listing_epoch == this->epoch;
+  return this->is_complete && (has_fenced || !this->MayEarlierProcessAct(now));
+}
+
+bool WorkerSupervisor::AwaitsListing() const {
+  return std::any_of(
+      this->runs.begin(), this->runs.end(), [](const auto& entry) {
+        return entry.second.uncertain && entry.second.stop_answered;
+      });
+}
+
 AgentReport WorkerSupervisor::MakeReport(core::TimePoint now) {
   AgentReport report;
   report.agent = this->agent;
@@ -424,7 +465,7 @@
   report.batch = this->batch;
   report.worker = this->worker;
   report.worker_reachable = this->IsWorkerReachable();
-  report.is_complete = this->is_complete;
+  report.is_complete = this->IsComplete(now);
   report.can_start = this->LeaseDeadline(now).has_value();
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -28,6 +28,9 @@
   std::int64_t born_wall_ms = 0;
   std::vector<ActiveRun> running;
   std::vector<RunEnd> ends;
+  /// Epoch that the poll carried. From then on the worker refuses starts of
+  /// earlier epochs, late ones too.
+  core::SchedulingEpoch epoch;
 };
 
 /// A start to be sent to the worker.
@@ -128,6 +131,12 @@
   bool HasUnreportedChange() const { return this->unreported_change; }
   /// Returns whether the outcome of some start is still open.
   bool HasPendingStarts() const;
+  /// Returns whether the lists of runs cover everything on the worker; see
+  /// `AgentReport::is_complete`.
+  bool IsComplete(core::TimePoint now) const;
+  /// Returns whether only another listing can show that some run, whose stop
+  /// the worker has answered, is over.
+  bool AwaitsListing() const;
   /// Returns a report of the current state with the next sequence number and
   /// resets `HasUnreportedChange`.
   AgentReport MakeReport(core::TimePoint now);
@@ -166,6 +175,16 @@
   /// would make leases longer than granted.
   void ObserveAnnouncedClock(std::int64_t worker_clock_ms, core::TimePoint now);
   void Reject(const RunKey& key, RejectReason reason);
+  /// Returns whether a lease or start that an earlier process of this agent
+  /// requested may still take effect.
+  bool MayEarlierProcessAct(core::TimePoint now) const {
+    return now < this->earlier_process_limit;
+  }
+  /// Returns whether the worker has listed an end of the run.
+  bool HasEnded(const RunKey& key) const;
+  /// Handles a revoked start: the run is stopped and, if this process does not
+  /// know it, counts as a start without an answer.
+  void Revoke(const RunKey& key, core::TimePoint now, BatchCalls& calls);
   /// Updates the run from its row in a listing.
   void UpdateRun(Run& run,
                  const ActiveRun& listed,
@@ -181,8 +200,11 @@
   core::SchedulingEpoch epoch;
   std::uint64_t batch = 0;
   core::TimePoint term_end;
-  /// When all leases that were requested from the worker have expired.
+  /// When all leases that this process requested from the worker have expired.
   core::TimePoint leases_expired_at;
+  /// When all leases and starts that earlier processes of this agent requested
+  /// have expired.
+  core::TimePoint earlier_process_limit;
   int failed_polls = 0;
   std::optional<WorkerDescription> worker;
   std::uint64_t announcement = 0;
@@ -195,8 +217,9 @@
   /// The agent has received a listing of the current worker incarnation, or the
   /// worker has deregistered.
   bool is_complete = false;
-  /// Worker clock of the newest listing.
+  /// Worker clock and epoch of the newest listing.
   std::int64_t last_listing_clock_ms = 0;
+  core::SchedulingEpoch last_listing_epoch;
   std::map<RunKey, Run> runs;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -22,7 +22,7 @@
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
   supervisor.OnReportAnswer(answer, At(1000));
-  supervisor.OnListing({510, 1000, {}, {}}, At(1010));
+  supervisor.OnListing({510, 1000, {}, {}, answer.epoch}, At(1010));
   return supervisor;
 }
 
@@ -72,6 +72,47 @@
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
+// Guards against TWICE: the predecessor of this process sent a start, and the
+// worker may carry it out until it has answered a stop.
+BOOST_AUTO_TEST_CASE(StopsARevokedStartUntilTheWorkerCannotCarryItOut) {
+  WorkerSupervisor supervisor = MakeReady();
+  OrderBatch batch = MakeBatch(1, {});
+  batch.revoked_starts = {kRun};
+  const auto calls = supervisor.OnOrders(batch, At(1100));
+  BOOST_REQUIRE(calls.has_value());
+  BOOST_REQUIRE_EQUAL(calls->stops.size(), 1U);
+  BOOST_TEST((calls->stops.front().key == kRun));
+  supervisor.OnListing({700, 1000, {}, {}}, At(1200));
+  BOOST_REQUIRE_EQUAL(supervisor.MakeReport(At(1200)).active.size(), 1U);
+  BOOST_TEST(!supervisor.MakeReport(At(1200)).active.front().confirmed);
+  BOOST_TEST(!supervisor.AwaitsListing());
+  supervisor.OnStopAnswer(kRun, true, 800, At(1300));
+  BOOST_TEST(supervisor.AwaitsListing());
+  supervisor.OnListing({801, 1000, {}, {}}, At(1301));
+  BOOST_TEST(supervisor.MakeReport(At(1301)).active.empty());
+  // By now all starts of the predecessor are past their deadlines.
+  WorkerSupervisor old = MakeReady();
+  BOOST_TEST(
+      old.OnOrders(batch, At(0) + kMaxWorkerLease).value().stops.empty());
+  BOOST_TEST(old.MakeReport(At(0) + kMaxWorkerLease).active.empty());
+}
+
+// Guards against TWICE after a change of planner: the worker carries out late
+// starts of a predecessor of this process until it has seen the new epoch.
+BOOST_AUTO_TEST_CASE(ListsAreCompleteOnlyOnceTheWorkerHasSeenTheEpoch) {
+  WorkerSupervisor supervisor = MakeReady();
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(2);
+  answer.term = core::Duration::Seconds(5);
+  supervisor.OnReportAnswer(answer, At(1100));
+  BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
+  supervisor.OnListing({600, 1000, {}, {}, core::SchedulingEpoch(1)}, At(1110));
+  BOOST_TEST(!supervisor.MakeReport(At(1110)).is_complete);
+  supervisor.OnListing({610, 1000, {}, {}, core::SchedulingEpoch(2)}, At(1120));
+  BOOST_TEST(supervisor.HasUnreportedChange());
+  BOOST_TEST(supervisor.MakeReport(At(1120)).is_complete);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOldBatchesAndEpochs) {
   WorkerSupervisor supervisor = MakeReady();
   BOOST_TEST(supervisor.OnOrders(MakeBatch(2, {}), At(1100)).has_value());
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -155,7 +155,8 @@
                                                 agent_incarnation,
                                                 worker,
                                                 starts,
-                                                stops)
+                                                stops,
+                                                revoked_starts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FailedRuns, task, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SavedCheckpoint,
                                                 task,
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -100,9 +100,10 @@
   std::optional<WorkerDescription> worker;
   /// False after a call to the worker went unanswered.
   bool worker_reachable = true;
-  /// True if the lists below cover everything on the worker. False after a
-  /// restart of the agent or of the worker, until the agent has read the
-  /// worker's list of runs.
+  /// True if the lists below cover everything on the worker and, except for
+  /// starts that earlier processes of the agent sent in `epoch`, everything
+  /// that the worker may still start. False after a restart of the agent or of
+  /// the worker, until the agent has read the worker's list of runs.
   bool is_complete = false;
   /// True if the agent has an unexpired term from the planner and knows the
   /// worker's clock. Without both it cannot set the lease of a run, and refuses
@@ -155,6 +156,10 @@
   WorkerIdentity worker;
   std::vector<StartOrder> starts;
   std::vector<RunKey> stops;
+  /// Runs whose start an earlier process of the agent may have sent, so that
+  /// the worker may still carry it out. The agent stops each of them, and lists
+  /// it as active until the worker can no longer start it.
+  std::vector<RunKey> revoked_starts;
 };
 
 enum class JobOutcome { kOpen, kCompleted, kFailed, kCancelled };
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -28,6 +28,9 @@
   core::AgentId agent;
   std::string endpoint;
   core::Incarnation incarnation;
+  /// Incarnations of processes of the agent that have ended. Reports of theirs
+  /// may still arrive.
+  std::set<core::Incarnation> earlier_incarnations;
   /// Sequence number of the latest report that was applied.
   std::uint64_t sequence = 0;
   std::optional<WorkerDescription> worker;
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -23,13 +23,18 @@
   int index = 0;
   /// Run number.
   std::int64_t run = 0;
-  /// Number of the order batch with the start; 0 if the start has not been
-  /// sent, or if an earlier planner sent it.
+  /// Number of the order batch with the start or, if `in_doubt`, of the latest
+  /// batch that revoked it. A complete report that covers this batch and does
+  /// not list the run proves that it is over. 0 if the start has not been sent,
+  /// or if an earlier planner sent it.
   std::uint64_t batch = 0;
   /// The start has been sent to the agent.
   bool sent = false;
   /// The worker has confirmed the start.
   bool confirmed = false;
+  /// The start was sent to an earlier process of the agent, which did not
+  /// confirm it, so the worker may still carry it out.
+  bool in_doubt = false;
   /// The run was started by an earlier planner and found in a report.
   bool adopted = false;
   bool stop_requested = false;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -27,6 +27,8 @@
 /// otherwise the agent would never get orders again if the end of a call went
 /// unnoticed.
 constexpr core::Duration kBatchTimeout = core::Duration::Milliseconds(2000);
+/// `UnitMember::batch` of a doubtful start that no batch has revoked yet.
+constexpr std::uint64_t kNoBatch = std::numeric_limits<std::uint64_t>::max();
 /// Interval between probes of an agent that does not answer.
 constexpr core::Duration kProbeInterval = core::Duration::Milliseconds(250);
 /// Number of distinct jobs that must fail on a worker, with no success in
@@ -182,6 +184,10 @@
   view.agent = report.agent;
   view.endpoint = report.endpoint;
   if (view.incarnation != report.incarnation) {
+    if (view.incarnation != core::Incarnation()) {
+      view.earlier_incarnations.insert(view.incarnation);
+      this->OnAgentRestarted(view);
+    }
     view.incarnation = report.incarnation;
     view.sequence = 0;
     view.needs_probe = true;
@@ -194,7 +200,33 @@
   return view;
 }
 
+void Planner::OnAgentRestarted(const AgentView& view) {
+  for (auto& [id, job] : this->jobs) {
+    for (Unit& unit : job.units) {
+      for (UnitMember& member : unit.members) {
+        if (member.agent != view.agent || !member.sent || member.confirmed) {
+          continue;
+        }
+        member.in_doubt = true;
+        member.batch = kNoBatch;
+        member.stop_sent_at.reset();
+        this->LogDecision("start_in_doubt", id,
+                          "task=" + job.NameOf(unit, member.index).ToText() +
+                              " run=" + Text(member.run) +
+                              " agent=" + view.agent.Text());
+      }
+    }
+  }
+}
+
 ReportAnswer Planner::OnReport(const AgentReport& report, core::TimePoint now) {
+  const auto known = this->fleet.find(report.agent);
+  if (known != this->fleet.end() &&
+      known->second.earlier_incarnations.contains(report.incarnation)) {
+    // Sent before the process ended; nobody receives the answer.
+    this->LogDecision("late_report", {}, "agent=" + report.agent.Text());
+    return {};
+  }
   AgentView& view = this->UpdateView(report, now);
   view.leases_expire_at = std::max(view.leases_expire_at,
                                    now + MaxLeaseDuration(this->options.term));
@@ -465,6 +497,10 @@
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
+    if (active.confirmed && member->in_doubt) {
+      member->in_doubt = false;
+      member->batch = 0;
+    }
     if (member->percent != active.percent) {
       member->percent = active.percent;
       member->percent_at = now;
@@ -1096,15 +1132,26 @@
         if (may_order(member->agent)) {
           AgentView& view = this->fleet[member->agent];
           const std::uint64_t number = view.batch + 1;
-          const bool stop_due = member->stop_requested &&
-                                (!member->stop_sent_at ||
-                                 now >= *member->stop_sent_at + kStopRetry);
-          if (!member->sent && !view.needs_probe) {
+          const bool may_repeat = !member->stop_sent_at ||
+                                  now >= *member->stop_sent_at + kStopRetry;
+          // Until the lists are complete, the worker may turn out to have
+          // carried out the start, and the run is then kept. A probe repeats
+          // the revocation, since the batch with it may have been lost.
+          const bool revocation_due = member->in_doubt && view.is_complete &&
+                                      (may_repeat || view.needs_probe);
+          const bool start_due = !member->sent && !view.needs_probe;
+          const bool stop_due = member->sent && !member->in_doubt &&
+                                member->stop_requested && may_repeat;
+          if (revocation_due) {
+            batches[member->agent].revoked_starts.push_back(key);
+            member->batch = number;
+            member->stop_sent_at = now;
+          } else if (start_due) {
             batches[member->agent].starts.push_back(
                 {key, job.record.spec.payload, member->started_from, ""});
             member->sent = true;
             member->batch = number;
-          } else if (member->sent && stop_due) {
+          } else if (stop_due) {
             batches[member->agent].stops.push_back(key);
             member->stop_sent_at = now;
           }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -158,6 +158,10 @@
   /// Returns the view of the reporting agent, with its address, incarnation and
   /// time of contact brought up to date. Creates it for a new agent.
   AgentView& UpdateView(const AgentReport& report, core::TimePoint now);
+  /// Handles a restart of the agent. Only the ended process knew which of its
+  /// starts the worker had not answered, and the worker may carry these out
+  /// later, so all starts that no report has confirmed become doubtful.
+  void OnAgentRestarted(const AgentView& view);
   void ApplyWorker(AgentView& view,
                    const AgentReport& report,
                    core::TimePoint now);
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -105,6 +105,87 @@
   BOOST_TEST((fleet.Active().front().second == key));
 }
 
+// Guards against TWICE: the worker carries out a start late, after the agent
+// that sent it has restarted. The empty list of the new process does not show
+// that the run will never begin.
+BOOST_AUTO_TEST_CASE(RevokesUnconfirmedStartsOfARestartedAgent) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  const auto sent = fleet.planner.Decide(fleet.now, 0);
+  BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+  BOOST_REQUIRE_EQUAL(sent.front().batch.starts.size(), 1U);
+  const RunKey key = sent.front().batch.starts.front().key;
+  const core::AgentId agent = sent.front().agent;
+  const std::string worker = agent.Text().substr(std::string("agent-").size());
+  AgentReport& report = fleet.ReportOf(worker);
+  AgentReport late = report;
+  late.sequence += 2;
+  late.batch = sent.front().batch.number;
+  report.incarnation = core::Incarnation(8);
+  report.sequence = 1;
+  report.batch = 0;
+  fleet.planner.OnOrdersUnanswered(agent, sent.front().batch.number, fleet.now);
+  fleet.planner.OnReport(report, fleet.now);
+  // A report that the ended process sent arrives late and proves nothing.
+  fleet.planner.OnReport(late, fleet.now);
+  fleet.now = fleet.now + core::Duration::Seconds(1);
+  const auto revoking = fleet.planner.Decide(fleet.now, 0);
+  BOOST_REQUIRE_EQUAL(revoking.size(), 1U);
+  BOOST_TEST((revoking.front().agent == agent));
+  BOOST_TEST(revoking.front().batch.starts.empty());
+  BOOST_REQUIRE_EQUAL(revoking.front().batch.revoked_starts.size(), 1U);
+  BOOST_TEST((revoking.front().batch.revoked_starts.front() == key));
+  // The batch is lost; a report that does not cover it settles nothing.
+  fleet.planner.OnOrdersUnanswered(agent, revoking.front().batch.number,
+                                   fleet.now);
+  ++report.sequence;
+  fleet.planner.OnReport(report, fleet.now);
+  fleet.now = fleet.now + core::Duration::Seconds(1);
+  const auto repeated = fleet.planner.Decide(fleet.now, 0);
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1U);
+  BOOST_TEST(repeated.front().batch.revoked_starts.size() == 1U);
+  // The agent lists the run until the worker has answered its stop.
+  ActiveRun doubtful;
+  doubtful.key = key;
+  report.batch = repeated.front().batch.number;
+  report.active = {doubtful};
+  ++report.sequence;
+  fleet.planner.OnOrdersAnswered(agent, report.batch);
+  fleet.planner.OnReport(report, fleet.now);
+  BOOST_TEST(fleet.planner.Decide(fleet.now, 0).empty());
+  report.active.clear();
+  fleet.Advance(1000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().second.run > key.run);
+}
+
+// A start that the worker has carried out before the new process of the agent
+// reads its list is not revoked.
+BOOST_AUTO_TEST_CASE(KeepsAStartThatARestartedAgentFinds) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  const auto sent = fleet.planner.Decide(fleet.now, 0);
+  BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+  const RunKey key = sent.front().batch.starts.front().key;
+  const core::AgentId agent = sent.front().agent;
+  AgentReport& report =
+      fleet.ReportOf(agent.Text().substr(std::string("agent-").size()));
+  report.incarnation = core::Incarnation(8);
+  report.sequence = 0;
+  report.batch = 0;
+  report.is_complete = false;
+  fleet.planner.OnOrdersUnanswered(agent, sent.front().batch.number, fleet.now);
+  fleet.Advance(1000);
+  ActiveRun found;
+  found.key = key;
+  found.confirmed = true;
+  report.active = {found};
+  report.is_complete = true;
+  fleet.Advance(3000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST((fleet.Active().front().second == key));
+}
+
 BOOST_AUTO_TEST_CASE(RestartsTasksOfASilentAgentOnlyAfterItsLeasesExpire) {
   SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
   fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -192,8 +192,9 @@
       core::Duration::Milliseconds(1000);
   static constexpr core::Duration kPollRetryDelay =
       core::Duration::Milliseconds(150);
-  /// Interval of the polls while ends are not acknowledged. The worker then
-  /// answers each poll at once, so polls without a pause would be a busy loop.
+  /// Interval of the polls that the worker answers at once: while ends are not
+  /// acknowledged, or the lists are not complete. Polls without a pause would
+  /// then be a busy loop.
   static constexpr core::Duration kUnacknowledgedPollInterval =
       core::Duration::Milliseconds(100);
 
@@ -205,6 +206,9 @@
     if (!this->pending_orders.empty()) {
       this->AnswerOrders();
     }
+    if (this->supervisor.AwaitsListing() && !this->short_poll_in_flight) {
+      this->Poll(core::Duration());
+    }
     this->PollIfDue();
     if (now >= this->last_report + kReportPeriod) {
       this->Report();
@@ -294,7 +298,6 @@
   void PollIfDue() {
     if (!this->long_poll_in_flight && this->supervisor.Worker() &&
         core::Clock::Now() >= this->next_poll) {
-      this->long_poll_in_flight = true;
       this->Poll(kLongPollWait);
     }
   }
@@ -309,27 +312,37 @@
     poll.worker = worker->identity;
     poll.acknowledged = this->supervisor.Acknowledged();
     poll.deadline_ms = this->supervisor.BeginPoll(core::Clock::Now());
-    poll.wait = this->supervisor.IsWorkerReachable() ? wait : core::Duration();
+    const core::TimePoint sent = core::Clock::Now();
+    const bool may_wait = this->supervisor.IsWorkerReachable() &&
+                          this->supervisor.IsComplete(sent);
+    poll.wait = may_wait ? wait : core::Duration();
     const bool is_long = wait > core::Duration();
-    this->port.Poll(poll,
-                    [this, is_long](core::Expected<WorkerListing> listing) {
-                      const core::TimePoint now = core::Clock::Now();
-                      if (is_long) {
-                        this->long_poll_in_flight = false;
-                      }
-                      if (listing) {
-                        this->supervisor.OnListing(*listing, now);
-                        this->poll_failing = false;
-                        if (this->supervisor.HasUnacknowledgedEnds()) {
-                          this->next_poll = now + kUnacknowledgedPollInterval;
-                        }
-                      } else {
-                        this->HandlePollFailure(listing.error(), now);
-                      }
-                      this->AnswerOrders();
-                      this->ReportIfChanged();
-                      this->PollIfDue();
-                    });
+    (is_long ? this->long_poll_in_flight : this->short_poll_in_flight) = true;
+    this->port.Poll(poll, [this, is_long, epoch = poll.epoch](
+                              core::Expected<WorkerListing> listing) {
+      (is_long ? this->long_poll_in_flight : this->short_poll_in_flight) =
+          false;
+      this->OnPollAnswer(std::move(listing), epoch);
+    });
+  }
+
+  void OnPollAnswer(core::Expected<WorkerListing> listing,
+                    core::SchedulingEpoch epoch) {
+    const core::TimePoint now = core::Clock::Now();
+    if (listing) {
+      listing->epoch = epoch;
+      this->supervisor.OnListing(*listing, now);
+      this->poll_failing = false;
+      if (this->supervisor.HasUnacknowledgedEnds() ||
+          !this->supervisor.IsComplete(now)) {
+        this->next_poll = now + kUnacknowledgedPollInterval;
+      }
+    } else {
+      this->HandlePollFailure(listing.error(), now);
+    }
+    this->AnswerOrders();
+    this->ReportIfChanged();
+    this->PollIfDue();
   }
 
   void HandlePollFailure(const core::Error& error, core::TimePoint now) {
@@ -468,6 +481,7 @@
   core::TimePoint last_report;
   core::TimePoint next_report;
   bool long_poll_in_flight = false;
+  bool short_poll_in_flight = false;
   bool poll_failing = false;
   core::TimePoint next_poll;
   std::vector<PendingOrders> pending_orders;
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -218,7 +218,10 @@
       run.checkpoint = start.checkpoint;
       report.active.push_back(run);
     }
-    for (const RunKey& key : orders.batch.stops) {
+    std::vector<RunKey> stops = orders.batch.stops;
+    stops.insert(stops.end(), orders.batch.revoked_starts.begin(),
+                 orders.batch.revoked_starts.end());
+    for (const RunKey& key : stops) {
       const bool runs =
           std::any_of(report.active.begin(), report.active.end(),
                       [&key](const ActiveRun& run) { return run.key == key; });
