Tasks of a lost worker run again though its agent restarts (LOST)

Cause: a worker was lost for good, and its agent restarted before the worker's leases had expired. The new process never heard of a worker, so its lists were never complete, and the planner waits for complete lists. An agent without a worker sends no polls, so it never noticed the end of the leases. Ruled out: the planner counting the agent as lost, since the agent reports.

Change: the answer to a report says when all leases and starts of earlier processes of the agent have expired. From then on an agent without a worker, or whose worker answers no poll, reports complete lists; without an answer it waits for kMaxWorkerLease. Related path: a start without an answer is dropped with the leases too, its deadline being the end of the term; before, an agent listed it for ever if the worker did not come back.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -98,7 +98,8 @@
 }
 
 void WorkerSupervisor::OnReportAnswer(const ReportAnswer& answer,
-                                      core::TimePoint sent) {
+                                      core::TimePoint sent,
+                                      core::TimePoint received) {
   if (answer.epoch < this->epoch) {
     return;
   }
@@ -108,6 +109,10 @@
   }
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
+  this->earlier_process_limit =
+      std::min(this->earlier_process_limit,
+               received + answer.earlier_leases +
+                   answer.earlier_leases / kClockDriftDivisor);
   if (this->worker && answer.worker == this->worker->identity) {
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
     this->ends.erase(this->ends.begin(),
@@ -411,11 +416,20 @@
   if (now < this->leases_expired_at || this->MayEarlierProcessAct(now)) {
     return;
   }
-  const std::size_t before = this->runs.size();
-  std::erase_if(this->runs,
-                [](const auto& entry) { return !entry.second.uncertain; });
+  this->OnAllLeasesExpired();
+}
+
+void WorkerSupervisor::OnTick(core::TimePoint now) {
+  if (!this->worker && !this->MayEarlierProcessAct(now)) {
+    this->OnAllLeasesExpired();
+  }
+}
+
+void WorkerSupervisor::OnAllLeasesExpired() {
   this->unreported_change =
-      this->unreported_change || this->runs.size() != before;
+      this->unreported_change || !this->runs.empty() || !this->is_complete;
+  this->runs.clear();
+  this->is_complete = true;
 }
 
 std::optional<std::int64_t> WorkerSupervisor::LeaseDeadline(
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -13,9 +13,6 @@
 
 namespace hemlockdoor::batch {
 
-/// Upper bound of the lease durations that workers accept.
-inline constexpr core::Duration kMaxWorkerLease = core::Duration::Seconds(11);
-
 /// The worker's answer to a start. `kUnknown`: there was no answer, so the run
 /// may have been started.
 enum class StartResult { kStarted, kRejected, kUnknown };
@@ -59,7 +56,8 @@
 /// the current time. A run that the planner ordered is reported as active until
 /// an answer or announcement of the worker proves that it is not running, or
 /// until all leases of an unreachable worker have expired. A predecessor of
-/// this agent may have requested leases of up to `kMaxWorkerLease`.
+/// this agent may have requested leases of up to `kMaxWorkerLease`; the planner
+/// tells a closer limit.
 class WorkerSupervisor {
  public:
   WorkerSupervisor(core::AgentId agent_id,
@@ -78,7 +76,9 @@
   void OnDeparture(const WorkerId& id);
   /// Handles the planner's answer to a report that was sent at `sent`. Ignores
   /// answers of an older epoch.
-  void OnReportAnswer(const ReportAnswer& answer, core::TimePoint sent);
+  void OnReportAnswer(const ReportAnswer& answer,
+                      core::TimePoint sent,
+                      core::TimePoint received);
   /// Handles a batch of orders. Returns kStale when the epoch or batch number
   /// is outdated or the batch is addressed to another incarnation of this
   /// agent.
@@ -114,6 +114,10 @@
   std::optional<std::int64_t> BeginPoll(core::TimePoint now);
   /// Handles a poll without a usable answer.
   void OnPollFailed(core::TimePoint now);
+  /// Handles the passing of time. If this process has heard of no worker by the
+  /// time at which all leases of its predecessors have expired, nothing runs
+  /// here, and the lists are complete.
+  void OnTick(core::TimePoint now);
   /// Returns whether the term that the planner granted is still valid.
   bool HasTerm(core::TimePoint now) const { return now < this->term_end; }
   /// Returns the number of the last end that the planner has acknowledged; the
@@ -192,6 +196,9 @@
   void MergeRunning(const WorkerListing& listing);
   void RecordEnds(const WorkerListing& listing);
   void RemoveMissingRuns(const WorkerListing& listing);
+  /// Drops all runs, since all leases and the deadlines of all starts have
+  /// passed. The lists are then complete.
+  void OnAllLeasesExpired();
 
   core::AgentId agent;
   std::string endpoint;
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -21,7 +21,7 @@
   ReportAnswer answer;
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
-  supervisor.OnReportAnswer(answer, At(1000));
+  supervisor.OnReportAnswer(answer, At(1000), At(1000));
   supervisor.OnListing({510, 1000, {}, {}, answer.epoch}, At(1010));
   return supervisor;
 }
@@ -104,7 +104,7 @@
   ReportAnswer answer;
   answer.epoch = core::SchedulingEpoch(2);
   answer.term = core::Duration::Seconds(5);
-  supervisor.OnReportAnswer(answer, At(1100));
+  supervisor.OnReportAnswer(answer, At(1100), At(1100));
   BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
   supervisor.OnListing({600, 1000, {}, {}, core::SchedulingEpoch(1)}, At(1110));
   BOOST_TEST(!supervisor.MakeReport(At(1110)).is_complete);
@@ -113,6 +113,56 @@
   BOOST_TEST(supervisor.MakeReport(At(1120)).is_complete);
 }
 
+// Guards against LOST: the worker is gone for good, and no announcement ever
+// tells this process of it. Its tasks may start elsewhere once the leases that
+// a predecessor requested have expired.
+BOOST_AUTO_TEST_CASE(ListsAreCompleteWithoutAWorkerOnceAllLeasesHaveExpired) {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  supervisor.OnTick(At(1000));
+  BOOST_TEST(!supervisor.MakeReport(At(1000)).is_complete);
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  answer.earlier_leases = core::Duration::Seconds(3);
+  supervisor.OnReportAnswer(answer, At(1000), At(1100));
+  // 3 s after the answer, and 2% more by another clock.
+  supervisor.OnTick(At(4159));
+  BOOST_TEST(!supervisor.MakeReport(At(4159)).is_complete);
+  supervisor.OnTick(At(4160));
+  BOOST_TEST(supervisor.HasUnreportedChange());
+  BOOST_TEST(supervisor.MakeReport(At(4160)).is_complete);
+  // Without a planner the longest possible lease counts.
+  WorkerSupervisor alone(core::AgentId("agent"), "127.0.0.1:1",
+                         core::Incarnation(7), At(0));
+  alone.OnTick(At(0) + kMaxWorkerLease);
+  BOOST_TEST(alone.MakeReport(At(0) + kMaxWorkerLease).is_complete);
+}
+
+// The same for a worker of which a late announcement has told this process, but
+// which answers no poll.
+BOOST_AUTO_TEST_CASE(ListsAreCompleteWithoutAListingOnceAllLeasesHaveExpired) {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
+  supervisor.OnPollFailed(At(5000));
+  BOOST_TEST(!supervisor.MakeReport(At(5000)).is_complete);
+  supervisor.OnPollFailed(At(0) + kMaxWorkerLease);
+  BOOST_TEST(supervisor.MakeReport(At(0) + kMaxWorkerLease).is_complete);
+}
+
+// A start without an answer, too, is over when its worker does not come back:
+// its deadline is the end of the term.
+BOOST_AUTO_TEST_CASE(DropsAnUnansweredStartWithItsLostWorker) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  LoseAllStarts(supervisor, At(1500));
+  supervisor.OnPollFailed(At(6000));
+  BOOST_TEST(supervisor.MakeReport(At(6000)).active.size() == 1U);
+  supervisor.OnPollFailed(At(0) + kMaxWorkerLease);
+  BOOST_TEST(supervisor.MakeReport(At(0) + kMaxWorkerLease).active.empty());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOldBatchesAndEpochs) {
   WorkerSupervisor supervisor = MakeReady();
   BOOST_TEST(supervisor.OnOrders(MakeBatch(2, {}), At(1100)).has_value());
@@ -280,10 +330,10 @@
   ReportAnswer answer;
   answer.epoch = core::SchedulingEpoch(3);
   answer.term = core::Duration::Seconds(5);
-  supervisor.OnReportAnswer(answer, At(1000));
+  supervisor.OnReportAnswer(answer, At(1000), At(1000));
   BOOST_TEST(supervisor.HasUnreportedChange());
   BOOST_TEST(supervisor.MakeReport(At(1010)).can_start);
-  supervisor.OnReportAnswer(answer, At(2000));
+  supervisor.OnReportAnswer(answer, At(2000), At(2000));
   BOOST_TEST(!supervisor.HasUnreportedChange());
   BOOST_TEST(!supervisor.MakeReport(At(7000)).can_start);
 }
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -140,6 +140,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportAnswer,
                                                 epoch,
                                                 term,
+                                                earlier_leases,
                                                 worker,
                                                 acknowledged,
                                                 entries)
@@ -306,6 +307,9 @@
   if (answer.term < core::Duration()) {
     return Invalid("expected a positive length of time", "term");
   }
+  if (answer.earlier_leases < core::Duration()) {
+    return Invalid("expected a positive length of time", "earlier_leases");
+  }
   return {};
 }
 
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -118,12 +118,18 @@
 /// granted by its length divided by this number.
 inline constexpr std::int64_t kClockDriftDivisor = 50;
 
+/// Upper bound of the lease durations that workers accept.
+inline constexpr core::Duration kMaxWorkerLease = core::Duration::Seconds(11);
+
 /// The planner's answer to a report.
 struct ReportAnswer {
   core::SchedulingEpoch epoch;
   /// How long the agent may renew the worker's lease, counted from the time at
   /// which it sent the report.
   core::Duration term;
+  /// Time, counted from the arrival of the answer, after which no lease or
+  /// start that earlier processes of the agent requested can be valid.
+  core::Duration earlier_leases = kMaxWorkerLease;
   /// Incarnation of the worker to which `acknowledged` refers.
   WorkerIdentity worker;
   /// Ends up to this number are recorded, so that agent and worker may drop
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -53,6 +53,8 @@
   /// for. An agent that has not reported by then is considered lost, and its
   /// runs may be started elsewhere.
   core::TimePoint leases_expire_at;
+  /// The same for earlier processes of this agent.
+  core::TimePoint earlier_leases_expire_at;
   /// No report arrived before `leases_expire_at`.
   bool is_lost = false;
   /// Number of the latest order batch. At most one batch is open, that is, sent
--- a/modules/batch/planner/permission_test.cc
+++ b/modules/batch/planner/permission_test.cc
@@ -27,7 +27,7 @@
   ReportAnswer answer;
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
-  agent.OnReportAnswer(answer, At(1000));
+  agent.OnReportAnswer(answer, At(1000), At(1000));
   agent.OnListing({510, 1000, {}, {}}, At(1010));
   return agent;
 }
@@ -63,6 +63,47 @@
   }
 }
 
+// Guards against LOST: a worker is gone for good, and its agent restarts before
+// the leases have expired. The new process never hears of the worker, and the
+// task starts elsewhere neither before they have expired nor much later.
+BOOST_AUTO_TEST_CASE(TasksOfALostWorkerRunAgainThoughItsAgentRestarted) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  const std::string lost = fleet.Active().front().first;
+  fleet.DisconnectAgent(lost);
+  const core::TimePoint restarted = fleet.now + core::Duration::Seconds(2);
+  WorkerSupervisor agent(core::AgentId("agent-" + lost), "127.0.0.1:1",
+                         core::Incarnation(8), restarted);
+  const auto report = [&agent, &fleet] {
+    agent.OnReportAnswer(
+        fleet.planner.OnReport(agent.MakeReport(fleet.now), fleet.now),
+        fleet.now, fleet.now);
+  };
+  constexpr std::int64_t kStepMs = 50;
+  std::int64_t silent_ms = 0;
+  std::size_t starts = 0;
+  for (fleet.now = restarted; starts == 0 && silent_ms < 20'000;
+       fleet.now = fleet.now + core::Duration::Milliseconds(kStepMs)) {
+    silent_ms = (fleet.now - restarted).InMilliseconds() + 2000;
+    fleet.ReportAll();
+    agent.OnTick(fleet.now);
+    report();
+    for (const AgentOrders& orders : fleet.planner.Decide(fleet.now, 0)) {
+      starts += orders.batch.starts.size();
+      if (orders.agent == core::AgentId("agent-" + lost)) {
+        BOOST_TEST(agent.OnOrders(orders.batch, fleet.now).has_value());
+      }
+      fleet.planner.OnOrdersAnswered(orders.agent, orders.batch.number);
+    }
+  }
+  // A term of 5 s, twice the drift of 2%, and a margin.
+  BOOST_TEST(starts == 1U);
+  BOOST_TEST(silent_ms > 5100);
+  BOOST_TEST(silent_ms < 6000);
+}
+
 // Two planners around a hand-over: once an agent has heard of the new one, by
 // an order or by an answer, it carries out nothing for the old one.
 BOOST_AUTO_TEST_CASE(OrdersOfTwoPlannersAreNotBothCarriedOut) {
@@ -74,7 +115,7 @@
       ReportAnswer answer;
       answer.epoch = core::SchedulingEpoch(2);
       answer.term = core::Duration::Seconds(5);
-      agent.OnReportAnswer(answer, At(1100));
+      agent.OnReportAnswer(answer, At(1100), At(1100));
     }
     for (const std::uint64_t number : {1U, 2U, 1000U}) {
       const auto calls = agent.OnOrders(MakeBatch(1, number), At(1200));
@@ -84,7 +125,7 @@
     ReportAnswer old_answer;
     old_answer.epoch = core::SchedulingEpoch(1);
     old_answer.term = core::Duration::Seconds(60);
-    agent.OnReportAnswer(old_answer, At(1300));
+    agent.OnReportAnswer(old_answer, At(1300), At(1300));
     BOOST_TEST(!agent.HasTerm(At(7000)));
   }
 }
@@ -150,7 +191,7 @@
   ReportAnswer answer;
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
-  agent.OnReportAnswer(answer, At(1000));
+  agent.OnReportAnswer(answer, At(1000), At(1000));
   agent.OnListing({510, 1000, {}, {}}, At(1010));
   BOOST_TEST((agent.BeginPoll(At(1010)) == std::optional<std::int64_t>(5500)));
   agent.OnAnnouncement(MakeWorker("w1"), 2, 900'000'000, At(1020));
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -114,6 +114,7 @@
     view.needs_probe = true;
     view.last_contact = now;
     view.leases_expire_at = now + longest;
+    view.earlier_leases_expire_at = now + longest;
   }
   this->LogDecision(
       "term_begun", {},
@@ -181,11 +182,16 @@
 AgentView& Planner::UpdateView(const AgentReport& report, core::TimePoint now) {
   AgentView& view = this->fleet[report.agent];
   const bool is_new = view.agent.IsEmpty();
+  if (is_new) {
+    // An earlier planner may have granted terms to earlier processes.
+    view.earlier_leases_expire_at = this->recovery_deadline;
+  }
   view.agent = report.agent;
   view.endpoint = report.endpoint;
   if (view.incarnation != report.incarnation) {
     if (view.incarnation != core::Incarnation()) {
       view.earlier_incarnations.insert(view.incarnation);
+      view.earlier_leases_expire_at = view.leases_expire_at;
       this->OnAgentRestarted(view);
     }
     view.incarnation = report.incarnation;
@@ -249,6 +255,8 @@
   ReportAnswer answer;
   answer.epoch = this->epoch;
   answer.term = this->options.term;
+  answer.earlier_leases =
+      std::max(view.earlier_leases_expire_at - now, core::Duration());
   if (view.worker) {
     answer.worker = view.worker->identity;
     answer.acknowledged = view.HighestAcknowledgeableEnd();
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -200,6 +200,7 @@
 
   void Tick() {
     const core::TimePoint now = core::Clock::Now();
+    this->supervisor.OnTick(now);
     for (const StopCall& stop : this->supervisor.DueStops(now)) {
       this->SendStop(stop);
     }
@@ -452,7 +453,7 @@
     }
     const core::SchedulingEpoch before = this->supervisor.Epoch();
     const std::uint64_t acknowledged = this->supervisor.Acknowledged();
-    this->supervisor.OnReportAnswer(answer, sent);
+    this->supervisor.OnReportAnswer(answer, sent, core::Clock::Now());
     if (this->supervisor.Acknowledged() != acknowledged) {
       this->next_poll = core::Clock::Now();
     }
