Truncated lists of ends do not show that runs are over (TWICE)

Cause: no end is acknowledged while the store is down, and a worker lists at most 500 ends. The agent took a run in neither list for one that is over without an end, and the planner placed its task again. Ruled out: the numbers of ends and the planner's acknowledgements, which are right once the ends are listed.

The agent removes no run on such a listing, and after a restart does not call its lists complete.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -267,11 +267,16 @@
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
   this->last_listing_epoch = std::max(this->last_listing_epoch, listing.epoch);
-  this->is_complete = true;
-  this->unreported_change = this->unreported_change || !was_complete;
+  // Runs that are already known stay listed as active until their ends appear,
+  // so truncated ends do not make complete lists incomplete.
+  this->is_complete = this->is_complete || !listing.ends_are_truncated;
+  this->unreported_change =
+      this->unreported_change || (!was_complete && this->IsComplete(now));
   this->RecordEnds(listing);
   this->MergeRunning(listing);
-  this->RemoveMissingRuns(listing);
+  if (!listing.ends_are_truncated) {
+    this->RemoveMissingRuns(listing);
+  }
 }
 
 void WorkerSupervisor::RecordEnds(const WorkerListing& listing) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -28,6 +28,9 @@
   /// Epoch that the poll carried. From then on the worker refuses starts of
   /// earlier epochs, late ones too.
   core::SchedulingEpoch epoch;
+  /// The worker may have ends that it did not list. A run that is in neither
+  /// list may then have ended, or be over for another reason.
+  bool ends_are_truncated = false;
 };
 
 /// A start to be sent to the worker.
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -163,6 +163,47 @@
   BOOST_TEST(supervisor.MakeReport(At(0) + kMaxWorkerLease).active.empty());
 }
 
+// Guards against TWICE: while the store is down more runs end than the worker
+// lists at once. A run that is in neither list may have ended `done`.
+BOOST_AUTO_TEST_CASE(KeepsRunsWhileTheListOfEndsIsTruncated) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  WorkerListing truncated{800, 1000, {}, {}};
+  truncated.ends = {
+      {1, {{core::JobId("other"), 0, 0, 0}, 1}, RunEndKind::kDone, ""}};
+  truncated.ends_are_truncated = true;
+  supervisor.OnListing(truncated, At(1300));
+  const AgentReport report = supervisor.MakeReport(At(1300));
+  BOOST_TEST(report.is_complete);
+  BOOST_TEST(report.ends.size() == 1U);
+  BOOST_REQUIRE_EQUAL(report.active.size(), 1U);
+  BOOST_TEST((report.active.front().key == kRun));
+  // The worker lists the end once it may forget earlier ones.
+  WorkerListing rest{900, 1000, {}, {}};
+  rest.ends = {{2, kRun, RunEndKind::kDone, ""}};
+  supervisor.OnListing(rest, At(1400));
+  BOOST_TEST(supervisor.MakeReport(At(1400)).active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1400)).rejections.empty());
+}
+
+// An agent that has restarted cannot know of the runs whose ends are missing.
+BOOST_AUTO_TEST_CASE(ListsAreIncompleteAfterARestartUntilAllEndsAreListed) {
+  WorkerSupervisor supervisor(core::AgentId("agent"), "127.0.0.1:1",
+                              core::Incarnation(7), At(0));
+  supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
+  WorkerListing listing{510, 1000, {}, {}};
+  listing.ends_are_truncated = true;
+  supervisor.OnListing(listing, At(10));
+  BOOST_TEST(!supervisor.MakeReport(At(10)).is_complete);
+  listing.worker_clock_ms = 520;
+  listing.ends_are_truncated = false;
+  supervisor.OnListing(listing, At(20));
+  BOOST_TEST(supervisor.HasUnreportedChange());
+  BOOST_TEST(supervisor.MakeReport(At(20)).is_complete);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOldBatchesAndEpochs) {
   WorkerSupervisor supervisor = MakeReady();
   BOOST_TEST(supervisor.OnOrders(MakeBatch(2, {}), At(1100)).has_value());
