--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -77,8 +77,8 @@
                       core::TimePoint now);
   /// Handles the deregistration of the worker; its runs have ended.
   void OnDeparture(const WorkerId& id);
-  /// Handles the planner's answer to a report that was sent at `sent`. Ignores
-  /// answers of an older epoch.
+  /// Handles the planner's answer, which arrived at `received`, to a report
+  /// that was sent at `sent`. Ignores answers of an older epoch.
   void OnReportAnswer(const ReportAnswer& answer,
                       core::TimePoint sent,
                       core::TimePoint received);
--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -209,16 +209,35 @@
           } else {
             const bool lost = may_be_stored ||
                               outcome.error().code == core::ErrorCode::kTimeout;
-            this->HandleSubmitFailure(std::move(submission), lost);
+            if (lost && !may_be_stored) {
+              LogSubmission(*submission.record, "submit_in_doubt",
+                            outcome.error().message);
+            }
+            this->HandleSubmitFailure(std::move(submission), lost,
+                                      outcome.error().message);
           }
         });
   }
 
-  void HandleSubmitFailure(Submission submission, bool may_be_stored) {
+  static void LogSubmission(const JobRecord& record,
+                            const char* event,
+                            const std::string& message) {
+    observe::LogContext log_context;
+    log_context.job = record.spec.id;
+    observe::Log(observe::LogLevel::kInfo, message, log_context,
+                 {{"event", event}});
+  }
+
+  void HandleSubmitFailure(Submission submission,
+                           bool may_be_stored,
+                           const std::string& failure) {
     const core::TimePoint next = core::Clock::Now() + kCommitRetryDelay;
     const core::TimePoint last =
         may_be_stored ? submission.deadline : submission.hold_end;
     if (next >= last) {
+      LogSubmission(*submission.record,
+                    may_be_stored ? "submit_unknown" : "submit_not_stored",
+                    failure);
       submission.done(may_be_stored ? SubmitResult::kUnknown
                                     : SubmitResult::kNotStored);
       return;
@@ -246,6 +265,9 @@
               JobRecordFromText((*item)->value);
           const bool same =
               stored && stored->organisation == record->organisation;
+          LogSubmission(*record, "submit_read_back",
+                        same ? "the job was stored before"
+                             : "the id belongs to another organisation");
           done(same ? SubmitResult::kAccepted : SubmitResult::kConflict);
         });
   }
--- a/modules/wire/server/http_server.cc
+++ b/modules/wire/server/http_server.cc
@@ -75,6 +75,13 @@
   }
 }
 
+void HttpResponder::RespondWithStatus(HttpResponse response) const {
+  if (!this->TryRespond(response)) {
+    response.body.clear();
+    this->Respond(std::move(response));
+  }
+}
+
 class HttpServer::Backend : public QTcpServer {
  public:
   Backend(const HttpServerLimits& limits, Handler request_handler)
--- a/modules/wire/server/http_server.h
+++ b/modules/wire/server/http_server.h
@@ -53,6 +53,10 @@
   /// does not fit into the byte budget now, the client gets 503 with
   /// Retry-After instead. Use this where the client can repeat the request.
   void Respond(HttpResponse response) const;
+  /// Like `Respond`, but if the response does not fit into the byte budget now,
+  /// the client gets it without its body instead. Use this where a 503 would
+  /// say that the request had no effect.
+  void RespondWithStatus(HttpResponse response) const;
   /// Like `Respond`, but returns false if the response does not fit into the
   /// byte budget now. Nothing is sent then, `response` is unchanged, and the
   /// caller still has to answer the request.
--- a/modules/wire/server/http_server_test.cc
+++ b/modules/wire/server/http_server_test.cc
@@ -369,6 +369,22 @@
   BOOST_TEST(echo.requests == 2);
 }
 
+// Guards against a 503 to a request that has had its effect.
+BOOST_AUTO_TEST_CASE(AResponseThatDoesNotFitCanKeepItsStatus) {
+  EchoServer echo(SmallLimits());
+  echo.keep = true;
+  RawClient client(echo.server->Port());
+  client.Send(Post("a"));
+  BOOST_REQUIRE(RunUntil([&] { return echo.requests == 1; }));
+  HttpResponse large;
+  large.status = http_status::kAccepted;
+  large.body.assign(500'000, 'y');
+  echo.kept[0].second.RespondWithStatus(large);
+  BOOST_TEST(
+      RunUntil([&] { return client.Status() == http_status::kAccepted; }));
+  BOOST_TEST(client.received.ends_with("\r\n\r\n"));
+}
+
 // Guards against buffering responses without limit for clients that do not read
 // them.
 BOOST_AUTO_TEST_CASE(LargeResponsesAreBounded) {
