Orders of an earlier session are refused (TWICE)

Cause: an order did not say in which permission it was given. A batch was held up by a cut; the planner counted the agent as lost when its term had ended and started the task elsewhere; the agent then got a new term in the same epoch, and the batch arrived with a number it had not seen. Ruled out by reading: terms and leases, which end with the grant they belong to.

Change: planner and agent are in a session, which ends when the planner counts the agent as lost. Answers to reports and batches carry its number; the agent refuses batches and ignores answers of an earlier session. An agent with a valid term knows the newest session. Related path: a start without an answer is not sent again in a later session, but stopped.

Evidence: PermissionTest/OrdersFromBeforeACutAreNotCarriedOutAfterIt (1 check) and PermissionTest/AStartIsNotRepeatedInALaterSession (3 checks) failed before and pass now; the other tests of the planner, the supervisor and the messages pass.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -100,13 +100,10 @@
 void WorkerSupervisor::OnReportAnswer(const ReportAnswer& answer,
                                       core::TimePoint sent,
                                       core::TimePoint received) {
-  if (answer.epoch < this->epoch) {
+  if (this->IsOutdated(answer.epoch, answer.session)) {
     return;
   }
-  if (answer.epoch > this->epoch) {
-    this->epoch = answer.epoch;
-    this->batch = 0;
-  }
+  this->EnterSession(answer.epoch, answer.session);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
   this->earlier_process_limit =
@@ -120,20 +117,43 @@
   }
 }
 
+bool WorkerSupervisor::IsOutdated(core::SchedulingEpoch message_epoch,
+                                  SessionNumber message_session) const {
+  return message_epoch < this->epoch ||
+         (message_epoch == this->epoch && message_session < this->session);
+}
+
+void WorkerSupervisor::EnterSession(core::SchedulingEpoch new_epoch,
+                                    SessionNumber new_session) {
+  if (new_epoch > this->epoch) {
+    this->batch = 0;
+    this->session = SessionNumber();
+  }
+  this->epoch = new_epoch;
+  const bool was_counted_as_lost = new_session > this->session;
+  this->session = new_session;
+  for (auto& [key, run] : this->runs) {
+    if (was_counted_as_lost && run.state == RunState::kStarting) {
+      run.state = RunState::kStopping;
+      run.start_due = false;
+    }
+  }
+}
+
 core::Expected<BatchCalls> WorkerSupervisor::OnOrders(const OrderBatch& orders,
                                                       core::TimePoint now) {
   const bool wrong_agent = orders.agent_incarnation != core::Incarnation() &&
                            orders.agent_incarnation != this->incarnation;
   const bool is_old =
-      orders.epoch < this->epoch ||
+      this->IsOutdated(orders.epoch, orders.session) ||
       (orders.epoch == this->epoch && orders.number <= this->batch);
   if (wrong_agent || is_old) {
     return core::MakeError(
         core::ErrorCode::kStale,
-        "orders rejected: outdated epoch or batch number, or "
+        "orders rejected: outdated epoch, session or batch number, or "
         "addressed to another incarnation of this agent");
   }
-  this->epoch = orders.epoch;
+  this->EnterSession(orders.epoch, orders.session);
   this->batch = orders.number;
   BatchCalls calls;
   const std::optional<std::int64_t> deadline = this->LeaseDeadline(now);
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -78,13 +78,13 @@
   /// Handles the deregistration of the worker; its runs have ended.
   void OnDeparture(const WorkerId& id);
   /// Handles the planner's answer, which arrived at `received`, to a report
-  /// that was sent at `sent`. Ignores answers of an older epoch.
+  /// that was sent at `sent`. Ignores answers of an older epoch or session.
   void OnReportAnswer(const ReportAnswer& answer,
                       core::TimePoint sent,
                       core::TimePoint received);
-  /// Handles a batch of orders. Returns kStale when the epoch or batch number
-  /// is outdated or the batch is addressed to another incarnation of this
-  /// agent.
+  /// Handles a batch of orders. Returns kStale when the epoch, session or batch
+  /// number is outdated or the batch is addressed to another incarnation of
+  /// this agent.
   core::Expected<BatchCalls> OnOrders(const OrderBatch& batch,
                                       core::TimePoint now);
   /// Handles the result of a start. `reason` matters only for kRejected,
@@ -170,6 +170,13 @@
     ActiveRun active;
   };
 
+  /// Returns whether a message of the epoch and session is outdated.
+  bool IsOutdated(core::SchedulingEpoch message_epoch,
+                  SessionNumber message_session) const;
+  /// Takes the epoch and session of a message that is not outdated. When the
+  /// planner has counted this agent as lost, starts without an answer are
+  /// stopped and not sent again, since it may have started the runs elsewhere.
+  void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
   /// Records that a lease up to the end of the term is requested from the
   /// worker. The recorded expiry allows for the drift between the clocks.
@@ -208,6 +215,7 @@
   core::Incarnation incarnation;
   std::uint64_t sequence = 0;
   core::SchedulingEpoch epoch;
+  SessionNumber session;
   std::uint64_t batch = 0;
   core::TimePoint term_end;
   /// When all leases that this process requested from the worker have expired.
--- a/modules/batch/model/ids.h
+++ b/modules/batch/model/ids.h
@@ -13,12 +13,18 @@
 namespace detail {
 struct QueueTag {};
 struct WorkerTag {};
+struct SessionTag {};
 }  // namespace detail
 
 /// Name of a queue in the configuration. Each job is submitted to one queue.
 using QueueName = core::StrongId<detail::QueueTag>;
 /// Id that a worker reports for itself. A restarted worker may reuse its id.
 using WorkerId = core::StrongId<detail::WorkerTag>;
+/// Number of a session between a planner and an agent. A session ends when the
+/// planner counts the agent as lost; the next one in the same epoch has the
+/// next number. Orders and terms are valid only in the session they were given
+/// in.
+using SessionNumber = core::StrongNumber<detail::SessionTag>;
 
 /// One incarnation of a worker: its id and start time. The start time tells a
 /// restarted worker from its predecessor with the same id.
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -124,6 +124,7 @@
 /// The planner's answer to a report.
 struct ReportAnswer {
   core::SchedulingEpoch epoch;
+  SessionNumber session;
   /// How long the agent may renew the worker's lease, counted from the time at
   /// which it sent the report.
   core::Duration term;
@@ -153,6 +154,9 @@
 /// of their numbers and refuses a number that it has already seen in the epoch.
 struct OrderBatch {
   core::SchedulingEpoch epoch;
+  /// An agent that knows a later session of the epoch refuses the batch, since
+  /// the planner may have started its runs elsewhere.
+  SessionNumber session;
   std::uint64_t number = 0;
   /// Internal endpoint of the planner.
   std::string planner;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -57,6 +57,9 @@
   core::TimePoint earlier_leases_expire_at;
   /// No report arrived before `leases_expire_at`.
   bool is_lost = false;
+  /// Orders of earlier sessions may still arrive at the agent, which refuses
+  /// them.
+  SessionNumber session;
   /// Number of the latest order batch. At most one batch is open, that is, sent
   /// and not yet answered.
   std::uint64_t batch = 0;
--- a/modules/batch/planner/permission_test.cc
+++ b/modules/batch/planner/permission_test.cc
@@ -130,6 +130,76 @@
   }
 }
 
+// Guards against TWICE: a batch is sent as a cut begins and arrives after it.
+// By then the planner has counted the agent as lost and started the task
+// elsewhere, and the agent has a valid term again.
+BOOST_AUTO_TEST_CASE(OrdersFromBeforeACutAreNotCarriedOutAfterIt) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  const std::vector<AgentOrders> delayed =
+      fleet.planner.Decide(fleet.now, fleet.now.InMilliseconds());
+  BOOST_REQUIRE_EQUAL(delayed.size(), 1U);
+  BOOST_REQUIRE_EQUAL(delayed.front().batch.starts.size(), 1U);
+  const std::string cut = delayed.front().batch.worker.id.Text();
+  fleet.DisconnectAgent(cut);
+  fleet.Advance(8000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().first != cut);
+
+  WorkerSupervisor agent(delayed.front().agent, "127.0.0.1:1",
+                         core::Incarnation(7), At(0));
+  agent.OnAnnouncement(MakeWorker(cut), 1, 500, fleet.now);
+  agent.OnListing({510, 1000, {}, {}}, fleet.now);
+  const auto report = [&agent, &fleet] {
+    agent.OnReportAnswer(
+        fleet.planner.OnReport(agent.MakeReport(fleet.now), fleet.now),
+        fleet.now, fleet.now);
+  };
+  report();
+  BOOST_TEST(agent.HasTerm(fleet.now));
+  BOOST_TEST(!agent.OnOrders(delayed.front().batch, fleet.now).has_value());
+
+  // Orders that the planner gives after the return are carried out.
+  fleet.planner.AddJob(MakeJob("k", {MakeStep(12, kSmall)}), fleet.now);
+  std::size_t starts = 0;
+  for (int round = 0; round < 10; ++round) {
+    fleet.now = fleet.now + core::Duration::Milliseconds(300);
+    fleet.ReportAll();
+    report();
+    fleet.RecordMembers();
+    for (const AgentOrders& orders :
+         fleet.planner.Decide(fleet.now, fleet.now.InMilliseconds())) {
+      if (orders.agent == delayed.front().agent) {
+        const auto calls = agent.OnOrders(orders.batch, fleet.now);
+        BOOST_REQUIRE(calls.has_value());
+        starts += calls->starts.size();
+        fleet.planner.OnOrdersAnswered(orders.agent, orders.batch.number);
+      }
+    }
+  }
+  BOOST_TEST(starts > 0U);
+}
+
+// A start whose answer is outstanding when the planner counts the agent as lost
+// is not sent again in the agent's next session.
+BOOST_AUTO_TEST_CASE(AStartIsNotRepeatedInALaterSession) {
+  WorkerSupervisor agent = MakeAgent();
+  BOOST_REQUIRE(agent.OnOrders(MakeBatch(1, 1), At(1010)).has_value());
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  answer.session = SessionNumber(1);
+  agent.OnReportAnswer(answer, At(8000), At(8010));
+  agent.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid, 0,
+                      At(8020));
+  BOOST_TEST(agent.DueStarts(At(8020)).empty());
+  BOOST_TEST(agent.DueStops(At(8020)).size() == 1U);
+  // An answer of the earlier session grants no term.
+  answer.session = SessionNumber(0);
+  agent.OnReportAnswer(answer, At(60'000), At(60'000));
+  BOOST_TEST(!agent.HasTerm(At(60'000)));
+}
+
 // An agent is paused with an order in its hands. It asks for a lease and starts
 // the run only within its term.
 BOOST_AUTO_TEST_CASE(APausedAgentStartsNothingAfterItsTerm) {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -254,6 +254,7 @@
   }
   ReportAnswer answer;
   answer.epoch = this->epoch;
+  answer.session = view.session;
   answer.term = this->options.term;
   answer.earlier_leases =
       std::max(view.earlier_leases_expire_at - now, core::Duration());
@@ -809,6 +810,7 @@
       continue;
     }
     view.is_lost = true;
+    view.session = view.session.Next();
     view.needs_probe = true;
     view.orphan_runs.clear();
     this->LogDecision("agent_lost", {},
@@ -1185,6 +1187,7 @@
   for (auto& [agent, batch] : batches) {
     AgentView& view = this->fleet[agent];
     batch.epoch = this->epoch;
+    batch.session = view.session;
     batch.number = ++view.batch;
     batch.planner = this->options.endpoint;
     batch.agent_incarnation = view.incarnation;
