An agent whose stored membership is in doubt gets no starts (TWICE)

Cause: the planner compared the wanted member list with a remembered copy of the stored one. The write that took an agent off the list was carried out and its answer lost, or was still under way; the agent came back, the lists seemed equal, nothing was written, and the agent got starts. The next planner did not know of it. Ruled out by reading: the condition of the write, which holds against late writes; progress records, whose version counts as recorded only after a confirmed write.

Change: membership is stored, absent or in doubt; in doubt from the moment a write that changes it is taken until a write is confirmed. Agents in doubt get no starts, and the list is written again while one is in doubt. `ChangedMembers` is now `TakeMembersWrite`, since it changes the state.

Evidence: PlannerTest/AMemberWhoseRemovalIsInDoubtIsStoredAgainBeforeItsStarts failed before (the agent got 8 runs, and no write was due) and passes now; the other tests of the planner, the reservations and the load replay pass.

Cost: an agent that returns during an outage of the store gets no starts before the store answers.

--- a/modules/batch/planner/fleet.cc
+++ b/modules/batch/planner/fleet.cc
@@ -5,8 +5,9 @@
 bool AgentView::IsUsable(core::TimePoint now) const {
   return this->worker && this->worker->state == WorkerState::kReady &&
          this->worker_reachable && this->is_complete && this->can_start &&
-         this->is_recorded && this->has_reported && !this->is_lost &&
-         !this->needs_probe && now < this->last_contact + kReportTimeout &&
+         this->membership == Membership::kStored && this->has_reported &&
+         !this->is_lost && !this->needs_probe &&
+         now < this->last_contact + kReportTimeout &&
          now >= this->suspended_until;
 }
 
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -23,6 +23,15 @@
   std::uint64_t version = 0;
 };
 
+/// Whether the stored member list contains an agent.
+enum class Membership {
+  kAbsent,
+  kStored,
+  /// A write that adds or removes the agent has been sent, and neither it nor a
+  /// later one has been confirmed: what is stored is unknown.
+  kInDoubt,
+};
+
 /// An agent and its worker.
 struct AgentView {
   core::AgentId agent;
@@ -42,9 +51,9 @@
   bool is_complete = false;
   /// The agent reported that it can set the lease of the runs it starts.
   bool can_start = false;
-  /// The stored member list contains the agent. Only then it is sent starts, so
-  /// that the next planner knows where runs may be.
-  bool is_recorded = false;
+  /// The agent is sent starts only as a stored member, so that the next planner
+  /// knows where runs may be.
+  Membership membership = Membership::kAbsent;
   /// The agent has sent a complete report in this planner's term, with no probe
   /// outstanding.
   bool has_reported = false;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -110,7 +110,7 @@
     AgentView& view = this->fleet[member.agent];
     view.agent = member.agent;
     view.endpoint = member.endpoint;
-    view.is_recorded = true;
+    view.membership = Membership::kStored;
     view.needs_probe = true;
     view.last_contact = now;
     view.leases_expire_at = now + longest;
@@ -633,15 +633,16 @@
     const auto found = std::find_if(
         members.begin(), members.end(),
         [&id = agent](const MemberRecord& each) { return each.agent == id; });
-    view.is_recorded =
+    const bool is_stored =
         found != members.end() && found->endpoint == view.endpoint;
+    view.membership = is_stored ? Membership::kStored : Membership::kAbsent;
   }
 }
 
-std::optional<std::vector<MemberRecord>> Planner::ChangedMembers() const {
+std::optional<std::vector<MemberRecord>> Planner::TakeMembersWrite() {
   std::vector<MemberRecord> members;
   bool changed = false;
-  for (const auto& [agent, view] : this->fleet) {
+  for (auto& [agent, view] : this->fleet) {
     // An agent without a worker has no runs, and gets starts again only once it
     // is back in the stored list.
     const bool has_no_worker = view.is_complete && !view.worker;
@@ -649,7 +650,12 @@
     if (!is_gone) {
       members.push_back({view.agent, view.endpoint});
     }
-    changed = changed || is_gone == view.is_recorded;
+    const Membership wanted =
+        is_gone ? Membership::kAbsent : Membership::kStored;
+    if (view.membership != wanted) {
+      view.membership = Membership::kInDoubt;
+      changed = true;
+    }
   }
   if (!changed) {
     return std::nullopt;
@@ -840,8 +846,8 @@
   }
   return std::any_of(
       this->fleet.begin(), this->fleet.end(), [](const auto& entry) {
-        return entry.second.is_recorded && !entry.second.has_reported &&
-               !entry.second.is_lost;
+        return entry.second.membership != Membership::kAbsent &&
+               !entry.second.has_reported && !entry.second.is_lost;
       });
 }
 
@@ -1179,7 +1185,9 @@
     }
     // A lost agent that has left the member list is not probed; it reports on
     // its own when it returns.
-    if (view.needs_probe && (view.is_recorded || !view.is_lost)) {
+    const bool has_left =
+        view.is_lost && view.membership == Membership::kAbsent;
+    if (view.needs_probe && !has_left) {
       batches[agent];
     }
   }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -125,8 +125,10 @@
   /// Removes jobs that ended longer ago than the retention time and returns
   /// their ids, so that the owner deletes their records from the store.
   std::vector<core::JobId> TakeExpiredJobs(core::TimePoint now);
-  /// Returns the member list if it differs from the stored one.
-  std::optional<std::vector<MemberRecord>> ChangedMembers() const;
+  /// Returns the member list if it differs from the stored one or what is
+  /// stored is unknown. The agents that the write adds or removes are in doubt
+  /// until `OnMembersRecorded`.
+  std::optional<std::vector<MemberRecord>> TakeMembersWrite();
   /// Returns the decisions since the last call.
   std::vector<DecisionLogEntry> TakeDecisionLog() {
     return std::exchange(this->decision_log, {});
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -296,17 +296,39 @@
 // new planner would wait a whole term for them before it starts loaded jobs.
 BOOST_AUTO_TEST_CASE(DropsMembersThatLeftOrLostTheirLeases) {
   SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2"), MakeWorker("w3")});
-  BOOST_TEST(!fleet.planner.ChangedMembers().has_value());
+  BOOST_TEST(!fleet.planner.TakeMembersWrite().has_value());
   fleet.ReportOf("w1").worker.reset();
   fleet.Settle();
   fleet.DisconnectAgent("w2");
   fleet.Advance(6000);
-  const auto members = fleet.planner.ChangedMembers();
+  const auto members = fleet.planner.TakeMembersWrite();
   BOOST_REQUIRE(members.has_value());
   BOOST_REQUIRE_EQUAL(members->size(), 1U);
   BOOST_TEST((members->front().agent == core::AgentId("agent-w3")));
 }
 
+// Guards against TWICE after a change of planner: the answer to the write that
+// takes an agent off the stored list is lost, and the agent comes back. What is
+// stored is unknown, so the agent gets no starts before the list has been
+// written again.
+BOOST_AUTO_TEST_CASE(AMemberWhoseRemovalIsInDoubtIsStoredAgainBeforeItsStarts) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.DisconnectAgent("w2");
+  fleet.Advance(6000);
+  BOOST_REQUIRE(fleet.planner.TakeMembersWrite().has_value());
+  fleet.ConnectAgent("w2");
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(16, kSmall)}), fleet.now);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.ReportOf("w1").active.size() == 8U);
+  BOOST_TEST(fleet.ReportOf("w2").active.empty());
+  const auto members = fleet.planner.TakeMembersWrite();
+  BOOST_REQUIRE(members.has_value());
+  BOOST_TEST(members->size() == 2U);
+  fleet.planner.OnMembersRecorded(*members);
+  fleet.Advance(1000);
+  BOOST_TEST(fleet.ReportOf("w2").active.size() == 8U);
+}
+
 // The gang is larger than any rack, so waiting for one would be useless.
 BOOST_AUTO_TEST_CASE(SpreadsAGangThatFitsNoRackWithoutDelay) {
   SimulatedFleet fleet({MakeWorker("w1", "r1"), MakeWorker("w2", "r2")});
--- a/modules/batch/planner/reservation_test.cc
+++ b/modules/batch/planner/reservation_test.cc
@@ -24,7 +24,7 @@
     view.worker = MakeWorker(worker, rack);
     view.is_complete = true;
     view.can_start = true;
-    view.is_recorded = true;
+    view.membership = Membership::kStored;
     view.has_reported = true;
     view.last_contact = At(0);
     view.used = {0, 0, 8};
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -553,7 +553,7 @@
       return;
     }
     const std::optional<std::vector<MemberRecord>> members =
-        active.ChangedMembers();
+        active.TakeMembersWrite();
     if (!members) {
       return;
     }
--- a/modules/batch/testing/fixtures.h
+++ b/modules/batch/testing/fixtures.h
@@ -179,7 +179,7 @@
 
   void RecordMembers() {
     this->ReportAll();
-    if (const auto members = this->planner.ChangedMembers()) {
+    if (const auto members = this->planner.TakeMembersWrite()) {
       this->planner.OnMembersRecorded(*members);
     }
   }
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -208,7 +208,7 @@
       this->reports[report.agent] = report;
     }
     this->Report();
-    if (const auto members = this->planner.ChangedMembers()) {
+    if (const auto members = this->planner.TakeMembersWrite()) {
       this->planner.OnMembersRecorded(*members);
     }
     this->Decide();
