Records of ended and forgotten jobs are not taken for new ones (TWICE)

Cause: the planner took each record of a job that it did not know for new. A record of a forgotten job could still reach it: the removal had failed or was under way, and either an entry sent the record when a caller asked for the job, or the planner read the store again after a lost watch. Ruled out by reading: the first listing of a term, which loads the progress as well.

Change: the planner keeps the revision up to which it has read all jobs, and ignores records of unknown jobs that were stored before. Entries send the revision with a record. A removal that fails is tried again. The retention time is an option of the service, for the test.

--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -122,7 +122,7 @@
     } else if (request.path == internal_api::kSubmitted) {
       const core::Expected<JobRecord> record = JobRecordFromText(request.body);
       if (record) {
-        this->planning.OnSubmitted(*record);
+        this->planning.OnSubmitted(*record, RevisionFromQuery(request.query));
       }
       response.status =
           record ? wire::http_status::kOk : wire::http_status::kBadRequest;
@@ -181,6 +181,18 @@
     return std::nullopt;
   }
 
+  /// Returns the target of the call that tells the planner of a record that
+  /// was stored at `revision`.
+  static std::string SubmittedTarget(store::ModRevision revision) {
+    return internal_api::kSubmitted + std::string("?") +
+           std::to_string(revision.Number());
+  }
+  /// Returns the revision that `SubmittedTarget` put into the query. Without
+  /// one the planner ignores the record, and learns of the job by its watch.
+  static store::ModRevision RevisionFromQuery(const std::string& query) {
+    return store::ModRevision(std::strtoull(query.c_str(), nullptr, 10));
+  }
+
   struct Submission {
     std::shared_ptr<const JobRecord> record;
     core::TimePoint deadline;
@@ -201,8 +213,9 @@
             const core::Expected<store::TransactionResult>& outcome) mutable {
           if (outcome && outcome->succeeded) {
             const JobRecord& record = *submission.record;
-            this->NotifyPlanner(internal_api::kSubmitted, ToText(record));
-            this->planning.OnSubmitted(record);
+            this->NotifyPlanner(SubmittedTarget(outcome->revision),
+                                ToText(record));
+            this->planning.OnSubmitted(record, outcome->revision);
             submission.done(SubmitResult::kAccepted);
           } else if (outcome) {
             this->CompareStored(submission.record, std::move(submission.done));
@@ -292,7 +305,7 @@
 
   /// Notifies the planner on another entry immediately. A lost notification is
   /// harmless, since the planner also watches the store.
-  void NotifyPlanner(const char* path, const std::string& body) {
+  void NotifyPlanner(const std::string& target, const std::string& body) {
     const std::string planner = this->planning.PlannerEndpoint();
     const core::Expected<wire::Endpoint> endpoint =
         wire::Endpoint::Parse(planner);
@@ -302,7 +315,7 @@
     wire::HttpCall call;
     call.endpoint = *endpoint;
     call.method = wire::HttpMethod::kPost;
-    call.target = path;
+    call.target = target;
     call.body = body;
     call.timeout = kPlannerTimeout;
     this->client.Send(call, [](const core::Expected<wire::HttpResponse>& end) {
@@ -358,7 +371,8 @@
           }
           // The planner may have missed the job; a repeated notification has no
           // effect.
-          this->NotifyPlanner(internal_api::kSubmitted, (*item)->value);
+          this->NotifyPlanner(SubmittedTarget((*item)->mod_revision),
+                              (*item)->value);
           this->ReadProgress(job, done);
         });
   }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -31,6 +31,8 @@
   entry::OwnershipTiming ownership;
   /// Validity of the term that the planner grants to an agent with each answer.
   core::Duration term;
+  /// Time for which the records of ended jobs are kept.
+  core::Duration retention = PlannerOptions().retention;
   /// Internal endpoints of entries, sent to agents.
   std::vector<std::string> entries;
 };
@@ -76,9 +78,12 @@
       this->ScheduleDecision();
     }
   }
-  void OnSubmitted(const JobRecord& record) {
+  /// Handles a record that was stored at `revision`.
+  void OnSubmitted(const JobRecord& record, store::ModRevision revision) {
     if (Planner* active = this->Active()) {
-      active->AddJob(record, core::Clock::Now());
+      if (this->MayBeNew(revision)) {
+        active->AddJob(record, core::Clock::Now());
+      }
       this->ScheduleDecision();
     }
   }
@@ -140,6 +145,10 @@
       core::Duration::Milliseconds(900);
   static constexpr core::Duration kRetryDelay =
       core::Duration::Milliseconds(200);
+  /// Delay before the records of ended jobs are removed again after a failure;
+  /// long, since nobody waits for it.
+  static constexpr core::Duration kRemovalRetryDelay =
+      core::Duration::Seconds(5);
   /// Two reads of the owner key by the other entries.
   static constexpr core::Duration kRelayedClaimDelay =
       core::Duration::Milliseconds(1500);
@@ -294,6 +303,8 @@
       this->watch.reset();
     }
     this->planner.reset();
+    this->jobs_read_until = store::ModRevision();
+    this->unremoved_jobs.clear();
     observe::Log(observe::LogLevel::kWarn, "planning ended: " + reason, {},
                  {{"event", "planner_ended"}});
     this->AnswerStateQueries();
@@ -344,6 +355,7 @@
       PlannerOptions planner_options;
       planner_options.term = this->options.term;
       planner_options.endpoint = this->options.endpoint;
+      planner_options.retention = this->options.retention;
       this->planner = std::make_unique<Planner>(planner_options);
       this->planner->SetConfiguration(this->configuration);
       this->planner->BeginTerm(this->ownership.Epoch(), members, now);
@@ -352,7 +364,9 @@
       const core::JobId id = record.spec.id;
       const bool is_cancelled = cancelled.contains(id.Text());
       if (!is_first) {
-        this->planner->AddJob(std::move(record), now);
+        if (this->MayBeNew(this->RevisionOf(store_keys::JobKey(id)))) {
+          this->planner->AddJob(std::move(record), now);
+        }
         if (is_cancelled) {
           this->planner->CancelJob(id, now);
         }
@@ -364,6 +378,7 @@
           is_cancelled, now, this->wall.WallMilliseconds(now));
     }
     this->loaded = true;
+    this->OnJobsRead(listing.revision);
     this->StartWatch(listing.revision);
     this->ScheduleDecision();
   }
@@ -436,6 +451,7 @@
               }
               for (const store::WatchEvent& event : *events) {
                 this->ApplyWatchEvent(event);
+                this->OnJobsRead(event.mod_revision);
               }
               this->ScheduleDecision();
             }));
@@ -467,8 +483,11 @@
     }
     if (event.key.starts_with(store_keys::kJobPrefix)) {
       core::Expected<JobRecord> record = ReadJobRecord(event.key, *event.value);
-      record ? this->planner->AddJob(std::move(*record), now)
-             : LogUnreadable(event.key, record.error());
+      if (!record) {
+        LogUnreadable(event.key, record.error());
+      } else if (this->MayBeNew(event.mod_revision)) {
+        this->planner->AddJob(std::move(*record), now);
+      }
     } else if (event.key.starts_with(store_keys::kCancellationPrefix)) {
       const std::size_t start =
           std::string(store_keys::kCancellationPrefix).size();
@@ -476,6 +495,18 @@
     }
   }
 
+  /// Returns whether a record that was stored at `revision` may be that of a
+  /// job that the planner has not read yet. If not, and the planner does not
+  /// know the job, it has ended and been forgotten; its progress may have been
+  /// removed, so that it would run again.
+  bool MayBeNew(store::ModRevision revision) const {
+    return revision > this->jobs_read_until;
+  }
+  /// Records that the planner has read all jobs stored up to `revision`.
+  void OnJobsRead(store::ModRevision revision) {
+    this->jobs_read_until = std::max(this->jobs_read_until, revision);
+  }
+
   void ScheduleDecision() {
     if (!this->decide_timer.isActive()) {
       this->decide_timer.start(kDecideDelayMs);
@@ -629,21 +660,34 @@
   }
 
   void RemoveExpired(Planner& active, core::TimePoint now) {
-    for (const core::JobId& job : active.TakeExpiredJobs(now)) {
+    std::vector<core::JobId> expired = active.TakeExpiredJobs(now);
+    if (now >= this->removal_retry_at) {
+      expired.insert(expired.end(), this->unremoved_jobs.begin(),
+                     this->unremoved_jobs.end());
+      this->unremoved_jobs.clear();
+    }
+    for (const core::JobId& job : expired) {
       store::Transaction transaction = this->OwnedTransaction();
       transaction.writes = {
           {store_keys::JobKey(job), std::nullopt, std::nullopt},
           {store_keys::CancellationKey(job), std::nullopt, std::nullopt},
           {store_keys::ProgressKey(job), std::nullopt, std::nullopt}};
       this->revisions.erase(store_keys::ProgressKey(job));
-      this->adapter.Commit(transaction, [](const auto& outcome) {
-        if (!outcome) {
-          // The next planner finds the remaining records and removes them.
-          observe::Log(observe::LogLevel::kWarn,
-                       "expired job not removed: " + outcome.error().message,
-                       {}, {{"event", "expiry_failed"}});
-        }
-      });
+      this->adapter.Commit(
+          transaction,
+          this->InTerm(
+              [this,
+               job](const core::Expected<store::TransactionResult>& outcome) {
+                if (!outcome) {
+                  this->unremoved_jobs.push_back(job);
+                  this->removal_retry_at =
+                      core::Clock::Now() + kRemovalRetryDelay;
+                  observe::Log(observe::LogLevel::kWarn,
+                               "expired job not removed, trying again: " +
+                                   outcome.error().message,
+                               {}, {{"event", "expiry_failed"}});
+                }
+              }));
     }
   }
 
@@ -701,6 +745,11 @@
   core::TimePoint load_retry_at;
   std::optional<store::WatchId> watch;
   std::map<std::string, store::ModRevision> revisions;
+  /// The planner has read all jobs that were stored up to this revision.
+  store::ModRevision jobs_read_until;
+  /// Ended and forgotten jobs whose records may still be stored.
+  std::vector<core::JobId> unremoved_jobs;
+  core::TimePoint removal_retry_at;
   bool members_write_in_flight = false;
   core::TimePoint members_retry_at;
   bool progress_write_in_flight = false;
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -64,9 +64,11 @@
     }
     this->waiting.clear();
   }
-  void EndRun() {
-    this->report.ends = {
-        {1, this->report.active.front().key, RunEndKind::kDone, {}}};
+  void EndRuns() {
+    for (const ActiveRun& run : this->report.active) {
+      this->report.ends.push_back(
+          {++this->last_end, run.key, RunEndKind::kDone, {}});
+    }
     this->report.active.clear();
   }
 
@@ -74,13 +76,16 @@
   AgentReport report;
   std::vector<wire::HttpResponder> waiting;
   bool holds_answers = false;
+  std::uint64_t last_end = 0;
   std::unique_ptr<wire::HttpServer> server;
 };
 
 /// A planner with one agent that runs the only task of a job.
 struct PlannerWithRunningJob {
-  explicit PlannerWithRunningJob(core::Duration lease = entry::kPlanningLease)
-      : service(Options(lease), store) {
+  explicit PlannerWithRunningJob(
+      core::Duration lease = entry::kPlanningLease,
+      core::Duration retention = PlannerOptions().retention)
+      : service(Options(lease, retention), store) {
     this->store.DriveByTimer();
     BOOST_REQUIRE(
         WaitFor([this] { return this->service.Active() != nullptr; }, 5000));
@@ -89,19 +94,25 @@
     BOOST_REQUIRE(WaitFor([this] { return this->agent.Runs(); }, 5000));
   }
 
-  static PlannerServiceOptions Options(core::Duration lease) {
+  static PlannerServiceOptions Options(
+      core::Duration lease,
+      core::Duration retention = PlannerOptions().retention) {
     PlannerServiceOptions options;
     options.entry = core::EntryId("entry");
     options.endpoint = "127.0.0.1:1";
     options.term = core::Duration::Seconds(5);
+    options.retention = retention;
     options.ownership.lease = lease;
     options.ownership.renewal = lease / 6;
     return options;
   }
 
   void Submit(const std::string& job) {
+    // Later than anything that the planner has read.
+    constexpr store::ModRevision kLateRevision(1'000'000);
     this->service.OnSubmitted(
-        testing::MakeJob(job, {testing::MakeStep(1, {1000, 1000, 1})}));
+        testing::MakeJob(job, {testing::MakeStep(1, {1000, 1000, 1})}),
+        kLateRevision);
   }
 
   store::MemoryStore store;
@@ -113,6 +124,44 @@
 
 BOOST_AUTO_TEST_SUITE(PlannerServiceTest)
 
+// Guards against TWICE: a job has ended and been forgotten, but its record is
+// still in the store, or was read there before its removal. It is not taken for
+// a new job, whether the planner reads the store again or is told of the
+// record.
+BOOST_AUTO_TEST_CASE(AnEndedAndForgottenJobDoesNotRunAgain) {
+  PlannerWithRunningJob running(entry::kPlanningLease,
+                                core::Duration::Milliseconds(200));
+  const JobRecord record =
+      testing::MakeJob("stored", {testing::MakeStep(1, {1000, 1000, 1})});
+  const std::string key = store_keys::JobKey(record.spec.id);
+  store::ModRevision revision;
+  running.store.Commit({{}, {{key, ToText(record), std::nullopt}}},
+                       [&revision](const auto& outcome) {
+                         BOOST_REQUIRE(outcome.has_value());
+                         revision = outcome->revision;
+                       });
+  BOOST_REQUIRE(WaitFor([&] { return running.agent.RunCount() == 2; }, 2000));
+  running.agent.EndRuns();
+  running.service.OnReport(running.agent.NextReport());
+  const auto is_stored = [&running](const std::string& wanted) {
+    return running.store.TakeSnapshot().items.contains(wanted);
+  };
+  BOOST_REQUIRE(WaitFor(
+      [&] { return is_stored(store_keys::ProgressKey(record.spec.id)); },
+      2000));
+  const store::MemoryStoreSnapshot before_removal =
+      running.store.TakeSnapshot();
+  BOOST_REQUIRE(WaitFor([&] { return !is_stored(key); }, 3000));
+
+  running.service.OnReport(running.agent.NextReport());
+  running.service.OnSubmitted(record, revision);
+  BOOST_TEST(!WaitFor([&running] { return running.agent.Runs(); }, 500));
+  // The removal had no effect, and the watch is lost.
+  running.store.Restore(before_removal);
+  running.service.OnReport(running.agent.NextReport());
+  BOOST_TEST(!WaitFor([&running] { return running.agent.Runs(); }, 1500));
+}
+
 // Callers ask for the state when the last task ends. An immediate answer of
 // "running" makes them wait a quarter of a second before they ask again.
 BOOST_AUTO_TEST_CASE(DelaysTheStateAnswerUntilTheEndIsStored) {
@@ -122,7 +171,7 @@
       core::JobId(kJob),
       [&state](std::optional<JobState> found) { state = found; });
   BOOST_TEST(!state.has_value());
-  running.agent.EndRun();
+  running.agent.EndRuns();
   running.service.OnReport(running.agent.NextReport());
   BOOST_REQUIRE(WaitFor([&state] { return state.has_value(); }, 1000));
   BOOST_TEST((*state == JobState::kCompleted));
