--- a/modules/batch/planner/candidates.cc
+++ b/modules/batch/planner/candidates.cc
@@ -32,10 +32,10 @@
 }  // namespace
 
 bool CandidateRank::operator<(const CandidateRank& other) const {
-  return std::tie(this->is_remote, this->is_avoided, this->failing_jobs,
-                  this->free_share, *this->agent) <
-         std::tie(other.is_remote, other.is_avoided, other.failing_jobs,
-                  other.free_share, *other.agent);
+  return std::tie(this->is_remote, this->is_suspended, this->is_avoided,
+                  this->failing_jobs, this->free_share, *this->agent) <
+         std::tie(other.is_remote, other.is_suspended, other.is_avoided,
+                  other.failing_jobs, other.free_share, *other.agent);
 }
 
 bool IsEligible(const AgentView& view, const PlacementRequest& request) {
@@ -47,7 +47,10 @@
                                         const PlacementRequest& request) {
   std::vector<Candidate> candidates;
   for (const auto& [agent, view] : fleet) {
-    if (!view.IsUsable(request.now) || !IsEligible(view, request)) {
+    const bool may_start =
+        view.IsUsable(request.now) &&
+        (request.use_suspended || !view.IsSuspended(request.now));
+    if (!may_start || !IsEligible(view, request)) {
       continue;
     }
     Candidate candidate{&view, view.FreeResources(request.priority), 0};
@@ -83,6 +86,7 @@
   const std::string& rack = request.step->preferred_rack;
   CandidateRank rank;
   rank.is_remote = !rack.empty() && worker.rack.Text() != rack;
+  rank.is_suspended = candidate.view->IsSuspended(request.now);
   rank.is_avoided = request.avoided_workers != nullptr &&
                     request.avoided_workers->contains(worker.identity.id);
   rank.failing_jobs = candidate.view->failing_jobs.size();
--- a/modules/batch/planner/candidates.h
+++ b/modules/batch/planner/candidates.h
@@ -19,6 +19,7 @@
 /// agent's id, so that placement is deterministic.
 struct CandidateRank {
   bool is_remote = false;
+  bool is_suspended = false;
   bool is_avoided = false;
   std::size_t failing_jobs = 0;
   double free_share = 0;
--- a/modules/batch/planner/fleet.cc
+++ b/modules/batch/planner/fleet.cc
@@ -8,7 +8,7 @@
          this->membership == Membership::kStored && this->has_reported &&
          !this->is_lost && !this->needs_probe &&
          now < this->last_contact + kReportTimeout &&
-         now >= this->suspended_until;
+         now >= this->stalled_until;
 }
 
 Resources AgentView::FreeResources(int priority) const {
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -94,10 +94,17 @@
   /// Applied ends that must not be acknowledged yet, in rising order.
   std::deque<PendingEnd> pending_ends;
   /// Jobs with failed runs on this worker since its last successful run or
-  /// suspension.
+  /// suspension, without those that led to an earlier suspension.
   std::set<core::JobId> failing_jobs;
-  /// The worker gets no starts before this time.
+  /// Jobs whose failed runs led to a suspension, since the last successful run.
+  /// Their further failures do not count: they may be the jobs' own.
+  std::set<core::JobId> counted_jobs;
+  /// After failed runs, the worker gets no starts before this time, except
+  /// those of units that the other workers could not hold even if they were
+  /// empty.
   core::TimePoint suspended_until;
+  /// All runs on the worker have stalled; it gets no starts before this time.
+  core::TimePoint stalled_until;
   /// Suspensions for failures since the last successful run; each doubles the
   /// length of the next.
   int suspensions = 0;
@@ -108,8 +115,12 @@
   bool IsDraining() const {
     return this->worker && this->worker->state == WorkerState::kDraining;
   }
-  /// Returns true if runs may be started on the worker now.
+  /// Returns true if runs may be started on the worker now, unless it is
+  /// suspended.
   bool IsUsable(core::TimePoint now) const;
+  bool IsSuspended(core::TimePoint now) const {
+    return now < this->suspended_until;
+  }
   /// Returns the highest number up to which all ends may be acknowledged, so
   /// that the worker may drop them.
   std::uint64_t HighestAcknowledgeableEnd() const;
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -243,6 +243,23 @@
   return best;
 }
 
+bool NeedsSuspendedWorkers(const Fleet& fleet,
+                           const PlacementRequest& request) {
+  const bool some_are_suspended =
+      std::any_of(fleet.begin(), fleet.end(), [&request](const auto& entry) {
+        return entry.second.IsSuspended(request.now) &&
+               IsEligible(entry.second, request);
+      });
+  if (!some_are_suspended) {
+    return false;
+  }
+  std::vector<Candidate> others = UsableCandidates(fleet, request);
+  for (Candidate& candidate : others) {
+    candidate.free = candidate.view->worker->capacity;
+  }
+  return !Place(others, request);
+}
+
 bool CouldFitLocally(const Fleet& fleet, const PlacementRequest& request) {
   std::vector<Candidate> candidates;
   for (const auto& [agent, view] : fleet) {
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -29,6 +29,9 @@
   /// Allows workers outside of the rack with the input data, and a gang spread
   /// over several racks, although the tasks then run several times slower.
   bool allow_remote = false;
+  /// Allows workers that are suspended after failed runs. They are ranked
+  /// behind others.
+  bool use_suspended = false;
   core::TimePoint now;
 };
 
@@ -69,6 +72,10 @@
     const PlacementRequest& request,
     const std::vector<Victim>& victims);
 
+/// Returns true if some worker is suspended, and the unit would not fit on
+/// those that are not, even if they were idle.
+bool NeedsSuspendedWorkers(const Fleet& fleet, const PlacementRequest& request);
+
 /// Returns true if the unit would fit without `allow_remote`, that is, at full
 /// speed, if all workers were idle.
 bool CouldFitLocally(const Fleet& fleet, const PlacementRequest& request);
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -276,7 +276,9 @@
     view.pending_ends.clear();
     view.orphan_runs.clear();
     view.failing_jobs.clear();
+    view.counted_jobs.clear();
     view.suspended_until = core::TimePoint();
+    view.stalled_until = core::TimePoint();
     view.suspensions = 0;
   }
   if (view.worker && report.worker &&
@@ -342,6 +344,7 @@
   unit->checkpoint.OnEnd(end);
   if (end.kind == RunEndKind::kDone) {
     view.failing_jobs.clear();
+    view.counted_jobs.clear();
     view.suspensions = 0;
     this->OnDone(job, *unit, now);
   } else if (end.kind == RunEndKind::kFailed) {
@@ -399,12 +402,15 @@
                           core::TimePoint now) {
   if (view.worker) {
     unit.avoided_workers.insert(view.worker->identity.id);
-    view.failing_jobs.insert(job.record.spec.id);
+    if (!view.counted_jobs.contains(job.record.spec.id)) {
+      view.failing_jobs.insert(job.record.spec.id);
+    }
     if (view.failing_jobs.size() >= kFailuresToSuspend) {
       const int doublings = std::min(view.suspensions, kMaxSuspensionDoublings);
       view.suspended_until =
           now + kBaseSuspension * (std::int64_t{1} << doublings);
       ++view.suspensions;
+      view.counted_jobs.merge(view.failing_jobs);
       view.failing_jobs.clear();
       this->LogDecision("worker_suspended", {},
                         "worker=" + view.worker->identity.id.Text());
@@ -744,6 +750,10 @@
       ++entry;
       continue;
     }
+    for (auto& [agent, view] : this->fleet) {
+      view.failing_jobs.erase(entry->first);
+      view.counted_jobs.erase(entry->first);
+    }
     expired.push_back(entry->first);
     entry = this->jobs.erase(entry);
   }
@@ -1040,7 +1050,8 @@
   if (!this->IsWithinBackfillLimit(job, unit, now)) {
     return false;
   }
-  const PlacementRequest request = this->RequestFor(job, unit, now);
+  PlacementRequest request = this->RequestFor(job, unit, now);
+  request.use_suspended = NeedsSuspendedWorkers(this->fleet, request);
   const auto placed = FindPlacement(this->fleet, request);
   if (placed) {
     this->Assign(job, unit, *placed, now);
--- a/modules/batch/planner/planner_relocation.cc
+++ b/modules/batch/planner/planner_relocation.cc
@@ -153,12 +153,11 @@
   const std::set<core::AgentId> stalled = this->StalledAgents();
   for (const core::AgentId& agent : stalled) {
     AgentView& view = this->fleet[agent];
-    if (now >= view.suspended_until) {
+    if (now >= view.stalled_until) {
       this->LogDecision("worker_suspended", {},
                         "agent=" + agent.Text() + " reason=runs-stand-still");
     }
-    view.suspended_until =
-        std::max(view.suspended_until, now + kStallSuspension);
+    view.stalled_until = std::max(view.stalled_until, now + kStallSuspension);
   }
   if (stalled.empty()) {
     return;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -544,6 +544,70 @@
   }
 }
 
+// Guards against LOST: two lasting jobs whose runs fail again and again must
+// not keep the workers of a small service suspended.
+BOOST_AUTO_TEST_CASE(JobsThatKeepFailingDoNotLeaveTheirServiceIdle) {
+  for (const std::size_t workers : {1U, 3U}) {
+    std::vector<WorkerDescription> fleet_workers;
+    for (std::size_t i = 1; i <= workers; ++i) {
+      fleet_workers.push_back(MakeWorker("w" + std::to_string(i)));
+    }
+    SimulatedFleet fleet(fleet_workers);
+    StepSpec lasting = MakeStep(1, kSmall);
+    lasting.long_running = true;
+    fleet.planner.AddJob(MakeJob("j", {lasting}), fleet.now);
+    fleet.planner.AddJob(MakeJob("k", {lasting}), fleet.now);
+    constexpr std::int64_t kStepMs = 500;
+    constexpr std::int64_t kRunMs = 1500;
+    std::map<RunKey, std::int64_t> ages;
+    std::map<core::JobId, std::int64_t> idle;
+    std::int64_t longest_idle = 0;
+    for (std::int64_t passed = 0; passed < 60'000; passed += kStepMs) {
+      fleet.Advance(kStepMs);
+      for (const char* job : {"j", "k"}) {
+        idle[core::JobId(job)] += kStepMs;
+      }
+      for (const auto& [worker, key] : fleet.Active()) {
+        idle[key.task.job] = 0;
+        ages[key] += kStepMs;
+        if (ages[key] >= kRunMs) {
+          fleet.End(worker, key, RunEndKind::kFailed);
+        }
+      }
+      for (const auto& [job, time] : idle) {
+        longest_idle = std::max(longest_idle, time);
+      }
+    }
+    BOOST_TEST_CONTEXT(workers << " workers") {
+      BOOST_TEST(longest_idle < 3000);
+    }
+  }
+}
+
+// The failures of the same jobs are not counted against a worker twice, so that
+// its suspensions do not grow longer through them.
+BOOST_AUTO_TEST_CASE(AJobSuspendsAWorkerOnlyOnce) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  fleet.DisconnectAgent("w2");
+  StepSpec lasting = MakeStep(1, kSmall);
+  lasting.long_running = true;
+  fleet.planner.AddJob(MakeJob("j", {lasting}), fleet.now);
+  fleet.planner.AddJob(MakeJob("k", {lasting}), fleet.now);
+  fleet.Settle();
+  std::size_t suspensions = 0;
+  for (int round = 0; round < 8; ++round) {
+    fleet.Advance(4000);
+    for (const auto& [worker, key] : fleet.Active()) {
+      fleet.End(worker, key, RunEndKind::kFailed);
+    }
+    fleet.Settle();
+    for (const DecisionLogEntry& entry : fleet.planner.TakeDecisionLog()) {
+      suspensions += entry.event == "worker_suspended" ? 1 : 0;
+    }
+  }
+  BOOST_TEST(suspensions == 1U);
+}
+
 // If other runs on the worker progress, a stalled run is not the worker's
 // fault.
 BOOST_AUTO_TEST_CASE(WorkerWithProgressingRunsIsNotSuspended) {
