Only its organisation reads and cancels a job

Found by reading: the key of any organisation, or a public queue without a key, was enough to read and cancel any job whose id was known. The protocol asks for a key "of the job's tenant", unless the route is public.

Change: the state of a job comes with its owner (organisation and queue), from the planner and from the store. Cancellations are checked before they are stored.

--- a/modules/batch/model/job_spec.h
+++ b/modules/batch/model/job_spec.h
@@ -102,6 +102,14 @@
   core::Duration interval;
 };
 
+/// Whose a job is. It decides who may ask for the job and cancel it.
+struct JobOwner {
+  /// Empty if the job was submitted without a key.
+  core::OrganisationId organisation;
+  /// The queue that the job was submitted to.
+  QueueName queue;
+};
+
 /// Stored record of an accepted job. It is immutable; progress is stored in
 /// ProgressRecord.
 struct JobRecord {
@@ -120,6 +128,8 @@
   core::Duration objective;
   /// Unix milliseconds.
   std::int64_t accepted_wall_ms = 0;
+
+  JobOwner Owner() const { return {this->organisation, this->queue}; }
 };
 
 /// Largest number of tasks of a job, over all steps and occurrences. The
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -781,6 +781,14 @@
   return job.started ? JobState::kRunning : JobState::kQueued;
 }
 
+std::optional<OwnedState> Planner::OwnedStateOf(const core::JobId& id) const {
+  const std::optional<JobState> state = this->StateOf(id);
+  if (!state) {
+    return std::nullopt;
+  }
+  return OwnedState{*state, this->jobs.at(id).record.Owner()};
+}
+
 bool Planner::MayEndSoon(const core::JobId& id) const {
   const auto found = this->jobs.find(id);
   if (found == this->jobs.end() || found->second.cancelled) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -67,6 +67,12 @@
 /// State of a job as shown to callers.
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
+/// The state of a job, and whose it is.
+struct OwnedState {
+  JobState state = JobState::kQueued;
+  JobOwner owner;
+};
+
 /// Makes the scheduling decisions of one term. It does no input or output and
 /// reads no clock: events come in as calls with their time, and the owner
 /// carries out what `Decide` and the `Take...` functions return. Not
@@ -136,6 +142,8 @@
 
   /// Returns the state of a job, or nullopt if the job is unknown.
   std::optional<JobState> StateOf(const core::JobId& job) const;
+  /// The same, together with the owner of the job.
+  std::optional<OwnedState> OwnedStateOf(const core::JobId& job) const;
   /// Returns true if no unit of the job waits for a start, so that the job may
   /// end at any time, or if the job has ended and its end is not stored yet.
   bool MayEndSoon(const core::JobId& job) const;
--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -11,6 +11,7 @@
 
 #include "modules/batch/process/outage_hold.h"
 #include "modules/batch/process/planner_service.h"
+#include "modules/model/model.h"
 
 namespace hemlockdoor::batch {
 
@@ -23,7 +24,12 @@
 };
 
 /// Result of a cancellation.
-enum class CancelResult { kCancelled, kNoSuchJob, kUnavailable };
+enum class CancelResult {
+  kCancelled,
+  kNoSuchJob,
+  kNotAllowed,  ///< The job belongs to others.
+  kUnavailable,
+};
 
 /// Reason why the state of a job could not be determined.
 enum class LookupError { kNoSuchJob, kUnavailable };
@@ -55,20 +61,32 @@
                     false);
   }
 
-  /// Stores the cancellation of the job; `done` gets kNoSuchJob when the job
-  /// does not exist.
-  void Cancel(const core::JobId& job, std::function<void(CancelResult)> done) {
+  using AccessCheck = std::function<bool(const JobOwner&)>;
+
+  /// Stores the cancellation of the job if `may_access` returns true for its
+  /// owner. `done` gets kNoSuchJob when the job does not exist.
+  void Cancel(const core::JobId& job,
+              AccessCheck may_access,
+              std::function<void(CancelResult)> done) {
     this->adapter.Get(
         store_keys::JobKey(job),
-        [this, job, done = std::move(done)](
+        [this, job, may_access = std::move(may_access), done = std::move(done)](
             const core::Expected<std::optional<store::KeyValue>>& item) {
           if (!item) {
             done(CancelResult::kUnavailable);
-          } else if (!*item) {
+            return;
+          }
+          if (!*item) {
             done(CancelResult::kNoSuchJob);
-          } else {
-            this->StoreCancellation(job, done);
+            return;
+          }
+          const core::Expected<JobRecord> record =
+              JobRecordFromText((*item)->value);
+          if (!record || !may_access(record->Owner())) {
+            done(CancelResult::kNotAllowed);
+            return;
           }
+          this->StoreCancellation(job, done);
         });
   }
 
@@ -76,9 +94,9 @@
   /// planner answers or the planner does not know the job.
   void FindState(
       const core::JobId& job,
-      std::function<void(tl::expected<JobState, LookupError>)> done) {
+      std::function<void(tl::expected<OwnedState, LookupError>)> done) {
     const auto answer =
-        [this, job, done = std::move(done)](std::optional<JobState> state) {
+        [this, job, done = std::move(done)](std::optional<OwnedState> state) {
           if (state) {
             done(*state);
           } else {
@@ -92,7 +110,7 @@
     this->CallRemotePlanner(
         internal_api::kState + std::string("?") + job.Text(),
         [answer](std::optional<std::string> text) {
-          answer(text ? StateFromText(*text) : std::nullopt);
+          answer(text ? OwnedStateFromText(*text) : std::nullopt);
         });
   }
 
@@ -193,6 +211,31 @@
     return store::ModRevision(std::strtoull(query.c_str(), nullptr, 10));
   }
 
+  /// Encodes and decodes the planner's answer to another entry. An entry that
+  /// cannot decode it reads the state from the store.
+  static std::string OwnedStateText(const OwnedState& state) {
+    return model::DumpJson(
+        nlohmann::json{{"state", StateText(state.state)},
+                       {"organisation", state.owner.organisation.Text()},
+                       {"queue", state.owner.queue.Text()}});
+  }
+  static std::optional<OwnedState> OwnedStateFromText(const std::string& text) {
+    const core::Expected<nlohmann::json> document = model::ParseJson(text);
+    if (!document || !document->is_object()) {
+      return std::nullopt;
+    }
+    model::JsonReader reader(*document, "$");
+    const std::optional<JobState> state =
+        StateFromText(reader.RequiredString("state"));
+    const core::OrganisationId organisation(
+        reader.RequiredString("organisation"));
+    const QueueName queue(reader.RequiredString("queue"));
+    if (!state || !reader.FinishLenient()) {
+      return std::nullopt;
+    }
+    return OwnedState{*state, {organisation, queue}};
+  }
+
   struct Submission {
     std::shared_ptr<const JobRecord> record;
     core::TimePoint deadline;
@@ -359,7 +402,7 @@
 
   void ReadState(
       const core::JobId& job,
-      const std::function<void(tl::expected<JobState, LookupError>)>& done) {
+      const std::function<void(tl::expected<OwnedState, LookupError>)>& done) {
     this->adapter.Get(
         store_keys::JobKey(job),
         [this, job,
@@ -373,28 +416,37 @@
           // effect.
           this->NotifyPlanner(SubmittedTarget((*item)->mod_revision),
                               (*item)->value);
-          this->ReadProgress(job, done);
+          const core::Expected<JobRecord> record =
+              JobRecordFromText((*item)->value);
+          if (!record) {
+            done(tl::unexpected(LookupError::kUnavailable));
+            return;
+          }
+          this->ReadProgress(job, record->Owner(), done);
         });
   }
 
   void ReadProgress(
       const core::JobId& job,
-      const std::function<void(tl::expected<JobState, LookupError>)>& done) {
+      const JobOwner& owner,
+      const std::function<void(tl::expected<OwnedState, LookupError>)>& done) {
     this->adapter.Get(
         store_keys::ProgressKey(job),
-        [done](const core::Expected<std::optional<store::KeyValue>>& item) {
+        [owner,
+         done](const core::Expected<std::optional<store::KeyValue>>& item) {
           if (!item) {
             done(tl::unexpected(LookupError::kUnavailable));
             return;
           }
           if (!*item) {
-            done(JobState::kQueued);
+            done(OwnedState{JobState::kQueued, owner});
             return;
           }
           const core::Expected<ProgressRecord> progress =
               ProgressFromText((*item)->value);
-          done(progress ? StateOfOutcome(progress->outcome)
-                        : JobState::kRunning);
+          done(OwnedState{
+              progress ? StateOfOutcome(progress->outcome) : JobState::kRunning,
+              owner});
         });
   }
 
@@ -433,11 +485,11 @@
       responder.Respond(this->NotPlanner());
       return;
     }
-    this->planning.FindState(job, [responder](std::optional<JobState> state) {
+    this->planning.FindState(job, [responder](std::optional<OwnedState> state) {
       wire::HttpResponse response;
       response.status =
           state ? wire::http_status::kOk : wire::http_status::kNotFound;
-      response.body = state ? StateText(*state) : "";
+      response.body = state ? OwnedStateText(*state) : "";
       responder.Respond(std::move(response));
     });
   }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -106,7 +106,7 @@
     return answer;
   }
 
-  using StateDone = std::function<void(std::optional<JobState>)>;
+  using StateDone = std::function<void(std::optional<OwnedState>)>;
 
   /// Looks up the state of the job. When the job may end soon, `done` is called
   /// once it has ended, or after `kStateAnswerTimeout`, so that callers who ask
@@ -115,7 +115,7 @@
   void FindState(const core::JobId& job, StateDone done) {
     Planner* active = this->Active();
     if (active == nullptr || !active->MayEndSoon(job)) {
-      done(active == nullptr ? std::nullopt : active->StateOf(job));
+      done(active == nullptr ? std::nullopt : active->OwnedStateOf(job));
       return;
     }
     this->pending_state_queries.push_back(
@@ -180,7 +180,7 @@
         this->pending_state_queries.push_back(std::move(query));
       } else {
         query.done(active == nullptr ? std::nullopt
-                                     : active->StateOf(query.job));
+                                     : active->OwnedStateOf(query.job));
       }
     }
   }
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -166,27 +166,27 @@
 // "running" makes them wait a quarter of a second before they ask again.
 BOOST_AUTO_TEST_CASE(DelaysTheStateAnswerUntilTheEndIsStored) {
   PlannerWithRunningJob running;
-  std::optional<JobState> state;
+  std::optional<OwnedState> state;
   running.service.FindState(
       core::JobId(kJob),
-      [&state](std::optional<JobState> found) { state = found; });
+      [&state](std::optional<OwnedState> found) { state = found; });
   BOOST_TEST(!state.has_value());
   running.agent.EndRuns();
   running.service.OnReport(running.agent.NextReport());
   BOOST_REQUIRE(WaitFor([&state] { return state.has_value(); }, 1000));
-  BOOST_TEST((*state == JobState::kCompleted));
+  BOOST_TEST((state->state == JobState::kCompleted));
 }
 
 // The delay of the state answer is bounded when the job does not end.
 BOOST_AUTO_TEST_CASE(AnswersForAContinuingJobAfterAShortDelay) {
   PlannerWithRunningJob running;
-  std::optional<JobState> state;
+  std::optional<OwnedState> state;
   running.service.FindState(
       core::JobId(kJob),
-      [&state](std::optional<JobState> found) { state = found; });
+      [&state](std::optional<OwnedState> found) { state = found; });
   // Callers wait three seconds for an answer; a tenth of that is acceptable.
   BOOST_REQUIRE(WaitFor([&state] { return state.has_value(); }, 300));
-  BOOST_TEST((*state == JobState::kRunning));
+  BOOST_TEST((state->state == JobState::kRunning));
 }
 
 BOOST_AUTO_TEST_CASE(AnswersPendingStateQueriesWhenPlanningStops) {
@@ -194,7 +194,7 @@
   bool answered = false;
   running.service.FindState(
       core::JobId(kJob),
-      [&answered](std::optional<JobState> /*found*/) { answered = true; });
+      [&answered](std::optional<OwnedState> /*found*/) { answered = true; });
   running.service.Resign();
   BOOST_TEST(WaitFor([&answered] { return answered; }, 300));
 }
