Exploration of event orders: batch_exploration_test

Cause: the faults of the review were found by reading; no check of ours drew the orders of events in which they show.

Change: a test program that plays scenarios with the real planners and supervisors on a virtual clock, against models of the workers (leases on slow clocks, run numbers, fences, late starts), the store (conditions, lost answers, late writes, outages) and the links (cuts that hold messages up). The rule TWICE is judged by what workers see, LOST by the jobs' end 40 s after the last fault.

Two faults of the models were found on the way: they reported no progress, so that runs counted as stalled; and an acknowledgement after the worker's lease had expired was taken for one that counts.

Not modelled yet: lists of more than 500 ends, gangs, cancellations, submissions, relays, and the bounded exhaustive mode.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -135,6 +135,22 @@
   endforeach()
 endfunction()
 
+# hemlockdoor_test_program(NAME FOLDER modules...): one test program of all
+# sources in FOLDER.
+function(hemlockdoor_test_program name folder)
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
+  set(libraries ${ARGN})
+  list(TRANSFORM libraries PREPEND hemlockdoor_)
+  add_executable(${name} ${sources})
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(${name} PRIVATE ${libraries}
+    Boost::unit_test_framework)
+  hemlockdoor_precompile(${name} json)
+  add_test(NAME ${name} COMMAND ${name})
+  hemlockdoor_known_red_filter(${name} filter)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "${filter}")
+endfunction()
+
 # hemlockdoor_measures(FOLDER): programs that print figures from running
 # processes; they use the test support but are no tests.
 function(hemlockdoor_measures folder)
--- /dev/null
+++ b/tests/exploration/batch_exploration_test.cc
@@ -0,0 +1,79 @@
+// Explores orders of events around planners and agents. Each seed gives one
+// scenario, and the same verdict every time. Environment:
+// HEMLOCKDOOR_SEED: the first seed; HEMLOCKDOOR_EXPLORATION_RUNS: how many
+// seeds are played. A failing seed is printed with a shortened scenario and
+// what happened in it.
+#define BOOST_TEST_MODULE hemlockdoor
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "tests/exploration/scenario.h"
+#include "tests/exploration/simulation.h"
+
+namespace hemlockdoor::batch::exploration {
+
+namespace {
+
+constexpr std::uint64_t kDefaultSeed = 20261205;
+constexpr std::uint64_t kDefaultRuns = 400;
+/// Failing seeds after which the exploration ends.
+constexpr int kMaxFailures = 3;
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines) {
+    text += line + "\n";
+  }
+  return text;
+}
+
+/// Plays the scenario and reports what is wrong; returns true if nothing is.
+bool Check(const Scenario& scenario) {
+  const Verdict verdict = Simulation(scenario).Play();
+  if (verdict.violations.empty()) {
+    return true;
+  }
+  const std::string rule = verdict.violations.front().substr(0, 5);
+  const Scenario shortened =
+      Shorten(scenario, [&rule](const Scenario& shorter) {
+        const Verdict again = Simulation(shorter).Play();
+        return std::any_of(again.violations.begin(), again.violations.end(),
+                           [&rule](const std::string& each) {
+                             return each.starts_with(rule);
+                           });
+      });
+  const Verdict last = Simulation(shortened).Play();
+  BOOST_ERROR("seed " << scenario.seed << "\n"
+                      << Joined(verdict.violations) << "shortened:\n"
+                      << Describe(shortened) << Joined(last.violations)
+                      << Joined(last.story));
+  return false;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(BatchExplorationTest)
+
+BOOST_AUTO_TEST_CASE(NoOrderOfEventsBreaksARule) {
+  const std::uint64_t first = FromEnvironment("HEMLOCKDOOR_SEED", kDefaultSeed);
+  const std::uint64_t runs =
+      FromEnvironment("HEMLOCKDOOR_EXPLORATION_RUNS", kDefaultRuns);
+  int failures = 0;
+  std::uint64_t played = 0;
+  for (; played < runs && failures < kMaxFailures; ++played) {
+    failures += Check(DrawScenario(first + played)) ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/scenario.h
@@ -0,0 +1,60 @@
+// What happens in one explored run: jobs and faults with their times.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "modules/core/core.h"
+
+namespace hemlockdoor::batch::exploration {
+
+enum class FaultKind {
+  kAgentCut,           ///< Messages between the agent and others are held up.
+  kAgentRestart,       ///< The agent's process ends; `length` later one starts.
+  kAgentPause,         ///< The agent's process stands still.
+  kPlannerKill,        ///< The planner ends; `length` later the next one loads.
+  kStoreLosesAnswers,  ///< Writes are carried out, and their answers are lost.
+  kStoreIsLate,        ///< Writes get no answer and are carried out later.
+  kStoreDown,          ///< The store carries out nothing.
+  kStartsLate,    ///< The worker answers no starts and carries them out later.
+  kWorkerLost,    ///< The worker is gone for good.
+  kWorkerReborn,  ///< The worker crashes; `length` later a new one announces.
+};
+
+struct Fault {
+  FaultKind kind = FaultKind::kAgentCut;
+  /// Time since the begin of the run.
+  core::Duration at;
+  core::Duration length;
+  /// Index of the agent, which is that of its worker.
+  int agent = 0;
+};
+
+struct PlannedJob {
+  core::Duration at;
+  int tasks = 1;
+  core::Duration run_time;
+};
+
+struct Scenario {
+  /// Seed of the delays of messages.
+  std::uint64_t seed = 0;
+  int agents = 2;
+  std::vector<PlannedJob> jobs;
+  std::vector<Fault> faults;
+};
+
+/// Draws a scenario. Faults after the first one tend to begin at a moment
+/// around the begin or end of an earlier one.
+Scenario DrawScenario(std::uint64_t seed);
+
+/// Returns the scenario as text, an event a line, in the order of their times.
+std::string Describe(const Scenario& scenario);
+
+/// Removes faults and jobs as long as `fails` returns true for the rest.
+Scenario Shorten(Scenario scenario,
+                 const std::function<bool(const Scenario&)>& fails);
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/simulation.cc
@@ -0,0 +1,714 @@
+#include "tests/exploration/simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch::exploration {
+
+namespace {
+
+using core::Duration;
+
+constexpr Duration kAgentTick = Duration::Milliseconds(50);
+constexpr Duration kPlannerTick = Duration::Milliseconds(20);
+constexpr Duration kWorkerTick = Duration::Milliseconds(20);
+constexpr Duration kAnnouncementPeriod = Duration::Milliseconds(1500);
+constexpr Duration kReportPeriod = Duration::Milliseconds(700);
+constexpr Duration kReportTimeout = Duration::Milliseconds(700);
+constexpr Duration kReportRetryDelay = Duration::Milliseconds(120);
+constexpr Duration kOrdersTimeout = Duration::Milliseconds(900);
+constexpr Duration kOrdersAnswerTimeout = Duration::Milliseconds(250);
+constexpr Duration kStartTimeout = Duration::Milliseconds(250);
+constexpr Duration kCallTimeout = Duration::Milliseconds(400);
+constexpr Duration kPollInterval = Duration::Milliseconds(100);
+constexpr Duration kStoreTimeout = Duration::Milliseconds(600);
+constexpr Duration kStoreRetryDelay = Duration::Milliseconds(200);
+constexpr std::size_t kProgressLimit = 15;
+/// Time after the last fault by which all jobs must have ended.
+constexpr Duration kRecovery = Duration::Seconds(40);
+/// Time for which a run goes on after the last job has ended, since starts may
+/// be carried out late.
+constexpr Duration kAfterwards = Duration::Seconds(6);
+constexpr Resources kNeed{1000, 1000, 1};
+
+Duration Milliseconds(std::int64_t count) {
+  return Duration::Milliseconds(count);
+}
+
+}  // namespace
+
+Simulation::Simulation(const Scenario& played_scenario)
+    : scenario(played_scenario),
+      engine(played_scenario.seed),
+      begin(this->queue.Now()),
+      agents(static_cast<std::size_t>(played_scenario.agents)) {}
+
+std::int64_t Simulation::Between(std::int64_t low, std::int64_t high) {
+  return std::uniform_int_distribution<std::int64_t>(low, high)(this->engine);
+}
+
+Verdict Simulation::Play() {
+  for (int agent = 0; agent < this->scenario.agents; ++agent) {
+    Agent& each = this->agents[static_cast<std::size_t>(agent)];
+    each.id = core::AgentId("agent-" + std::to_string(agent));
+    this->StartWorker(agent);
+    this->StartAgentProcess(agent);
+  }
+  this->LoadPlanner();
+  Duration last;
+  for (std::size_t i = 0; i < this->scenario.jobs.size(); ++i) {
+    last = std::max(last, this->scenario.jobs[i].at);
+    this->queue.After(this->scenario.jobs[i].at,
+                      [this, i] { this->SubmitJob(i); });
+  }
+  for (const Fault& fault : this->scenario.faults) {
+    last = std::max(last, fault.at + fault.length);
+    this->queue.After(fault.at, [this, fault] { this->Strike(fault); });
+  }
+  const core::TimePoint latest = this->begin + last + kRecovery;
+  this->queue.RunUntil(this->begin + last);
+  while (!this->AllJobsCompleted() && this->Now() < latest) {
+    this->queue.RunUntil(this->Now() + Duration::Seconds(1));
+  }
+  Verdict verdict;
+  if (!this->AllJobsCompleted()) {
+    verdict.violations.emplace_back("LOST: a job has not ended in time");
+  }
+  this->queue.RunUntil(this->Now() + kAfterwards);
+  verdict.violations.insert(verdict.violations.end(),
+                            this->witness.Violations().begin(),
+                            this->witness.Violations().end());
+  verdict.story = this->witness.Story();
+  return verdict;
+}
+
+void Simulation::SendAcross(int agent, std::function<void()> deliver) {
+  this->queue.After(
+      this->MessageDelay(), [this, agent, deliver = std::move(deliver)] {
+        const core::TimePoint cut_until =
+            this->agents[static_cast<std::size_t>(agent)].cut_until;
+        if (this->Now() >= cut_until) {
+          deliver();
+          return;
+        }
+        // Sent again by the sender's machine, at growing intervals.
+        constexpr std::int64_t kLongestResendMs = 900;
+        const Duration held = cut_until - this->Now() +
+                              Milliseconds(Between(1, kLongestResendMs));
+        this->queue.After(held, deliver);
+      });
+}
+
+void Simulation::InProcess(int agent,
+                           std::uint64_t process,
+                           std::function<void()> event) {
+  const Agent& each = this->agents[static_cast<std::size_t>(agent)];
+  if (each.process != process || !each.supervisor) {
+    return;
+  }
+  if (this->Now() < each.paused_until) {
+    this->queue.After(each.paused_until - this->Now(),
+                      [this, agent, process, event = std::move(event)] {
+                        this->InProcess(agent, process, event);
+                      });
+    return;
+  }
+  event();
+}
+
+void Simulation::Strike(const Fault& fault) {
+  Agent& agent = this->agents[static_cast<std::size_t>(fault.agent)];
+  const core::TimePoint end = this->Now() + fault.length;
+  const int index = fault.agent;
+  switch (fault.kind) {
+    case FaultKind::kAgentCut:
+      this->Note(agent.id.Text() + " is cut off");
+      agent.cut_until = std::max(agent.cut_until, end);
+      break;
+    case FaultKind::kAgentRestart:
+      this->Note(agent.id.Text() + " ends");
+      ++agent.process;
+      agent.supervisor.reset();
+      this->queue.After(fault.length, [this, index, process = agent.process] {
+        if (this->agents[static_cast<std::size_t>(index)].process == process) {
+          this->StartAgentProcess(index);
+        }
+      });
+      break;
+    case FaultKind::kAgentPause:
+      this->Note(agent.id.Text() + " is paused");
+      agent.paused_until = std::max(agent.paused_until, end);
+      break;
+    case FaultKind::kPlannerKill:
+      this->KillPlanner(fault.length);
+      break;
+    case FaultKind::kStoreLosesAnswers:
+      this->answers_lost_until = end;
+      break;
+    case FaultKind::kStoreIsLate:
+      this->writes_late_until = end;
+      break;
+    case FaultKind::kStoreDown:
+      this->store_down_until = end;
+      break;
+    case FaultKind::kStartsLate:
+      agent.starts_late_until = end;
+      break;
+    case FaultKind::kWorkerLost:
+    case FaultKind::kWorkerReborn: {
+      const auto alive = std::count_if(
+          this->agents.begin(), this->agents.end(),
+          [](const Agent& each) { return each.worker != nullptr; });
+      const bool for_good = fault.kind == FaultKind::kWorkerLost;
+      if (!agent.worker || (for_good && alive == 1)) {
+        break;
+      }
+      this->Note("the worker of " + agent.id.Text() + " is gone");
+      agent.worker->Crash();
+      agent.worker.reset();
+      agent.is_dark = Between(0, 1) == 0;
+      if (!for_good) {
+        this->queue.After(fault.length,
+                          [this, index] { this->StartWorker(index); });
+      }
+      break;
+    }
+  }
+}
+
+void Simulation::StartAgentProcess(int index) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  ++agent.process;
+  this->Note(agent.id.Text() + " starts");
+  agent.supervisor = std::make_unique<WorkerSupervisor>(
+      agent.id, "127.0.0.1:" + std::to_string(index + 1),
+      core::Incarnation(agent.process), this->Now());
+  agent.report_in_flight = false;
+  agent.poll_in_flight = false;
+  agent.next_report = this->Now();
+  agent.last_report = core::TimePoint();
+  agent.next_poll = this->Now();
+  this->TickAgent(index, agent.process);
+}
+
+void Simulation::StartWorker(int index) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  constexpr std::int64_t kLargestDriftPerMille = 20;
+  const std::int64_t drift = Between(0, kLargestDriftPerMille);
+  agent.worker = std::make_unique<WorkerModel>(
+      WorkerIdentity{WorkerId("worker-" + std::to_string(index)),
+                     this->Now().InMilliseconds()},
+      drift, this->Now(), this->witness);
+  this->TickWorker(index);
+  this->Announce(index);
+}
+
+void Simulation::SubmitJob(std::size_t index) {
+  const PlannedJob& job = this->scenario.jobs[index];
+  JobRecord record = testing::MakeJob("j" + std::to_string(index),
+                                      {testing::MakeStep(job.tasks, kNeed)});
+  record.spec.payload = std::to_string(job.run_time.InMilliseconds());
+  record.accepted_wall_ms = this->Now().InMilliseconds();
+  this->store.jobs.push_back(record);
+  if (this->planner) {
+    this->planner->AddJob(std::move(record), this->Now());
+  }
+}
+
+void Simulation::KillPlanner(Duration gap) {
+  if (!this->planner) {
+    return;
+  }
+  this->Note("the planner ends");
+  this->planner.reset();
+  ++this->term;
+  this->queue.After(gap, [this] { this->LoadPlanner(); });
+}
+
+void Simulation::LoadPlanner() {
+  if (this->Now() < this->store_down_until) {
+    this->queue.After(kStoreRetryDelay, [this] { this->LoadPlanner(); });
+    return;
+  }
+  ++this->term;
+  this->store.owner = this->store.owner.Next();
+  ++this->store.revision;
+  this->Note("a planner begins, epoch " +
+             std::to_string(this->store.owner.Number()));
+  this->planner = std::make_unique<Planner>(PlannerOptions());
+  this->planner->BeginTerm(this->store.owner, this->store.list.members,
+                           this->Now());
+  this->list_revision = this->store.list.revision;
+  this->progress_revisions.clear();
+  for (const auto& [id, stored] : this->store.progress) {
+    this->progress_revisions[id] = stored.second;
+  }
+  for (const JobRecord& record : this->store.jobs) {
+    const auto found = this->store.progress.find(record.spec.id);
+    this->planner->LoadJob(
+        record,
+        found == this->store.progress.end() ? nullptr : &found->second.first,
+        false, this->Now(), this->Now().InMilliseconds());
+  }
+  this->members_in_flight = false;
+  this->progress_in_flight = false;
+  this->TickPlanner(this->term);
+}
+
+void Simulation::TickAgent(int index, std::uint64_t process) {
+  this->InProcess(index, process, [this, index, process] {
+    Agent& agent = this->agents[static_cast<std::size_t>(index)];
+    agent.supervisor->OnTick(this->Now());
+    for (const StopCall& stop : agent.supervisor->DueStops(this->Now())) {
+      this->SendStop(index, stop);
+    }
+    const bool poll_due = agent.supervisor->Worker() && !agent.poll_in_flight &&
+                          this->Now() >= agent.next_poll;
+    if (poll_due) {
+      this->Poll(index);
+    }
+    const bool report_due = this->Now() >= agent.last_report + kReportPeriod ||
+                            agent.supervisor->HasUnreportedChange();
+    if (report_due) {
+      this->Report(index);
+    }
+    this->queue.After(kAgentTick, [this, index, process] {
+      this->TickAgent(index, process);
+    });
+  });
+}
+
+void Simulation::TickWorker(int index) {
+  WorkerModel* worker =
+      this->agents[static_cast<std::size_t>(index)].worker.get();
+  if (worker == nullptr) {
+    return;
+  }
+  worker->Advance(this->Now());
+  this->queue.After(kWorkerTick, [this, index, worker] {
+    if (this->agents[static_cast<std::size_t>(index)].worker.get() == worker) {
+      this->TickWorker(index);
+    }
+  });
+}
+
+void Simulation::Announce(int index) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  WorkerModel* worker = agent.worker.get();
+  if (worker == nullptr) {
+    return;
+  }
+  const std::uint64_t number = ++agent.announcements;
+  const std::int64_t clock = worker->ClockAt(this->Now());
+  this->queue.After(this->MessageDelay(), [this, index, process = agent.process,
+                                           number, clock,
+                                           description = worker->Describe()] {
+    this->InProcess(index, process, [this, index, number, clock, description] {
+      this->agents[static_cast<std::size_t>(index)].supervisor->OnAnnouncement(
+          description, number, clock, this->Now());
+    });
+  });
+  this->queue.After(kAnnouncementPeriod, [this, index, worker] {
+    if (this->agents[static_cast<std::size_t>(index)].worker.get() == worker) {
+      this->Announce(index);
+    }
+  });
+}
+
+void Simulation::TickPlanner(std::uint64_t own_term) {
+  if (own_term != this->term || !this->planner) {
+    return;
+  }
+  for (const AgentOrders& orders :
+       this->planner->Decide(this->Now(), this->Now().InMilliseconds())) {
+    this->SendOrders(orders, own_term);
+  }
+  for (const DecisionLogEntry& entry : this->planner->TakeDecisionLog()) {
+    this->Note(entry.event + " " + entry.detail);
+  }
+  this->StoreMembers(own_term);
+  this->StoreProgress(own_term);
+  this->queue.After(kPlannerTick,
+                    [this, own_term] { this->TickPlanner(own_term); });
+}
+
+void Simulation::Report(int index) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  if (agent.report_in_flight || this->Now() < agent.next_report) {
+    return;
+  }
+  agent.report_in_flight = true;
+  agent.last_report = this->Now();
+  const std::uint64_t process = agent.process;
+  const core::TimePoint sent = this->Now();
+  const auto is_answered = std::make_shared<bool>(false);
+  this->queue.After(kReportTimeout, [this, index, process, is_answered] {
+    this->InProcess(index, process, [this, index, is_answered] {
+      if (!*is_answered) {
+        *is_answered = true;
+        Agent& each = this->agents[static_cast<std::size_t>(index)];
+        each.report_in_flight = false;
+        each.next_report = this->Now() + kReportRetryDelay;
+        each.last_report = core::TimePoint();
+      }
+    });
+  });
+  this->SendAcross(index, [this, index, process, sent, is_answered,
+                           own_term = this->term,
+                           report = agent.supervisor->MakeReport(sent)] {
+    if (!this->planner || own_term != this->term) {
+      return;
+    }
+    const ReportAnswer answer = this->planner->OnReport(report, this->Now());
+    this->SendAcross(index, [this, index, process, sent, is_answered, answer] {
+      this->InProcess(index, process, [this, index, sent, is_answered, answer] {
+        if (*is_answered) {
+          return;
+        }
+        *is_answered = true;
+        Agent& each = this->agents[static_cast<std::size_t>(index)];
+        each.report_in_flight = false;
+        each.supervisor->OnReportAnswer(answer, sent, this->Now());
+      });
+    });
+  });
+}
+
+void Simulation::SendOrders(const AgentOrders& orders, std::uint64_t own_term) {
+  const int index = this->IndexOf(orders.agent);
+  const std::uint64_t number = orders.batch.number;
+  const auto is_answered = std::make_shared<bool>(false);
+  const auto answer = [this, own_term, id = orders.agent, number,
+                       is_answered](const std::optional<AgentReport>& report) {
+    if (*is_answered || own_term != this->term) {
+      return;
+    }
+    *is_answered = true;
+    if (!report) {
+      this->planner->OnOrdersUnanswered(id, number, this->Now());
+      return;
+    }
+    this->planner->OnOrdersAnswered(id, number);
+    this->planner->OnReport(*report, this->Now());
+  };
+  this->queue.After(kOrdersTimeout, [answer] { answer(std::nullopt); });
+  this->SendAcross(index, [this, index, batch = orders.batch, answer] {
+    const Agent& agent = this->agents[static_cast<std::size_t>(index)];
+    if (!agent.supervisor) {
+      answer(std::nullopt);
+      return;
+    }
+    this->InProcess(index, agent.process, [this, index, batch, answer] {
+      this->TakeOrders(
+          index, batch,
+          [this, index, answer](const std::optional<AgentReport>& report) {
+            this->SendAcross(index, [answer, report] { answer(report); });
+          });
+    });
+  });
+}
+
+void Simulation::TakeOrders(int index,
+                            const OrderBatch& batch,
+                            const Reply& reply) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  const core::Expected<BatchCalls> calls =
+      agent.supervisor->OnOrders(batch, this->Now());
+  if (!calls) {
+    this->Note(agent.id.Text() + " refuses batch " +
+               std::to_string(batch.number));
+    reply(std::nullopt);
+    return;
+  }
+  this->SendCalls(index, *calls);
+  this->AnswerOrders(index, agent.process, this->Now() + kOrdersAnswerTimeout,
+                     reply);
+}
+
+void Simulation::AnswerOrders(int index,
+                              std::uint64_t process,
+                              core::TimePoint deadline,
+                              const Reply& reply) {
+  this->InProcess(index, process, [this, index, process, deadline, reply] {
+    WorkerSupervisor& supervisor =
+        *this->agents[static_cast<std::size_t>(index)].supervisor;
+    if (!supervisor.HasPendingStarts() || this->Now() >= deadline) {
+      reply(supervisor.MakeReport(this->Now()));
+      return;
+    }
+    constexpr std::int64_t kCheckMs = 10;
+    this->queue.After(Milliseconds(kCheckMs),
+                      [this, index, process, deadline, reply] {
+                        this->AnswerOrders(index, process, deadline, reply);
+                      });
+  });
+}
+
+void Simulation::SendCalls(int index, const BatchCalls& calls) {
+  for (const StopCall& stop : calls.stops) {
+    this->SendStop(index, stop);
+  }
+  for (const StartCall& start : calls.starts) {
+    this->SendStart(index, start);
+  }
+}
+
+void Simulation::SendStart(int index, const StartCall& call) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  const auto is_answered = std::make_shared<bool>(false);
+  const auto answer = [this, index, process = agent.process,
+                       key = call.order.key,
+                       is_answered](const StartReply& reply) {
+    this->InProcess(index, process, [this, index, key, is_answered, reply] {
+      if (*is_answered) {
+        return;
+      }
+      *is_answered = true;
+      WorkerSupervisor& supervisor =
+          *this->agents[static_cast<std::size_t>(index)].supervisor;
+      supervisor.OnStartAnswer(key, reply.result, reply.reason, reply.clock_ms,
+                               this->Now());
+      for (const StartCall& again : supervisor.DueStarts(this->Now())) {
+        this->SendStart(index, again);
+      }
+    });
+  };
+  this->queue.After(kStartTimeout, [answer] {
+    answer({StartResult::kUnknown, RejectReason::kInvalid, 0});
+  });
+  const bool is_late = this->Now() < agent.starts_late_until;
+  constexpr std::int64_t kEarliestLateMs = 100;
+  constexpr std::int64_t kLatestLateMs = 4000;
+  const Duration delay =
+      is_late ? Milliseconds(Between(kEarliestLateMs, kLatestLateMs))
+              : this->MessageDelay();
+  this->queue.After(delay, [this, index, call, is_late, answer] {
+    const Agent& each = this->agents[static_cast<std::size_t>(index)];
+    const StartReply refused{StartResult::kRejected, RejectReason::kNoWorker,
+                             0};
+    if (!each.worker) {
+      if (!each.is_dark && !is_late) {
+        answer(refused);
+      }
+      return;
+    }
+    if (each.worker->Identity() != call.worker) {
+      if (!is_late) {
+        answer(refused);
+      }
+      return;
+    }
+    const StartReply reply = each.worker->Start(call, this->Now());
+    if (!is_late) {
+      this->queue.After(this->MessageDelay(),
+                        [answer, reply] { answer(reply); });
+    }
+  });
+}
+
+void Simulation::SendStop(int index, const StopCall& call) {
+  const std::uint64_t process =
+      this->agents[static_cast<std::size_t>(index)].process;
+  const auto is_answered = std::make_shared<bool>(false);
+  const auto answer = [this, index, process, key = call.key,
+                       is_answered](std::optional<std::int64_t> clock) {
+    this->InProcess(index, process, [this, index, key, is_answered, clock] {
+      if (!*is_answered) {
+        *is_answered = true;
+        this->agents[static_cast<std::size_t>(index)].supervisor->OnStopAnswer(
+            key, clock.has_value(), clock.value_or(0), this->Now());
+      }
+    });
+  };
+  this->queue.After(kCallTimeout, [answer] { answer(std::nullopt); });
+  this->queue.After(this->MessageDelay(), [this, index, call, answer] {
+    const Agent& each = this->agents[static_cast<std::size_t>(index)];
+    if (!each.worker || each.worker->Identity() != call.worker) {
+      return;
+    }
+    const std::int64_t clock = each.worker->Stop(call, this->Now());
+    this->queue.After(this->MessageDelay(), [answer, clock] { answer(clock); });
+  });
+}
+
+void Simulation::Poll(int index) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  WorkerSupervisor& supervisor = *agent.supervisor;
+  agent.poll_in_flight = true;
+  const std::uint64_t process = agent.process;
+  const auto is_answered = std::make_shared<bool>(false);
+  const auto answer = [this, index, process, is_answered](
+                          const core::Expected<WorkerListing>& listing) {
+    this->InProcess(index, process, [this, index, is_answered, listing] {
+      if (*is_answered) {
+        return;
+      }
+      *is_answered = true;
+      Agent& each = this->agents[static_cast<std::size_t>(index)];
+      each.poll_in_flight = false;
+      each.next_poll = this->Now() + kPollInterval;
+      if (listing) {
+        each.supervisor->OnListing(*listing, this->Now());
+      } else if (listing.error().code != core::ErrorCode::kStale) {
+        each.supervisor->OnPollFailed(this->Now());
+      }
+    });
+  };
+  const core::Error no_answer{core::ErrorCode::kTimeout, "no answer", {}};
+  this->queue.After(kCallTimeout,
+                    [answer, no_answer] { answer(tl::unexpected(no_answer)); });
+  this->queue.After(
+      this->MessageDelay(),
+      [this, index, answer, no_answer, epoch = supervisor.Epoch(),
+       expected = supervisor.Worker()->identity,
+       acknowledged = supervisor.Acknowledged(),
+       deadline = supervisor.BeginPoll(this->Now())] {
+        const Agent& each = this->agents[static_cast<std::size_t>(index)];
+        if (!each.worker || each.worker->Identity() != expected) {
+          if (!each.is_dark) {
+            answer(tl::unexpected(no_answer));
+          }
+          return;
+        }
+        const core::Expected<WorkerListing> listing =
+            each.worker->Hold(epoch, acknowledged, deadline, this->Now());
+        this->queue.After(this->MessageDelay(),
+                          [answer, listing] { answer(listing); });
+      });
+}
+
+void Simulation::Commit(core::SchedulingEpoch owner,
+                        std::function<bool()> apply,
+                        CommitDone done) {
+  if (this->Now() < this->store_down_until) {
+    this->queue.After(kStoreTimeout, [done] { done(std::nullopt); });
+    return;
+  }
+  const bool is_late = this->Now() < this->writes_late_until;
+  const bool is_lost = is_late || this->Now() < this->answers_lost_until;
+  constexpr std::int64_t kEarliestLateMs = 300;
+  constexpr std::int64_t kLatestLateMs = 3000;
+  const Duration delay =
+      is_late ? Milliseconds(Between(kEarliestLateMs, kLatestLateMs))
+              : this->MessageDelay();
+  this->queue.After(
+      delay, [this, owner, apply = std::move(apply), is_lost, done] {
+        const bool applied = owner == this->store.owner && apply();
+        if (!is_lost) {
+          const std::uint64_t revision = applied ? this->store.revision : 0;
+          this->queue.After(this->MessageDelay(),
+                            [done, revision] { done(revision); });
+        }
+      });
+  if (is_lost) {
+    this->queue.After(kStoreTimeout, [done] { done(std::nullopt); });
+  }
+}
+
+void Simulation::StoreMembers(std::uint64_t own_term) {
+  if (this->members_in_flight || this->Now() < this->members_retry_at) {
+    return;
+  }
+  const auto members = this->planner->TakeMembersWrite();
+  if (!members) {
+    return;
+  }
+  this->members_in_flight = true;
+  this->Commit(
+      this->planner->Epoch(),
+      [this, members = *members, expected = this->list_revision] {
+        if (this->store.list.revision != expected) {
+          return false;
+        }
+        this->store.list = {members, ++this->store.revision};
+        return true;
+      },
+      [this, own_term,
+       members = *members](std::optional<std::uint64_t> revision) {
+        if (own_term != this->term || !this->planner) {
+          return;
+        }
+        this->members_in_flight = false;
+        if (revision.value_or(0) > 0) {
+          this->list_revision = *revision;
+          this->planner->OnMembersRecorded(members);
+          return;
+        }
+        this->members_retry_at = this->Now() + kStoreRetryDelay;
+        this->list_revision = this->store.list.revision;
+      });
+}
+
+void Simulation::StoreProgress(std::uint64_t own_term) {
+  if (this->progress_in_flight || this->Now() < this->progress_retry_at) {
+    return;
+  }
+  std::vector<ProgressWrite> writes = this->planner->TakeProgressWrites(
+      this->Now(), this->Now().InMilliseconds(), kProgressLimit);
+  if (writes.empty()) {
+    return;
+  }
+  this->progress_in_flight = true;
+  std::map<core::JobId, std::uint64_t> expected;
+  for (const ProgressWrite& write : writes) {
+    expected[write.record.job] = this->progress_revisions[write.record.job];
+  }
+  this->Commit(
+      this->planner->Epoch(),
+      [this, writes, expected] {
+        const bool holds = std::all_of(
+            expected.begin(), expected.end(), [this](const auto& each) {
+              const auto found = this->store.progress.find(each.first);
+              const std::uint64_t stored = found == this->store.progress.end()
+                                               ? 0
+                                               : found->second.second;
+              return stored == each.second;
+            });
+        if (!holds) {
+          return false;
+        }
+        ++this->store.revision;
+        for (const ProgressWrite& write : writes) {
+          this->store.progress[write.record.job] = {write.record,
+                                                    this->store.revision};
+        }
+        return true;
+      },
+      [this, own_term, writes](std::optional<std::uint64_t> revision) {
+        if (own_term != this->term || !this->planner) {
+          return;
+        }
+        this->progress_in_flight = false;
+        if (revision.value_or(0) == 0) {
+          this->progress_retry_at = this->Now() + kStoreRetryDelay;
+          for (const auto& [id, stored] : this->store.progress) {
+            this->progress_revisions[id] = stored.second;
+          }
+          return;
+        }
+        for (const ProgressWrite& write : writes) {
+          this->progress_revisions[write.record.job] = *revision;
+          this->planner->OnProgressRecorded(write.record.job, write.version);
+        }
+      });
+}
+
+bool Simulation::AllJobsCompleted() const {
+  return this->planner != nullptr &&
+         std::all_of(this->store.jobs.begin(), this->store.jobs.end(),
+                     [this](const JobRecord& record) {
+                       return this->planner->StateOf(record.spec.id) ==
+                              JobState::kCompleted;
+                     });
+}
+
+int Simulation::IndexOf(const core::AgentId& id) const {
+  const auto found =
+      std::find_if(this->agents.begin(), this->agents.end(),
+                   [&id](const Agent& agent) { return agent.id == id; });
+  return static_cast<int>(found - this->agents.begin());
+}
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/simulation.h
@@ -0,0 +1,139 @@
+// Planners, agents, workers and the store of one explored run, in one process.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "modules/batch/batch.h"
+#include "tests/exploration/event_queue.h"
+#include "tests/exploration/scenario.h"
+#include "tests/exploration/witness.h"
+#include "tests/exploration/worker_model.h"
+
+namespace hemlockdoor::batch::exploration {
+
+/// What came of an explored run.
+struct Verdict {
+  std::vector<std::string> violations;
+  /// What workers and processes did, a line each.
+  std::vector<std::string> story;
+};
+
+/// Plays a scenario with real planners and supervisors on a virtual clock. The
+/// code around them follows `PlannerService` and `AgentService`.
+class Simulation {
+ public:
+  explicit Simulation(const Scenario& played_scenario);
+
+  /// Plays the scenario to its end. Call once.
+  Verdict Play();
+
+ private:
+  struct StoredList {
+    std::vector<MemberRecord> members;
+    std::uint64_t revision = 1;
+  };
+  struct Store {
+    core::SchedulingEpoch owner;
+    std::uint64_t revision = 1;
+    StoredList list;
+    std::map<core::JobId, std::pair<ProgressRecord, std::uint64_t>> progress;
+    std::vector<JobRecord> jobs;
+  };
+  /// A process of an agent, with its worker. `process` tells callbacks of an
+  /// ended process from those of the present one.
+  struct Agent {
+    core::AgentId id;
+    std::uint64_t process = 0;
+    std::unique_ptr<WorkerSupervisor> supervisor;
+    core::TimePoint paused_until;
+    core::TimePoint cut_until;
+    bool report_in_flight = false;
+    core::TimePoint next_report;
+    core::TimePoint last_report;
+    bool poll_in_flight = false;
+    core::TimePoint next_poll;
+    /// Empty once the worker is lost for good.
+    std::unique_ptr<WorkerModel> worker;
+    std::uint64_t announcements = 0;
+    core::TimePoint starts_late_until;
+    /// Calls to a worker that is gone get no answer, rather than an error.
+    bool is_dark = false;
+  };
+  using Reply = std::function<void(const std::optional<AgentReport>&)>;
+  using CommitDone = std::function<void(std::optional<std::uint64_t>)>;
+
+  core::TimePoint Now() const { return this->queue.Now(); }
+  std::int64_t Between(std::int64_t low, std::int64_t high);
+  core::Duration MessageDelay() {
+    return core::Duration::Milliseconds(Between(1, 8));
+  }
+  void Note(const std::string& line) { this->witness.Note(this->Now(), line); }
+
+  /// Delivers a message between an agent and another machine; a cut holds it
+  /// up.
+  void SendAcross(int agent, std::function<void()> deliver);
+  /// Runs `event` in the agent's process, if that is still `process`; a pause
+  /// defers it.
+  void InProcess(int agent, std::uint64_t process, std::function<void()> event);
+
+  void Strike(const Fault& fault);
+  void StartAgentProcess(int agent);
+  void StartWorker(int agent);
+  void SubmitJob(std::size_t index);
+  void KillPlanner(core::Duration gap);
+  void LoadPlanner();
+
+  void TickAgent(int agent, std::uint64_t process);
+  void TickWorker(int agent);
+  void Announce(int agent);
+  void TickPlanner(std::uint64_t term);
+  void Report(int agent);
+  void SendOrders(const AgentOrders& orders, std::uint64_t term);
+  void TakeOrders(int agent, const OrderBatch& batch, const Reply& reply);
+  void AnswerOrders(int agent,
+                    std::uint64_t process,
+                    core::TimePoint deadline,
+                    const Reply& reply);
+  void SendCalls(int agent, const BatchCalls& calls);
+  void SendStart(int agent, const StartCall& call);
+  void SendStop(int agent, const StopCall& call);
+  void Poll(int agent);
+  void StoreMembers(std::uint64_t term);
+  void StoreProgress(std::uint64_t term);
+  /// Carries out a write that depends on the planner's ownership, or loses the
+  /// write or its answer. `apply` returns false if another condition fails.
+  void Commit(core::SchedulingEpoch owner,
+              std::function<bool()> apply,
+              CommitDone done);
+  bool AllJobsCompleted() const;
+  int IndexOf(const core::AgentId& id) const;
+
+  Scenario scenario;
+  std::mt19937_64 engine;
+  EventQueue queue;
+  core::TimePoint begin;
+  Witness witness;
+  Store store;
+  core::TimePoint answers_lost_until;
+  core::TimePoint writes_late_until;
+  core::TimePoint store_down_until;
+  std::vector<Agent> agents;
+  std::unique_ptr<Planner> planner;
+  /// Changes with each begin and end of a planner.
+  std::uint64_t term = 0;
+  std::uint64_t list_revision = 0;
+  std::map<core::JobId, std::uint64_t> progress_revisions;
+  bool members_in_flight = false;
+  core::TimePoint members_retry_at;
+  bool progress_in_flight = false;
+  core::TimePoint progress_retry_at;
+};
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/witness.h
@@ -0,0 +1,51 @@
+// What callers, workers and the store see of one explored run.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "modules/batch/batch.h"
+#include "modules/core/core.h"
+
+namespace hemlockdoor::batch::exploration {
+
+/// Judges runs by the rule TWICE: no two runs of a task at the same time on
+/// workers that are up, and no start after an end `done` that was or is
+/// acknowledged.
+class Witness {
+ public:
+  void OnStart(const RunKey& key,
+               const WorkerIdentity& worker,
+               core::TimePoint now);
+  /// The run is over, for whatever reason.
+  void OnOver(const RunKey& key, const WorkerIdentity& worker);
+  void OnDone(const RunKey& key, core::TimePoint now);
+  /// The system has acknowledged the end `done` of the run, and the lease has
+  /// not expired in between.
+  void OnDoneAcknowledged(const RunKey& key);
+  void Note(core::TimePoint now, const std::string& line);
+
+  const std::vector<std::string>& Violations() const {
+    return this->violations;
+  }
+  const std::vector<std::string>& Story() const { return this->story; }
+
+ private:
+  struct TaskHistory {
+    std::set<std::pair<std::int64_t, WorkerIdentity>> active;
+    std::vector<core::TimePoint> starts;
+    std::map<std::int64_t, core::TimePoint> done;
+    /// The earliest acknowledged end.
+    std::optional<core::TimePoint> finished;
+  };
+
+  void CheckFinished(const TaskName& task, const TaskHistory& history);
+
+  std::map<TaskName, TaskHistory> tasks;
+  std::vector<std::string> violations;
+  std::vector<std::string> story;
+};
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/worker_model.cc
@@ -0,0 +1,173 @@
+#include "tests/exploration/worker_model.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "modules/batch/testing/fixtures.h"
+
+namespace hemlockdoor::batch::exploration {
+
+namespace {
+
+constexpr std::int64_t kPerMille = 1000;
+constexpr std::int64_t kPercent = 100;
+/// Number of tasks that fit.
+constexpr std::size_t kRoom = 8;
+/// Time that a stop takes.
+constexpr std::int64_t kStopMs = 100;
+
+}  // namespace
+
+WorkerModel::WorkerModel(WorkerIdentity own_identity,
+                         std::int64_t clock_drift_per_mille,
+                         core::TimePoint now,
+                         Witness& run_witness)
+    : identity(std::move(own_identity)),
+      drift_per_mille(clock_drift_per_mille),
+      born(now),
+      witness(run_witness) {}
+
+WorkerDescription WorkerModel::Describe() const {
+  WorkerDescription description = testing::MakeWorker(this->identity.id.Text());
+  description.identity = this->identity;
+  return description;
+}
+
+std::int64_t WorkerModel::ClockAt(core::TimePoint now) const {
+  return (now - this->born).InMilliseconds() *
+         (kPerMille - this->drift_per_mille) / kPerMille;
+}
+
+StartReply WorkerModel::Start(const StartCall& call, core::TimePoint now) {
+  const std::int64_t clock = this->ClockAt(now);
+  const auto rejected = [clock](RejectReason reason) {
+    return StartReply{StartResult::kRejected, reason, clock};
+  };
+  const RunKey& key = call.order.key;
+  if (call.epoch < this->fence) {
+    return rejected(RejectReason::kStaleEpoch);
+  }
+  this->fence = call.epoch;
+  if (call.deadline_ms <= clock) {
+    return rejected(RejectReason::kDeadlinePassed);
+  }
+  this->ExtendLease(call.deadline_ms, clock);
+  if (this->active.contains(key)) {
+    return {StartResult::kStarted, RejectReason::kInvalid, clock};
+  }
+  const auto over = this->highest_over.find(key.task);
+  if (over != this->highest_over.end() && key.run <= over->second) {
+    return rejected(RejectReason::kStaleRun);
+  }
+  if (this->active.size() >= kRoom) {
+    return rejected(RejectReason::kNoCapacity);
+  }
+  const std::int64_t run_ms = std::stoll(call.order.payload);
+  this->active[key] = {clock, run_ms, clock + run_ms};
+  this->witness.OnStart(key, this->identity, now);
+  return {StartResult::kStarted, RejectReason::kInvalid, clock};
+}
+
+std::int64_t WorkerModel::Stop(const StopCall& call, core::TimePoint now) {
+  const std::int64_t clock = this->ClockAt(now);
+  if (call.epoch < this->fence) {
+    return clock;
+  }
+  this->fence = call.epoch;
+  std::int64_t& highest = this->highest_over[call.key.task];
+  highest = std::max(highest, call.key.run);
+  const auto found = this->active.find(call.key);
+  if (found != this->active.end() && !found->second.is_stopping) {
+    found->second.is_stopping = true;
+    found->second.finishes_ms = clock + kStopMs;
+  }
+  return clock;
+}
+
+core::Expected<WorkerListing> WorkerModel::Hold(
+    core::SchedulingEpoch epoch,
+    std::uint64_t acknowledged,
+    std::optional<std::int64_t> deadline_ms,
+    core::TimePoint now) {
+  if (epoch < this->fence) {
+    return core::MakeError(core::ErrorCode::kStale, "newer epoch");
+  }
+  this->fence = epoch;
+  const std::int64_t clock = this->ClockAt(now);
+  if (deadline_ms) {
+    this->ExtendLease(*deadline_ms, clock);
+  }
+  while (!this->ends.empty() && this->ends.begin()->first <= acknowledged) {
+    const RunEnd& end = this->ends.begin()->second;
+    const bool counts = end.number > this->last_end_before_expiry;
+    if (end.kind == RunEndKind::kDone && counts) {
+      this->witness.OnDoneAcknowledged(end.key);
+    }
+    this->ends.erase(this->ends.begin());
+  }
+  WorkerListing listing;
+  listing.worker_clock_ms = clock;
+  listing.born_wall_ms = this->identity.born_wall_ms;
+  listing.epoch = epoch;
+  for (const auto& [key, task] : this->active) {
+    ActiveRun run;
+    run.key = key;
+    run.percent =
+        static_cast<int>((clock - task.starts_ms) * kPercent / task.run_ms);
+    listing.running.push_back(run);
+  }
+  for (const auto& [number, end] : this->ends) {
+    listing.ends.push_back(end);
+  }
+  return listing;
+}
+
+void WorkerModel::Advance(core::TimePoint now) {
+  const std::int64_t clock = this->ClockAt(now);
+  std::vector<std::pair<RunKey, RunEndKind>> over;
+  for (const auto& [key, task] : this->active) {
+    if (clock >= this->lease_ms) {
+      over.emplace_back(key, RunEndKind::kLeaseExpired);
+    } else if (clock >= task.finishes_ms) {
+      over.emplace_back(
+          key, task.is_stopping ? RunEndKind::kStopped : RunEndKind::kDone);
+    }
+  }
+  for (const auto& [key, kind] : over) {
+    this->End(key, kind, now);
+  }
+  if (clock >= this->lease_ms) {
+    this->last_end_before_expiry = this->last_end;
+  }
+}
+
+void WorkerModel::Crash() {
+  for (const auto& [key, task] : this->active) {
+    this->witness.OnOver(key, this->identity);
+  }
+  this->active.clear();
+}
+
+void WorkerModel::ExtendLease(std::int64_t deadline_ms, std::int64_t clock_ms) {
+  const std::int64_t longest = clock_ms + kMaxWorkerLease.InMilliseconds();
+  this->lease_ms = std::max(this->lease_ms, std::min(deadline_ms, longest));
+}
+
+void WorkerModel::End(const RunKey& key, RunEndKind kind, core::TimePoint now) {
+  this->active.erase(key);
+  std::int64_t& highest = this->highest_over[key.task];
+  highest = std::max(highest, key.run);
+  ++this->last_end;
+  this->ends[this->last_end] = {this->last_end, key, kind, {}};
+  this->witness.OnOver(key, this->identity);
+  if (kind == RunEndKind::kDone) {
+    this->witness.OnDone(key, now);
+  } else {
+    this->witness.Note(now, "run " + std::to_string(key.run) + " of " +
+                                key.task.ToText() + " ends " + NameOf(kind));
+  }
+}
+
+}  // namespace hemlockdoor::batch::exploration
--- /dev/null
+++ b/tests/exploration/worker_model.h
@@ -0,0 +1,74 @@
+// A worker as the protocol describes it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "modules/batch/batch.h"
+#include "tests/exploration/witness.h"
+
+namespace hemlockdoor::batch::exploration {
+
+/// The worker's answer to a start.
+struct StartReply {
+  StartResult result = StartResult::kStarted;
+  RejectReason reason = RejectReason::kInvalid;
+  std::int64_t clock_ms = 0;
+};
+
+/// Runs tasks within a lease on its own clock. Refuses starts of lower epochs,
+/// of run numbers that are not above those stopped or ended here, and without
+/// room. The payload of a start is the run time in milliseconds.
+class WorkerModel {
+ public:
+  /// `drift_per_mille` is by how much the worker's clock is slow.
+  WorkerModel(WorkerIdentity own_identity,
+              std::int64_t drift_per_mille,
+              core::TimePoint now,
+              Witness& run_witness);
+
+  const WorkerIdentity& Identity() const { return this->identity; }
+  WorkerDescription Describe() const;
+  std::int64_t ClockAt(core::TimePoint now) const;
+
+  StartReply Start(const StartCall& call, core::TimePoint now);
+  /// Returns the worker's clock.
+  std::int64_t Stop(const StopCall& call, core::TimePoint now);
+  /// Returns kStale for a lower epoch.
+  core::Expected<WorkerListing> Hold(core::SchedulingEpoch epoch,
+                                     std::uint64_t acknowledged,
+                                     std::optional<std::int64_t> deadline_ms,
+                                     core::TimePoint now);
+  /// Ends runs that have finished or whose lease has expired.
+  void Advance(core::TimePoint now);
+  /// The worker ends, and all runs with it.
+  void Crash();
+
+ private:
+  struct ActiveTask {
+    std::int64_t starts_ms = 0;
+    std::int64_t run_ms = 0;
+    std::int64_t finishes_ms = 0;
+    bool is_stopping = false;
+  };
+
+  void ExtendLease(std::int64_t deadline_ms, std::int64_t clock_ms);
+  void End(const RunKey& key, RunEndKind kind, core::TimePoint now);
+
+  WorkerIdentity identity;
+  std::int64_t drift_per_mille;
+  core::TimePoint born;
+  Witness& witness;
+  core::SchedulingEpoch fence;
+  std::int64_t lease_ms = 0;
+  std::map<RunKey, ActiveTask> active;
+  std::map<TaskName, std::int64_t> highest_over;
+  std::map<std::uint64_t, RunEnd> ends;
+  std::uint64_t last_end = 0;
+  /// The lease expired after the ends up to this number. Their acknowledgement
+  /// does not count: the system may have started their tasks again.
+  std::uint64_t last_end_before_expiry = 0;
+};
+
+}  // namespace hemlockdoor::batch::exploration
