Exploration: messages held up by a cut arrive as resends do; one way to stop a run

In the agent, `OnOrders` and `Revoke` share `StopRun`, and a listing that is awaited is asked for at the interval of the polls, not in each tick: a worker that does not answer was polled every 50 ms.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -182,9 +182,7 @@
     if (found == this->runs.end() || !this->worker) {
       continue;
     }
-    found->second.state = RunState::kStopping;
-    found->second.stop_sent = now;
-    calls.stops.push_back({key, this->epoch, this->worker->identity});
+    this->StopRun(found->first, found->second, now, calls);
   }
   for (const RunKey& key : orders.revoked_starts) {
     this->Revoke(key, now, calls);
@@ -202,6 +200,13 @@
   Run& run = this->runs[key];
   run.active.key = key;
   run.uncertain = run.uncertain || !is_known;
+  this->StopRun(key, run, now, calls);
+}
+
+void WorkerSupervisor::StopRun(const RunKey& key,
+                               Run& run,
+                               core::TimePoint now,
+                               BatchCalls& calls) {
   run.state = RunState::kStopping;
   run.start_due = false;
   if (this->worker) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -199,6 +199,12 @@
   /// Handles a revoked start: the run is stopped and, if this process does not
   /// know it, counts as a start without an answer.
   void Revoke(const RunKey& key, core::TimePoint now, BatchCalls& calls);
+  /// Marks the run as stopping, and adds the stop if there is a worker. Without
+  /// one, `DueStops` returns it later.
+  void StopRun(const RunKey& key,
+               Run& run,
+               core::TimePoint now,
+               BatchCalls& calls);
   /// Updates the run from its row in a listing.
   void UpdateRun(Run& run,
                  const ActiveRun& listed,
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -207,7 +207,10 @@
     if (!this->pending_orders.empty()) {
       this->AnswerOrders();
     }
-    if (this->supervisor.AwaitsListing() && !this->short_poll_in_flight) {
+    const bool listing_due = this->supervisor.AwaitsListing() &&
+                             !this->short_poll_in_flight &&
+                             now >= this->next_poll;
+    if (listing_due) {
       this->Poll(core::Duration());
     }
     this->PollIfDue();
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -25,6 +25,9 @@
 constexpr Duration kPollInterval = Duration::Milliseconds(100);
 constexpr Duration kStoreTimeout = Duration::Milliseconds(600);
 constexpr Duration kStoreRetryDelay = Duration::Milliseconds(200);
+/// A sender's machine sends a message again after this time, and then after
+/// twice the time before.
+constexpr Duration kFirstResend = Duration::Milliseconds(200);
 constexpr std::size_t kProgressLimit = 15;
 /// Time after the last fault by which all jobs must have ended.
 constexpr Duration kRecovery = Duration::Seconds(40);
@@ -85,20 +88,24 @@
 }
 
 void Simulation::SendAcross(int agent, std::function<void()> deliver) {
-  this->queue.After(
-      this->MessageDelay(), [this, agent, deliver = std::move(deliver)] {
-        const core::TimePoint cut_until =
-            this->agents[static_cast<std::size_t>(agent)].cut_until;
-        if (this->Now() >= cut_until) {
-          deliver();
-          return;
-        }
-        // Sent again by the sender's machine, at growing intervals.
-        constexpr std::int64_t kLongestResendMs = 900;
-        const Duration held = cut_until - this->Now() +
-                              Milliseconds(Between(1, kLongestResendMs));
-        this->queue.After(held, deliver);
-      });
+  this->TryToDeliver(agent, this->MessageDelay(), kFirstResend,
+                     std::move(deliver));
+}
+
+void Simulation::TryToDeliver(int agent,
+                              Duration delay,
+                              Duration next_delay,
+                              std::function<void()> deliver) {
+  this->queue.After(delay, [this, agent, next_delay,
+                            deliver = std::move(deliver)] {
+    const bool is_cut =
+        this->Now() < this->agents[static_cast<std::size_t>(agent)].cut_until;
+    if (is_cut) {
+      this->TryToDeliver(agent, next_delay, next_delay * 2, deliver);
+    } else {
+      deliver();
+    }
+  });
 }
 
 void Simulation::InProcess(int agent,
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -79,6 +79,10 @@
   /// Delivers a message between an agent and another machine; a cut holds it
   /// up.
   void SendAcross(int agent, std::function<void()> deliver);
+  void TryToDeliver(int agent,
+                    core::Duration delay,
+                    core::Duration next_delay,
+                    std::function<void()> deliver);
   /// Runs `event` in the agent's process, if that is still `process`; a pause
   /// defers it.
   void InProcess(int agent, std::uint64_t process, std::function<void()> event);
