Exploration: biases towards the end of a term and starts under way at a fault

It needs a cut just longer than a term, a start sent as it begins, and no later batch between the agent's return and the late one.

Change: a message on a connection that a cut has held up is resent; one that needs a new connection is dropped, since the sender gives up first. Cuts and pauses tend to last about a term, and jobs to come with a fault.

--- a/tests/exploration/scenario.cc
+++ b/tests/exploration/scenario.cc
@@ -19,6 +19,13 @@
 /// drawn around.
 constexpr std::int64_t kNearMs = 1500;
 
+/// When the planner counts a silent agent as lost, and the largest distance of
+/// lengths that are drawn around it.
+constexpr std::int64_t kTermEndMs = 5250;
+constexpr std::int64_t kNearTermEndMs = 900;
+/// Jobs that are drawn to come with a fault come within this time.
+constexpr std::int64_t kWithFaultMs = 600;
+
 struct KindOfFault {
   FaultKind kind;
   std::string_view name;
@@ -66,6 +73,10 @@
   fault.kind = kind.kind;
   fault.length =
       Duration::Milliseconds(draw.Between(kind.shortest_ms, kind.longest_ms));
+  if (kind.longest_ms > kTermEndMs && draw.Between(0, 1) == 0) {
+    fault.length = Duration::Milliseconds(
+        kTermEndMs + draw.Between(-kNearTermEndMs, kNearTermEndMs));
+  }
   fault.agent = static_cast<int>(draw.Between(0, agents - 1));
   std::int64_t at = draw.Between(kFirstFaultMs, kLastFaultMs);
   if (!earlier.empty()) {
@@ -102,19 +113,25 @@
   Scenario scenario;
   scenario.seed = seed;
   scenario.agents = static_cast<int>(draw.Between(2, 4));
+  const std::int64_t faults = draw.Between(1, 5);
+  for (std::int64_t i = 0; i < faults; ++i) {
+    scenario.faults.push_back(
+        DrawFault(draw, scenario.agents, scenario.faults));
+  }
   const std::int64_t jobs = draw.Between(4, 24);
   for (std::int64_t i = 0; i < jobs; ++i) {
     PlannedJob job;
     job.at = Duration::Milliseconds(draw.Between(500, kJobsEndMs));
+    if (draw.Between(0, 2) == 0) {
+      const Fault& fault =
+          scenario
+              .faults[static_cast<std::size_t>(draw.Between(0, faults - 1))];
+      job.at = fault.at + Duration::Milliseconds(draw.Between(0, kWithFaultMs));
+    }
     job.tasks = static_cast<int>(draw.Between(1, 3));
     job.run_time = Duration::Milliseconds(draw.Between(200, 6000));
     scenario.jobs.push_back(job);
   }
-  const std::int64_t faults = draw.Between(1, 5);
-  for (std::int64_t i = 0; i < faults; ++i) {
-    scenario.faults.push_back(
-        DrawFault(draw, scenario.agents, scenario.faults));
-  }
   return scenario;
 }
 
--- a/tests/exploration/scenario.h
+++ b/tests/exploration/scenario.h
@@ -46,8 +46,9 @@
   std::vector<Fault> faults;
 };
 
-/// Draws a scenario. Faults after the first one tend to begin at a moment
-/// around the begin or end of an earlier one.
+/// Draws a scenario. Cuts and pauses tend to last about as long as a term, and
+/// jobs to come with a fault. Faults after the first one tend to begin at a
+/// moment around the begin or end of an earlier one.
 Scenario DrawScenario(std::uint64_t seed);
 
 /// Returns the scenario as text, an event a line, in the order of their times.
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -54,6 +54,9 @@
     std::unique_ptr<WorkerSupervisor> supervisor;
     core::TimePoint paused_until;
     core::TimePoint cut_until;
+    /// False while a cut has held up the latest message, so that further ones
+    /// need a new connection.
+    bool is_connected = true;
     bool report_in_flight = false;
     core::TimePoint next_report;
     core::TimePoint last_report;
@@ -76,8 +79,8 @@
   }
   void Note(const std::string& line) { this->witness.Note(this->Now(), line); }
 
-  /// Delivers a message between an agent and another machine; a cut holds it
-  /// up.
+  /// Delivers a message between an agent and another machine. A cut holds up
+  /// what was sent on a connection, and drops what needs a new one.
   void SendAcross(int agent, std::function<void()> deliver);
   void TryToDeliver(int agent,
                     core::Duration delay,
