A start's worker incarnation is remembered when it is sent (TWICE)

Found by batch_exploration_test: two runs of a task at the same time.

Cause: a unit was placed on a worker and its start waited for an open batch; the worker started anew; the start was sent to the new incarnation, but the planner remembered the one of the placement. After a restart of the agent, an incomplete report that named the new incarnation was taken for proof that the run was over.

Change: the planner remembers the incarnation when the start is sent.

Evidence: PlannerTest/AStartSentToANewIncarnationOfTheWorkerIsNotTakenForAnOldOne failed before (0 runs known instead of 1) and passes now.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1186,6 +1186,11 @@
                 {key, job.record.spec.payload, member->started_from, ""});
             member->sent = true;
             member->batch = number;
+            // The batch is addressed to the worker's present incarnation, which
+            // may have begun since the placement.
+            if (view.worker) {
+              member->worker = view.worker->identity;
+            }
           } else if (stop_due) {
             batches[member->agent].stops.push_back(key);
             member->stop_sent_at = now;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -329,6 +329,38 @@
   BOOST_TEST(fleet.ReportOf("w2").active.size() == 8U);
 }
 
+// Guards against TWICE: a unit is placed on a worker and waits for an open
+// batch; the worker starts anew, and the start is sent to the new incarnation.
+// An incomplete report of a restarted agent does not show that this run is
+// over. Found by batch_exploration_test (seed 20261332).
+BOOST_AUTO_TEST_CASE(
+    AStartSentToANewIncarnationOfTheWorkerIsNotTakenForAnOldOne) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  const core::JobId job("j");
+  fleet.DropOrders("w1");
+  fleet.planner.AddJob(MakeJob("k", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  AgentReport& report = fleet.ReportOf("w1");
+  ++report.worker->identity.born_wall_ms;
+  fleet.ReportAll();
+  fleet.DeliverOrders("w1");
+  fleet.Advance(4000);
+  const auto has_run = [&report, &job](const ActiveRun& run) {
+    return run.key == RunKey{{job, 0, 0, 0}, 1};
+  };
+  BOOST_REQUIRE(
+      std::any_of(report.active.begin(), report.active.end(), has_run));
+  report.incarnation = core::Incarnation(8);
+  report.is_complete = false;
+  report.active.clear();
+  fleet.ReportAll();
+  const auto& members = fleet.planner.Jobs().at(job).units.front().members;
+  BOOST_REQUIRE_EQUAL(members.size(), 1U);
+  BOOST_TEST(members.front().run == 1);
+}
+
 // The gang is larger than any rack, so waiting for one would be useless.
 BOOST_AUTO_TEST_CASE(SpreadsAGangThatFitsNoRackWithoutDelay) {
   SimulatedFleet fleet({MakeWorker("w1", "r1"), MakeWorker("w2", "r2")});
--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -74,6 +74,17 @@
   BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
 }
 
+// Seeds that failed once, each with its cause.
+BOOST_AUTO_TEST_CASE(SeedsThatFailedOncePass) {
+  // A start was sent to a new incarnation of the worker, and the planner
+  // remembered the old one.
+  BOOST_TEST(Check(DrawScenario(20261332)));
+  // An early form of the mending of 20261332 never sent the start of a unit
+  // that had been placed on a worker lost for good, so that it waited for ever.
+  BOOST_TEST(Check(DrawScenario(20264859)));
+  BOOST_TEST(Check(DrawScenario(20265084)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch::exploration
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -114,6 +114,21 @@
       });
 }
 
+void Simulation::SendOnStream(int index, std::function<void()> deliver) {
+  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  core::TimePoint arrival = this->Now() + this->MessageDelay();
+  if (arrival < agent.cut_until && agent.stream_stuck_until <= this->Now()) {
+    core::TimePoint resend = this->Now();
+    for (Duration wait = kFirstResend; resend < agent.cut_until;
+         wait = wait * 2) {
+      resend = resend + wait;
+    }
+    agent.stream_stuck_until = resend;
+  }
+  arrival = std::max(arrival, agent.stream_stuck_until);
+  this->queue.After(arrival - this->Now(), std::move(deliver));
+}
+
 void Simulation::InProcess(int agent,
                            std::uint64_t process,
                            std::function<void()> event) {
@@ -407,7 +422,7 @@
     this->planner->OnReport(*report, this->Now());
   };
   this->queue.After(kOrdersTimeout, [answer] { answer(std::nullopt); });
-  this->SendAcross(index, [this, index, batch = orders.batch, answer] {
+  this->SendOnStream(index, [this, index, batch = orders.batch, answer] {
     const Agent& agent = this->agents[static_cast<std::size_t>(index)];
     if (!agent.supervisor) {
       answer(std::nullopt);
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -54,6 +54,9 @@
     std::unique_ptr<WorkerSupervisor> supervisor;
     core::TimePoint paused_until;
     core::TimePoint cut_until;
+    /// The planner's connection to the agent passes nothing on before this
+    /// time, since a cut has held up a message on it.
+    core::TimePoint stream_stuck_until;
     /// False while a cut has held up the latest message, so that further ones
     /// need a new connection.
     bool is_connected = true;
@@ -82,6 +85,9 @@
   /// Delivers a message between an agent and another machine. A cut holds up
   /// what was sent on a connection, and drops what needs a new one.
   void SendAcross(int agent, std::function<void()> deliver);
+  /// Delivers orders, which share a connection: what a cut holds up arrives
+  /// with the first resend after it, also what was sent after the cut.
+  void SendOnStream(int agent, std::function<void()> deliver);
   void TryToDeliver(int agent,
                     core::Duration delay,
                     core::Duration next_delay,
