--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -130,10 +130,12 @@
     this->session = SessionNumber();
   }
   this->epoch = new_epoch;
-  const bool was_counted_as_lost = new_session > this->session;
+  if (new_session == this->session) {
+    return;
+  }
   this->session = new_session;
   for (auto& [key, run] : this->runs) {
-    if (was_counted_as_lost && run.state == RunState::kStarting) {
+    if (run.state == RunState::kStarting) {
       run.state = RunState::kStopping;
       run.start_due = false;
     }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -81,9 +81,7 @@
   /// Handles a record that was stored at `revision`.
   void OnSubmitted(const JobRecord& record, store::ModRevision revision) {
     if (Planner* active = this->Active()) {
-      if (this->MayBeNew(revision)) {
-        active->AddJob(record, core::Clock::Now());
-      }
+      this->AddIfNew(*active, record, revision);
       this->ScheduleDecision();
     }
   }
@@ -364,9 +362,8 @@
       const core::JobId id = record.spec.id;
       const bool is_cancelled = cancelled.contains(id.Text());
       if (!is_first) {
-        if (this->MayBeNew(this->RevisionOf(store_keys::JobKey(id)))) {
-          this->planner->AddJob(std::move(record), now);
-        }
+        this->AddIfNew(*this->planner, std::move(record),
+                       this->RevisionOf(store_keys::JobKey(id)));
         if (is_cancelled) {
           this->planner->CancelJob(id, now);
         }
@@ -483,11 +480,9 @@
     }
     if (event.key.starts_with(store_keys::kJobPrefix)) {
       core::Expected<JobRecord> record = ReadJobRecord(event.key, *event.value);
-      if (!record) {
-        LogUnreadable(event.key, record.error());
-      } else if (this->MayBeNew(event.mod_revision)) {
-        this->planner->AddJob(std::move(*record), now);
-      }
+      record ? this->AddIfNew(*this->planner, std::move(*record),
+                              event.mod_revision)
+             : LogUnreadable(event.key, record.error());
     } else if (event.key.starts_with(store_keys::kCancellationPrefix)) {
       const std::size_t start =
           std::string(store_keys::kCancellationPrefix).size();
@@ -495,12 +490,16 @@
     }
   }
 
-  /// Returns whether a record that was stored at `revision` may be that of a
-  /// job that the planner has not read yet. If not, and the planner does not
-  /// know the job, it has ended and been forgotten; its progress may have been
-  /// removed, so that it would run again.
-  bool MayBeNew(store::ModRevision revision) const {
-    return revision > this->jobs_read_until;
+  /// Adds a job whose record was stored at `revision`, unless the planner has
+  /// read that far. If it does not know the job then, the job has ended and
+  /// been forgotten; its progress may have been removed, so that it would run
+  /// again.
+  void AddIfNew(Planner& active,
+                JobRecord record,
+                store::ModRevision revision) {
+    if (revision > this->jobs_read_until) {
+      active.AddJob(std::move(record), core::Clock::Now());
+    }
   }
   /// Records that the planner has read all jobs stored up to `revision`.
   void OnJobsRead(store::ModRevision revision) {
