--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -138,14 +138,10 @@
 # hemlockdoor_test_program(NAME FOLDER modules...): one test program of all
 # sources in FOLDER.
 function(hemlockdoor_test_program name folder)
-  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
-  set(libraries ${ARGN})
-  list(TRANSFORM libraries PREPEND hemlockdoor_)
-  add_executable(${name} ${sources})
+  hemlockdoor_program(${name} ${folder} ${ARGN})
+  target_sources(${name} PRIVATE tests/support/plain_test_main.cc)
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
-  target_link_libraries(${name} PRIVATE ${libraries}
-    Boost::unit_test_framework)
-  hemlockdoor_precompile(${name} json)
+  target_link_libraries(${name} PRIVATE Boost::unit_test_framework)
   add_test(NAME ${name} COMMAND ${name})
   hemlockdoor_known_red_filter(${name} filter)
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "${filter}")
--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -3,30 +3,26 @@
 // HEMLOCKDOOR_SEED: the first seed; HEMLOCKDOOR_EXPLORATION_RUNS: how many
 // seeds are played. A failing seed is printed with a shortened scenario and
 // what happened in it.
-#define BOOST_TEST_MODULE hemlockdoor
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
 #include "tests/exploration/scenario.h"
 #include "tests/exploration/simulation.h"
+#include "tests/support/environment.h"
 
 namespace hemlockdoor::batch::exploration {
 
 namespace {
 
+using test_support::FromEnvironment;
+
 constexpr std::uint64_t kDefaultSeed = 20261205;
 constexpr std::uint64_t kDefaultRuns = 400;
 /// Failing seeds after which the exploration ends.
 constexpr int kMaxFailures = 3;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 std::string Joined(const std::vector<std::string>& lines) {
   std::string text;
   for (const std::string& line : lines) {
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -54,7 +54,7 @@
 
 Verdict Simulation::Play() {
   for (int agent = 0; agent < this->scenario.agents; ++agent) {
-    Agent& each = this->agents[static_cast<std::size_t>(agent)];
+    Agent& each = this->AgentAt(agent);
     each.id = core::AgentId("agent-" + std::to_string(agent));
     this->StartWorker(agent);
     this->StartAgentProcess(agent);
@@ -88,7 +88,7 @@
 }
 
 void Simulation::SendAcross(int index, std::function<void()> deliver) {
-  const Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  const Agent& agent = this->AgentAt(index);
   const bool is_cut = this->Now() < agent.cut_until;
   if (is_cut && !agent.is_connected) {
     // No connection comes about before the sender gives up.
@@ -104,7 +104,7 @@
                               std::function<void()> deliver) {
   this->queue.After(
       delay, [this, index, next_delay, deliver = std::move(deliver)] {
-        Agent& agent = this->agents[static_cast<std::size_t>(index)];
+        Agent& agent = this->AgentAt(index);
         agent.is_connected = this->Now() >= agent.cut_until;
         if (agent.is_connected) {
           deliver();
@@ -115,7 +115,7 @@
 }
 
 void Simulation::SendOnStream(int index, std::function<void()> deliver) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   core::TimePoint arrival = this->Now() + this->MessageDelay();
   if (arrival < agent.cut_until && agent.stream_stuck_until <= this->Now()) {
     core::TimePoint resend = this->Now();
@@ -132,7 +132,7 @@
 void Simulation::InProcess(int agent,
                            std::uint64_t process,
                            std::function<void()> event) {
-  const Agent& each = this->agents[static_cast<std::size_t>(agent)];
+  const Agent& each = this->AgentAt(agent);
   if (each.process != process || !each.supervisor) {
     return;
   }
@@ -160,7 +160,7 @@
       ++agent.process;
       agent.supervisor.reset();
       this->queue.After(fault.length, [this, index, process = agent.process] {
-        if (this->agents[static_cast<std::size_t>(index)].process == process) {
+        if (this->AgentAt(index).process == process) {
           this->StartAgentProcess(index);
         }
       });
@@ -207,7 +207,7 @@
 }
 
 void Simulation::StartAgentProcess(int index) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   ++agent.process;
   this->Note(agent.id.Text() + " starts");
   agent.supervisor = std::make_unique<WorkerSupervisor>(
@@ -222,7 +222,7 @@
 }
 
 void Simulation::StartWorker(int index) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   constexpr std::int64_t kLargestDriftPerMille = 20;
   const std::int64_t drift = Between(0, kLargestDriftPerMille);
   agent.worker = std::make_unique<WorkerModel>(
@@ -287,7 +287,7 @@
 
 void Simulation::TickAgent(int index, std::uint64_t process) {
   this->InProcess(index, process, [this, index, process] {
-    Agent& agent = this->agents[static_cast<std::size_t>(index)];
+    Agent& agent = this->AgentAt(index);
     agent.supervisor->OnTick(this->Now());
     for (const StopCall& stop : agent.supervisor->DueStops(this->Now())) {
       this->SendStop(index, stop);
@@ -309,21 +309,20 @@
 }
 
 void Simulation::TickWorker(int index) {
-  WorkerModel* worker =
-      this->agents[static_cast<std::size_t>(index)].worker.get();
+  WorkerModel* worker = this->AgentAt(index).worker.get();
   if (worker == nullptr) {
     return;
   }
   worker->Advance(this->Now());
   this->queue.After(kWorkerTick, [this, index, worker] {
-    if (this->agents[static_cast<std::size_t>(index)].worker.get() == worker) {
+    if (this->AgentAt(index).worker.get() == worker) {
       this->TickWorker(index);
     }
   });
 }
 
 void Simulation::Announce(int index) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   WorkerModel* worker = agent.worker.get();
   if (worker == nullptr) {
     return;
@@ -334,12 +333,12 @@
                                            number, clock,
                                            description = worker->Describe()] {
     this->InProcess(index, process, [this, index, number, clock, description] {
-      this->agents[static_cast<std::size_t>(index)].supervisor->OnAnnouncement(
-          description, number, clock, this->Now());
+      this->AgentAt(index).supervisor->OnAnnouncement(description, number,
+                                                      clock, this->Now());
     });
   });
   this->queue.After(kAnnouncementPeriod, [this, index, worker] {
-    if (this->agents[static_cast<std::size_t>(index)].worker.get() == worker) {
+    if (this->AgentAt(index).worker.get() == worker) {
       this->Announce(index);
     }
   });
@@ -363,7 +362,7 @@
 }
 
 void Simulation::Report(int index) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   if (agent.report_in_flight || this->Now() < agent.next_report) {
     return;
   }
@@ -376,7 +375,7 @@
     this->InProcess(index, process, [this, index, is_answered] {
       if (!*is_answered) {
         *is_answered = true;
-        Agent& each = this->agents[static_cast<std::size_t>(index)];
+        Agent& each = this->AgentAt(index);
         each.report_in_flight = false;
         each.next_report = this->Now() + kReportRetryDelay;
         each.last_report = core::TimePoint();
@@ -396,7 +395,7 @@
           return;
         }
         *is_answered = true;
-        Agent& each = this->agents[static_cast<std::size_t>(index)];
+        Agent& each = this->AgentAt(index);
         each.report_in_flight = false;
         each.supervisor->OnReportAnswer(answer, sent, this->Now());
       });
@@ -423,7 +422,7 @@
   };
   this->queue.After(kOrdersTimeout, [answer] { answer(std::nullopt); });
   this->SendOnStream(index, [this, index, batch = orders.batch, answer] {
-    const Agent& agent = this->agents[static_cast<std::size_t>(index)];
+    const Agent& agent = this->AgentAt(index);
     if (!agent.supervisor) {
       answer(std::nullopt);
       return;
@@ -441,7 +440,7 @@
 void Simulation::TakeOrders(int index,
                             const OrderBatch& batch,
                             const Reply& reply) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   const core::Expected<BatchCalls> calls =
       agent.supervisor->OnOrders(batch, this->Now());
   if (!calls) {
@@ -460,8 +459,7 @@
                               core::TimePoint deadline,
                               const Reply& reply) {
   this->InProcess(index, process, [this, index, process, deadline, reply] {
-    WorkerSupervisor& supervisor =
-        *this->agents[static_cast<std::size_t>(index)].supervisor;
+    WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
     if (!supervisor.HasPendingStarts() || this->Now() >= deadline) {
       reply(supervisor.MakeReport(this->Now()));
       return;
@@ -484,7 +482,7 @@
 }
 
 void Simulation::SendStart(int index, const StartCall& call) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   const auto is_answered = std::make_shared<bool>(false);
   const auto answer = [this, index, process = agent.process,
                        key = call.order.key,
@@ -494,8 +492,7 @@
         return;
       }
       *is_answered = true;
-      WorkerSupervisor& supervisor =
-          *this->agents[static_cast<std::size_t>(index)].supervisor;
+      WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
       supervisor.OnStartAnswer(key, reply.result, reply.reason, reply.clock_ms,
                                this->Now());
       for (const StartCall& again : supervisor.DueStarts(this->Now())) {
@@ -513,7 +510,7 @@
       is_late ? Milliseconds(Between(kEarliestLateMs, kLatestLateMs))
               : this->MessageDelay();
   this->queue.After(delay, [this, index, call, is_late, answer] {
-    const Agent& each = this->agents[static_cast<std::size_t>(index)];
+    const Agent& each = this->AgentAt(index);
     const StartReply refused{StartResult::kRejected, RejectReason::kNoWorker,
                              0};
     if (!each.worker) {
@@ -537,22 +534,21 @@
 }
 
 void Simulation::SendStop(int index, const StopCall& call) {
-  const std::uint64_t process =
-      this->agents[static_cast<std::size_t>(index)].process;
+  const std::uint64_t process = this->AgentAt(index).process;
   const auto is_answered = std::make_shared<bool>(false);
   const auto answer = [this, index, process, key = call.key,
                        is_answered](std::optional<std::int64_t> clock) {
     this->InProcess(index, process, [this, index, key, is_answered, clock] {
       if (!*is_answered) {
         *is_answered = true;
-        this->agents[static_cast<std::size_t>(index)].supervisor->OnStopAnswer(
+        this->AgentAt(index).supervisor->OnStopAnswer(
             key, clock.has_value(), clock.value_or(0), this->Now());
       }
     });
   };
   this->queue.After(kCallTimeout, [answer] { answer(std::nullopt); });
   this->queue.After(this->MessageDelay(), [this, index, call, answer] {
-    const Agent& each = this->agents[static_cast<std::size_t>(index)];
+    const Agent& each = this->AgentAt(index);
     if (!each.worker || each.worker->Identity() != call.worker) {
       return;
     }
@@ -562,7 +558,7 @@
 }
 
 void Simulation::Poll(int index) {
-  Agent& agent = this->agents[static_cast<std::size_t>(index)];
+  Agent& agent = this->AgentAt(index);
   WorkerSupervisor& supervisor = *agent.supervisor;
   agent.poll_in_flight = true;
   const std::uint64_t process = agent.process;
@@ -574,7 +570,7 @@
         return;
       }
       *is_answered = true;
-      Agent& each = this->agents[static_cast<std::size_t>(index)];
+      Agent& each = this->AgentAt(index);
       each.poll_in_flight = false;
       each.next_poll = this->Now() + kPollInterval;
       if (listing) {
@@ -587,24 +583,24 @@
   const core::Error no_answer{core::ErrorCode::kTimeout, "no answer", {}};
   this->queue.After(kCallTimeout,
                     [answer, no_answer] { answer(tl::unexpected(no_answer)); });
-  this->queue.After(
-      this->MessageDelay(),
-      [this, index, answer, no_answer, epoch = supervisor.Epoch(),
-       expected = supervisor.Worker()->identity,
-       acknowledged = supervisor.Acknowledged(),
-       deadline = supervisor.BeginPoll(this->Now())] {
-        const Agent& each = this->agents[static_cast<std::size_t>(index)];
-        if (!each.worker || each.worker->Identity() != expected) {
-          if (!each.is_dark) {
-            answer(tl::unexpected(no_answer));
-          }
-          return;
-        }
-        const core::Expected<WorkerListing> listing =
-            each.worker->Hold(epoch, acknowledged, deadline, this->Now());
-        this->queue.After(this->MessageDelay(),
-                          [answer, listing] { answer(listing); });
-      });
+  this->queue.After(this->MessageDelay(),
+                    [this, index, answer, no_answer, epoch = supervisor.Epoch(),
+                     expected = supervisor.Worker()->identity,
+                     acknowledged = supervisor.Acknowledged(),
+                     deadline = supervisor.BeginPoll(this->Now())] {
+                      const Agent& each = this->AgentAt(index);
+                      if (!each.worker || each.worker->Identity() != expected) {
+                        if (!each.is_dark) {
+                          answer(tl::unexpected(no_answer));
+                        }
+                        return;
+                      }
+                      const core::Expected<WorkerListing> listing =
+                          each.worker->Hold(epoch, acknowledged, deadline,
+                                            this->Now());
+                      this->queue.After(this->MessageDelay(),
+                                        [answer, listing] { answer(listing); });
+                    });
 }
 
 void Simulation::Commit(core::SchedulingEpoch owner,
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -76,6 +76,9 @@
   using CommitDone = std::function<void(std::optional<std::uint64_t>)>;
 
   core::TimePoint Now() const { return this->queue.Now(); }
+  Agent& AgentAt(int index) {
+    return this->agents[static_cast<std::size_t>(index)];
+  }
   std::int64_t Between(std::int64_t low, std::int64_t high);
   core::Duration MessageDelay() {
     return core::Duration::Milliseconds(Between(1, 8));
--- a/tests/random_faults_test.cc
+++ b/tests/random_faults_test.cc
@@ -2,7 +2,6 @@
 // promises are checked against the upstreams' logs. HEMLOCKDOOR_SEED chooses
 // the seed, HEMLOCKDOOR_RANDOM_SECONDS the length.
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +11,7 @@
 #include <vector>
 
 #include "tests/support/deployment.h"
+#include "tests/support/environment.h"
 
 namespace hemlockdoor::test_support {
 
@@ -21,11 +21,6 @@
 constexpr int kDefaultSeconds = 60;
 constexpr core::Duration kSettleBound = core::Duration::Seconds(60);
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 /// What was asked for and what the caller was told.
 struct Asked {
   TestJob job;
