Agents end the runs of a worker whose process has ended

Cause: a worker that leaves at short notice ends without signing off.

Change: a poll that is refused because no process listens at the worker's address, twice in a row, ends the confirmed runs of the worker. Starts without an answer stay listed. The worker and its agent share a machine, so no link can refuse the connection. Tests fail without the change: RefusedPollsEndTheRunsOfTheWorker.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -286,6 +286,7 @@
   }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
   this->failed_polls = 0;
+  this->refused_polls = 0;
   // Answers on different connections may arrive out of order.
   if (listing.worker_clock_ms < this->last_listing_clock_ms) {
     return;
@@ -443,6 +444,25 @@
 }
 
 void WorkerSupervisor::OnPollFailed(core::TimePoint now) {
+  this->refused_polls = 0;
+  this->RecordFailedPoll(now);
+}
+
+void WorkerSupervisor::OnPollRefused(core::TimePoint now) {
+  ++this->refused_polls;
+  this->RecordFailedPoll(now);
+  if (this->refused_polls < kRefusalsToEndRuns) {
+    return;
+  }
+  const std::size_t ended = std::erase_if(this->runs, [](const auto& entry) {
+    return !entry.second.uncertain && entry.second.active.confirmed;
+  });
+  this->unreported_change =
+      this->unreported_change || ended > 0 || !this->is_complete;
+  this->is_complete = true;
+}
+
+void WorkerSupervisor::RecordFailedPoll(core::TimePoint now) {
   this->unreported_change = this->unreported_change || this->failed_polls == 0;
   ++this->failed_polls;
   if (now < this->leases_expired_at || this->MayEarlierProcessAct(now)) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -55,6 +55,11 @@
   std::vector<StopCall> stops;
 };
 
+/// Number of refused polls in a row that show that the worker's process has
+/// ended. One refusal can fall into the moment in which a worker reopens its
+/// socket.
+inline constexpr int kRefusalsToEndRuns = 2;
+
 /// State machine of an agent. Performs no I/O and reads no clock: events carry
 /// the current time. A run that the planner ordered is reported as active until
 /// an answer or announcement of the worker proves that it is not running, or
@@ -117,6 +122,12 @@
   std::optional<std::int64_t> BeginPoll(core::TimePoint now);
   /// Handles a poll without a usable answer.
   void OnPollFailed(core::TimePoint now);
+  /// Handles a poll that was refused because no process listens at the worker's
+  /// address. After `kRefusalsToEndRuns` such polls in a row, the worker's
+  /// process has ended, and with it all runs that the worker has confirmed.
+  /// Starts without an answer stay listed, since a later process of the worker
+  /// may still receive them.
+  void OnPollRefused(core::TimePoint now);
   /// Handles the passing of time. If this process has heard of no worker by the
   /// time at which all leases of its predecessors have expired, nothing runs
   /// here, and the lists are complete.
@@ -178,6 +189,9 @@
   /// stopped and not sent again, since it may have started the runs elsewhere.
   void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
+  /// Counts a poll without a usable answer, and drops all runs once all leases
+  /// have expired.
+  void RecordFailedPoll(core::TimePoint now);
   /// Records that a lease up to the end of the term is requested from the
   /// worker. The recorded expiry allows for the drift between the clocks.
   void RecordRequestedLease(core::TimePoint now);
@@ -230,6 +244,8 @@
   /// have expired.
   core::TimePoint earlier_process_limit;
   int failed_polls = 0;
+  /// Refused polls since the latest poll with another result.
+  int refused_polls = 0;
   std::optional<WorkerDescription> worker;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -163,6 +163,41 @@
   BOOST_TEST(supervisor.MakeReport(At(0) + kMaxWorkerLease).active.empty());
 }
 
+// Guards against late restarts: the tasks of a worker that left at short notice
+// waited until its leases had expired, up to ten seconds, although its agent
+// knew within half a second that the worker's process had ended.
+BOOST_AUTO_TEST_CASE(RefusedPollsEndTheRunsOfTheWorker) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  run.confirmed = true;
+  supervisor.OnListing({600, 1000, {run}, {}, core::SchedulingEpoch(1)},
+                       At(1100));
+  supervisor.OnPollRefused(At(1200));
+  BOOST_TEST(supervisor.MakeReport(At(1200)).active.size() == 1U);
+  // A timeout does not show that the process has ended.
+  supervisor.OnPollFailed(At(1300));
+  supervisor.OnPollRefused(At(1400));
+  BOOST_TEST(supervisor.MakeReport(At(1400)).active.size() == 1U);
+  supervisor.OnPollRefused(At(1550));
+  BOOST_TEST(supervisor.HasUnreportedChange());
+  const AgentReport report = supervisor.MakeReport(At(1550));
+  BOOST_TEST(report.active.empty());
+  BOOST_TEST(report.is_complete);
+  BOOST_TEST(!report.worker_reachable);
+}
+
+// Guards against TWICE: a start without an answer may still be delivered to the
+// next process of the worker, under the same id.
+BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndStartsWithoutAnAnswer) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  LoseAllStarts(supervisor, At(1500));
+  supervisor.OnPollRefused(At(1600));
+  supervisor.OnPollRefused(At(1750));
+  BOOST_TEST(supervisor.MakeReport(At(1750)).active.size() == 1U);
+}
+
 // Guards against TWICE: while the store is down more runs end than the worker
 // lists at once. A run that is in neither list may have ended `done`.
 BOOST_AUTO_TEST_CASE(KeepsRunsWhileTheListOfEndsIsTruncated) {
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -51,7 +51,8 @@
 };
 
 /// Calls to the worker. Callbacks run asynchronously on the calling thread. A
-/// poll fails with kStale when the worker has seen a newer epoch.
+/// poll fails with kStale when the worker has seen a newer epoch, and with
+/// kNotFound when no process listens at the worker's address.
 template <typename T>
 concept WorkerPort =
     requires(T worker,
@@ -355,7 +356,11 @@
     // over and sends its orders soon.
     if (error.code != core::ErrorCode::kStale) {
       this->LogPollFailure(error);
-      this->supervisor.OnPollFailed(now);
+      if (error.code == core::ErrorCode::kNotFound) {
+        this->supervisor.OnPollRefused(now);
+      } else {
+        this->supervisor.OnPollFailed(now);
+      }
     }
   }
 
