Planner: no starts in evacuated data centres

Change: Planner::SetEvacuations takes the evacuated data centres with the store version at which they were read. Their workers get no placements, reservations or preemptions; starts that have not been sent are withdrawn, reservations there are released, and long-running units move away one at a time. Starts can be withheld as a whole while the state is not known to be current. Answers and orders carry the state for the agents' guard. A rejection by that guard counts neither as a failure nor against the worker; on the wire it is a rejection by an unhealthy worker with one more field, since earlier versions refuse a report with a reason that they do not know. Cold workers rank behind warm ones only for a minute after their data centre returned to service. Without an evacuation no decision changes.

--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -66,7 +66,8 @@
                               {RejectReason::kUnhealthy, "unhealthy"},
                               {RejectReason::kDraining, "draining"},
                               {RejectReason::kNoWorker, "no-worker"},
-                              {RejectReason::kNotListed, "no-answer"}})
+                              {RejectReason::kNotListed, "no-answer"},
+                              {RejectReason::kEvacuated, "evacuated"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(JobOutcome,
                              {{JobOutcome::kOpen, "open"},
                               {JobOutcome::kCompleted, "completed"},
@@ -122,7 +123,8 @@
                                                 labels,
                                                 capacity,
                                                 state,
-                                                remaining)
+                                                remaining,
+                                                cold_left)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunKey, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ActiveRun,
                                                 key,
@@ -136,7 +138,27 @@
                                                 key,
                                                 kind,
                                                 checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Rejection, key, reason)
+
+/// A rejection for an evacuation is written as one by an unhealthy worker with
+/// an additional field, because earlier versions refuse a report with a reason
+/// that they do not know.
+static void to_json(nlohmann::json& json, const Rejection& rejection) {
+  const bool is_evacuated = rejection.reason == RejectReason::kEvacuated;
+  json = {
+      {"key", rejection.key},
+      {"reason", is_evacuated ? RejectReason::kUnhealthy : rejection.reason}};
+  if (is_evacuated) {
+    json["evacuated"] = true;
+  }
+}
+
+static void from_json(const nlohmann::json& json, Rejection& rejection) {
+  rejection.key = json.value("key", RunKey());
+  rejection.reason = json.value("evacuated", false)
+                         ? RejectReason::kEvacuated
+                         : json.value("reason", RejectReason::kInvalid);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportAnswer,
                                                 epoch,
                                                 session,
@@ -144,7 +166,9 @@
                                                 earlier_leases,
                                                 worker,
                                                 acknowledged,
-                                                entries)
+                                                entries,
+                                                evacuated,
+                                                evacuation_revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder,
                                                 key,
                                                 payload,
@@ -159,7 +183,9 @@
                                                 worker,
                                                 starts,
                                                 stops,
-                                                revoked_starts)
+                                                revoked_starts,
+                                                evacuated,
+                                                evacuation_revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FailedRuns, task, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SavedCheckpoint,
                                                 task,
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "modules/batch/model/ids.h"
 #include "modules/batch/model/job_spec.h"
 #include "modules/core/core.h"
+#include "modules/store/store.h"
 
 namespace hemlockdoor::batch {
 
@@ -26,6 +28,8 @@
   WorkerState state = WorkerState::kReady;
   /// Minimum time until a draining worker leaves.
   core::Duration remaining;
+  /// Time for which the worker is still slow after its start.
+  core::Duration cold_left;
 };
 
 /// A run that occupies capacity on a worker.
@@ -75,6 +79,7 @@
   kNoWorker,   ///< No such worker, no lease for it, or it is unreachable.
   kNotListed,  ///< The worker lists neither the run nor its end.
   kInvalid,    ///< The worker refuses the order as invalid.
+  kEvacuated,  ///< The worker's data centre is evacuated.
 };
 
 /// A start that was not carried out and will not be.
@@ -138,6 +143,10 @@
   std::uint64_t acknowledged = 0;
   /// Internal endpoints of all entries.
   std::vector<std::string> entries;
+  /// Evacuated data centres as of the store version `evacuation_revision`. 0
+  /// stands for a planner that does not know of evacuations.
+  std::set<core::DataCentreId> evacuated;
+  store::ModRevision evacuation_revision;
 };
 
 /// Order to start a run.
@@ -170,6 +179,9 @@
   /// the worker may still carry it out. The agent stops each of them, and lists
   /// it as active until the worker can no longer start it.
   std::vector<RunKey> revoked_starts;
+  /// As in `ReportAnswer`.
+  std::set<core::DataCentreId> evacuated;
+  store::ModRevision evacuation_revision;
 };
 
 enum class JobOutcome { kOpen, kCompleted, kFailed, kCancelled };
--- a/modules/batch/planner/candidates.cc
+++ b/modules/batch/planner/candidates.cc
@@ -33,9 +33,11 @@
 
 bool CandidateRank::operator<(const CandidateRank& other) const {
   return std::tie(this->is_remote, this->is_suspended, this->is_avoided,
-                  this->failing_jobs, this->free_share, *this->agent) <
-         std::tie(other.is_remote, other.is_suspended, other.is_avoided,
-                  other.failing_jobs, other.free_share, *other.agent);
+                  this->failing_jobs, this->is_cold, this->free_share,
+                  *this->agent) < std::tie(other.is_remote, other.is_suspended,
+                                           other.is_avoided, other.failing_jobs,
+                                           other.is_cold, other.free_share,
+                                           *other.agent);
 }
 
 bool IsEligible(const AgentView& view, const PlacementRequest& request) {
@@ -90,6 +92,7 @@
   rank.is_avoided = request.avoided_workers != nullptr &&
                     request.avoided_workers->contains(worker.identity.id);
   rank.failing_jobs = candidate.view->failing_jobs.size();
+  rank.is_cold = candidate.view->ranks_as_cold;
   rank.free_share = WeightedFreeShare(left, worker.capacity);
   rank.agent = &candidate.view->agent;
   return rank;
--- a/modules/batch/planner/candidates.h
+++ b/modules/batch/planner/candidates.h
@@ -22,6 +22,7 @@
   bool is_suspended = false;
   bool is_avoided = false;
   std::size_t failing_jobs = 0;
+  bool is_cold = false;
   double free_share = 0;
   const core::AgentId* agent = nullptr;
 
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -47,6 +47,13 @@
   /// While the worker drains: the earliest time at which it may leave, which
   /// ends all runs on it.
   core::TimePoint leaves_at;
+  /// The worker is slow until this time, because it has started recently.
+  core::TimePoint cold_until;
+  /// The worker's data centre is evacuated, so it gets no starts. Brought up to
+  /// date at the begin of each decision, like the next field.
+  bool is_evacuated = false;
+  /// The worker is cold, and its data centre has returned to service recently.
+  bool ranks_as_cold = false;
   /// The lists of the latest report covered everything on the worker.
   bool is_complete = false;
   /// The agent reported that it can set the lease of the runs it starts.
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -263,7 +263,7 @@
 bool CouldFitLocally(const Fleet& fleet, const PlacementRequest& request) {
   std::vector<Candidate> candidates;
   for (const auto& [agent, view] : fleet) {
-    if (IsEligible(view, request) && !view.is_lost) {
+    if (IsEligible(view, request) && !view.is_lost && !view.is_evacuated) {
       candidates.push_back({&view, view.worker->capacity, 0});
     }
   }
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -77,7 +77,7 @@
 bool NeedsSuspendedWorkers(const Fleet& fleet, const PlacementRequest& request);
 
 /// Returns true if the unit would fit without `allow_remote`, that is, at full
-/// speed, if all workers were idle.
+/// speed, if all workers outside of evacuated data centres were idle.
 bool CouldFitLocally(const Fleet& fleet, const PlacementRequest& request);
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -278,6 +278,8 @@
     answer.worker = view.worker->identity;
     answer.acknowledged = view.HighestAcknowledgeableEnd();
   }
+  answer.evacuated = this->evacuations.State().data_centres;
+  answer.evacuation_revision = this->evacuations.State().revision;
   return answer;
 }
 
@@ -312,6 +314,12 @@
   if (is_new_drain_notice) {
     view.leaves_at = now + report.worker->remaining;
   }
+  const bool has_new_warm_up =
+      report.worker &&
+      (!same_incarnation || view.worker->cold_left != report.worker->cold_left);
+  if (has_new_warm_up) {
+    view.cold_until = now + report.worker->cold_left;
+  }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
@@ -597,7 +605,10 @@
                 (was_rejected ? NameOf(rejection->reason) : "lost"));
         if (was_rejected) {
           unit.start_not_before = now + kRejectionBackoff;
-          unit.avoided_workers.insert(member->worker.id);
+          // An evacuation says nothing about the worker itself.
+          if (rejection->reason != RejectReason::kEvacuated) {
+            unit.avoided_workers.insert(member->worker.id);
+          }
         }
         member = unit.members.erase(member);
         removed = true;
@@ -833,6 +844,7 @@
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
   this->UpdatePhases(now, wall_ms);
+  this->ApplyEvacuations(now);
   this->RecountUsage();
   this->SumGuaranteedNeeds();
   if (!this->IsRecovering(now)) {
@@ -840,7 +852,12 @@
   }
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
-  this->Schedule(now);
+  this->MigrateLongRunningUnits(now);
+  if (!this->starts_withheld) {
+    this->Schedule(now);
+  }
+  this->CountEvacuatedLoad(now);
+  this->LogUnitsWithoutDataCentre();
   return this->CollectOrders(now);
 }
 
@@ -1027,17 +1044,18 @@
   }
 }
 
+core::ServiceName Planner::ServiceOf(const Job& job) const {
+  const QueueConfig* queue = this->configuration->FindQueue(job.record.queue);
+  return queue == nullptr ? job.record.service : queue->service;
+}
+
 PlacementRequest Planner::RequestFor(const Job& job,
                                      const Unit& unit,
                                      core::TimePoint now) const {
   PlacementRequest request;
   const StepSpec& step = job.StepOf(unit);
   request.step = &step;
-  request.service = job.record.service;
-  const QueueConfig* queue = this->configuration->FindQueue(job.record.queue);
-  if (queue != nullptr) {
-    request.service = queue->service;
-  }
+  request.service = this->ServiceOf(job);
   request.size = unit.size;
   request.priority = job.record.priority;
   request.avoided_workers = &unit.avoided_workers;
@@ -1190,7 +1208,8 @@
           // the revocation, since the batch with it may have been lost.
           const bool revocation_due = member->in_doubt && view.is_complete &&
                                       (may_repeat || view.needs_probe);
-          const bool start_due = !member->sent && !view.needs_probe;
+          const bool start_due =
+              !member->sent && !view.needs_probe && !this->starts_withheld;
           const bool stop_due = member->sent && !member->in_doubt &&
                                 member->stop_requested && may_repeat;
           if (revocation_due) {
@@ -1240,6 +1259,8 @@
     batch.planner = this->options.endpoint;
     batch.agent_incarnation = view.incarnation;
     batch.worker = view.worker ? view.worker->identity : WorkerIdentity();
+    batch.evacuated = this->evacuations.State().data_centres;
+    batch.evacuation_revision = this->evacuations.State().revision;
     view.batch_open = true;
     view.batch_sent_at = now;
     if (!view.orphan_runs.empty()) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -15,6 +15,7 @@
 #include "modules/batch/model/configuration.h"
 #include "modules/batch/model/messages.h"
 #include "modules/batch/planner/backfill_limit.h"
+#include "modules/batch/planner/evacuation.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/lateness.h"
@@ -102,6 +103,15 @@
   /// ended.
   void CancelJob(const core::JobId& job, core::TimePoint now);
   void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+  /// Takes the evacuated data centres, unless a state of a later store version
+  /// is known. From then on no task is started there.
+  void SetEvacuations(const EvacuationState& state, core::TimePoint now);
+  /// While starts are withheld, nothing is placed, reserved, preempted or sent;
+  /// running work is not affected. The owner withholds them while it does not
+  /// know whether the evacuations are up to date.
+  void WithholdStarts(bool withheld) { this->starts_withheld = withheld; }
+  /// Returns the work in all evacuated data centres as of the last decision.
+  EvacuationLoad EvacuatedLoad() const;
 
   /// Applies a report, which the agent sent on its own or in answer to orders.
   ReportAnswer OnReport(const AgentReport& report, core::TimePoint now);
@@ -241,6 +251,25 @@
                       const Unit& unit,
                       core::TimePoint leaves_at,
                       core::TimePoint now) const;
+  /// Marks the workers in evacuated data centres, withdraws starts there that
+  /// have not been sent, and releases capacity that is reserved there.
+  void ApplyEvacuations(core::TimePoint now);
+  /// Removes the unit from its workers if one of them is in an evacuated data
+  /// centre and its start has not been sent.
+  void WithdrawUnsentStarts(const Job& job, Unit& unit);
+  bool IsInEvacuatedDataCentre(const core::AgentId& agent) const;
+  /// Counts the units in evacuated data centres and logs those that have become
+  /// empty.
+  void CountEvacuatedLoad(core::TimePoint now);
+  /// Stops long-running units in evacuated data centres that fit elsewhere, at
+  /// most one of a step at a time. Other units end where they are.
+  void MigrateLongRunningUnits(core::TimePoint now);
+  /// Logs each job once that waits because all its workers are in evacuated
+  /// data centres.
+  void LogUnitsWithoutDataCentre();
+  /// Returns whether all workers that offer the service and have the label are
+  /// in evacuated data centres, and there is at least one.
+  bool OnlyEvacuatedWorkersFit(const PlacementRequest& request) const;
   /// Returns true if the run has made no progress for an unusually long time.
   bool IsStalled(const Job& job,
                  const Unit& unit,
@@ -294,6 +323,9 @@
   PlacementRequest RequestFor(const Job& job,
                               const Unit& unit,
                               core::TimePoint now) const;
+  /// Returns the service whose workers run the job: that of its queue now, or
+  /// when it was accepted if the queue no longer exists.
+  core::ServiceName ServiceOf(const Job& job) const;
   /// Creates a run on the given agent for each task of the unit.
   void Assign(Job& job,
               Unit& unit,
@@ -358,6 +390,10 @@
   /// Average run times of completed tasks, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
   BackfillLimit backfill_limit;
+  Evacuations evacuations;
+  bool starts_withheld = false;
+  /// Jobs whose wait for evacuated data centres has been logged.
+  std::set<core::JobId> jobs_logged_as_waiting;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
   /// Kept for the length of one decision.
--- a/modules/observe/metrics/metrics.cc
+++ b/modules/observe/metrics/metrics.cc
@@ -194,6 +194,26 @@
             "hemlockdoor_free_accelerator_fragmentation_ratio",
             "Share of free accelerators that are not in a wholly free block of "
             "adjacent ones.")};
+  GaugeFamily evacuated_data_centres{
+      Gauge(registry,
+            "hemlockdoor_evacuated_data_centres",
+            "Data centres that are evacuated now, as far as this process "
+            "knows.")};
+  GaugeFamily evacuated_units{
+      Gauge(registry,
+            "hemlockdoor_evacuated_units",
+            "Units that still run in evacuated data centres; 0 except on the "
+            "planner.")};
+  GaugeFamily evacuation_remaining{
+      Gauge(registry,
+            "hemlockdoor_evacuation_remaining_seconds",
+            "Expected time until the evacuated data centres are empty, without "
+            "long-running tasks; 0 except on the planner.")};
+  CounterFamily evacuated_refusals{
+      Counter(registry,
+              "hemlockdoor_starts_refused_evacuated_total",
+              "Starts that this agent refused because its data centre is "
+              "evacuated.")};
   CounterFamily store_calls{Counter(registry,
                                     "hemlockdoor_store_calls_total",
                                     "Calls to the store, by kind and result.")};
@@ -349,6 +369,21 @@
   this->state->fragmentation.Get({}, {}).Set(ratio);
 }
 
+void Metrics::SetEvacuation(std::size_t data_centres,
+                            std::size_t units,
+                            core::Duration until_empty) {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->evacuated_data_centres.Get({}, {}).Set(
+      static_cast<double>(data_centres));
+  this->state->evacuated_units.Get({}, {}).Set(static_cast<double>(units));
+  this->state->evacuation_remaining.Get({}, {}).Set(Seconds(until_empty));
+}
+
+void Metrics::CountStartRefusedEvacuated() {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->evacuated_refusals.Get({}, {}).Increment();
+}
+
 void Metrics::CountStoreCall(StoreCallLabel kind, StoreResultLabel result) {
   const std::lock_guard<std::mutex> lock(this->state->mutex);
   this->state->store_calls
--- a/modules/observe/metrics/metrics.h
+++ b/modules/observe/metrics/metrics.h
@@ -82,6 +82,13 @@
   /// Share of free accelerators that are not in a wholly free block of adjacent
   /// ones, 0 to 1.
   void SetFragmentation(double ratio);
+  /// Data centres that are evacuated, the units that still run there, and the
+  /// expected time until the last of them ends.
+  void SetEvacuation(std::size_t data_centres,
+                     std::size_t units,
+                     core::Duration until_empty);
+  /// A start that an agent refused because its data centre is evacuated.
+  void CountStartRefusedEvacuated();
   void CountStoreCall(StoreCallLabel kind, StoreResultLabel result);
   void AddControlBytes(TrafficLabel direction, std::uint64_t bytes);
   void CountDroppedSpans(std::uint64_t spans);
