Agent: refuses starts in its own evacuated data centre

Cause: orders that were sent before the planner learned of an evacuation may arrive later, and repetitions of unanswered starts later still. Change: the agent keeps the evacuations of the highest store version that a message of the planner carried, rejects starts in its own data centre with kEvacuated, repeats none there, logs and counts the rejections.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -104,6 +104,7 @@
     return;
   }
   this->EnterSession(answer.epoch, answer.session);
+  this->ObserveEvacuations(answer.evacuated, answer.evacuation_revision);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
   this->earlier_process_limit =
@@ -142,6 +143,14 @@
   }
 }
 
+void WorkerSupervisor::ObserveEvacuations(
+    const std::set<core::DataCentreId>& evacuated,
+    store::ModRevision revision) {
+  if (revision > this->evacuations.revision) {
+    this->evacuations = {evacuated, revision};
+  }
+}
+
 core::Expected<BatchCalls> WorkerSupervisor::OnOrders(const OrderBatch& orders,
                                                       core::TimePoint now) {
   const bool wrong_agent = orders.agent_incarnation != core::Incarnation() &&
@@ -156,6 +165,7 @@
         "addressed to another incarnation of this agent");
   }
   this->EnterSession(orders.epoch, orders.session);
+  this->ObserveEvacuations(orders.evacuated, orders.evacuation_revision);
   this->batch = orders.number;
   BatchCalls calls;
   const std::optional<std::int64_t> deadline = this->LeaseDeadline(now);
@@ -169,6 +179,9 @@
       this->Reject(start.key, RejectReason::kNoWorker);
     } else if (this->worker->state == WorkerState::kDraining) {
       this->Reject(start.key, RejectReason::kDraining);
+    } else if (this->IsEvacuated()) {
+      this->Reject(start.key, RejectReason::kEvacuated);
+      calls.refused_evacuated.push_back(start.key);
     } else {
       Run& run = this->runs[start.key];
       run.active.key = start.key;
@@ -412,8 +425,9 @@
       continue;
     }
     run.start_due = false;
-    const bool may_start =
-        this->worker && deadline && this->worker->state == WorkerState::kReady;
+    const bool may_start = this->worker && deadline &&
+                           this->worker->state == WorkerState::kReady &&
+                           !this->IsEvacuated();
     if (!may_start) {
       run.state = RunState::kStopping;
       continue;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/batch/model/evacuation_state.h"
 #include "modules/batch/model/messages.h"
 #include "modules/core/core.h"
 
@@ -53,6 +54,8 @@
 struct BatchCalls {
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
+  /// Starts that were rejected because the worker's data centre is evacuated.
+  std::vector<RunKey> refused_evacuated;
 };
 
 /// State machine of an agent. Performs no I/O and reads no clock: events carry
@@ -177,6 +180,16 @@
   /// planner has counted this agent as lost, starts without an answer are
   /// stopped and not sent again, since it may have started the runs elsewhere.
   void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
+  /// Takes the evacuations of a message that is not outdated, unless those of a
+  /// later store version are known. Orders that an earlier message announced as
+  /// allowed may still be under way when the data centre is evacuated.
+  void ObserveEvacuations(const std::set<core::DataCentreId>& evacuated,
+                          store::ModRevision revision);
+  /// Returns whether the worker is in an evacuated data centre.
+  bool IsEvacuated() const {
+    return this->worker &&
+           this->evacuations.data_centres.contains(this->worker->data_centre);
+  }
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
   /// Records that a lease up to the end of the term is requested from the
   /// worker. The recorded expiry allows for the drift between the clocks.
@@ -248,6 +261,7 @@
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   std::deque<Rejection> rejections;
+  EvacuationState evacuations;
   bool unreported_change = true;
 };
 
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -162,6 +162,7 @@
     if (this->supervisor.Epoch() != before) {
       this->OnNewEpoch();
     }
+    this->ReportRefusals(*calls);
     this->SendCalls(*calls);
     this->pending_orders.push_back(
         {responder, core::Clock::Now() + kOrdersAnswerTimeout});
@@ -234,6 +235,20 @@
     this->Report();
   }
 
+  void ReportRefusals(const BatchCalls& calls) {
+    for (const RunKey& key : calls.refused_evacuated) {
+      observe::ProcessMetrics().CountStartRefusedEvacuated();
+      observe::LogContext log_context;
+      log_context.job = key.task.job;
+      observe::Log(observe::LogLevel::kWarn,
+                   "start refused: the worker's data centre is evacuated",
+                   log_context,
+                   {{"event", "start_refused_evacuated"},
+                    {"task", key.task.ToText()},
+                    {"run", std::to_string(key.run)}});
+    }
+  }
+
   void SendCalls(const BatchCalls& calls) {
     for (const StopCall& stop : calls.stops) {
       this->SendStop(stop);
