Entries watch the evacuation keys together with the configuration

Change: where the settings have evacuation_bound_ms, the one watch of the configuration covers op/ instead of op/config, so that the number of calls is the same; otherwise nothing changes. A newly elected planner reads the keys again and withholds starts until the store has answered; so does one whose process was paused. The answer to a read that began before the pause or the election does not count.

--- a/modules/batch/batch.h
+++ b/modules/batch/batch.h
@@ -4,6 +4,7 @@
 
 #include "modules/batch/agent/worker_supervisor.h"
 #include "modules/batch/model/configuration.h"
+#include "modules/batch/model/evacuation_state.h"
 #include "modules/batch/model/ids.h"
 #include "modules/batch/model/job_spec.h"
 #include "modules/batch/model/messages.h"
@@ -14,5 +15,6 @@
 #include "modules/batch/process/agent_service.h"
 #include "modules/batch/process/configuration_watch.h"
 #include "modules/batch/process/entry_service.h"
+#include "modules/batch/process/evacuation_watch.h"
 #include "modules/batch/process/hosted_settings.h"
 #include "modules/batch/process/planner_service.h"
--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -1,7 +1,9 @@
-// Keeps the operators' configuration up to date from the store.
+// Keeps the operators' configuration and evacuations up to date from the store.
 #pragma once
 
 #include <QTimer>
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -10,6 +12,7 @@
 #include <vector>
 
 #include "modules/batch/model/configuration.h"
+#include "modules/batch/process/evacuation_watch.h"
 #include "modules/core/core.h"
 #include "modules/observe/observe.h"
 #include "modules/store/store.h"
@@ -17,25 +20,50 @@
 
 namespace hemlockdoor::batch {
 
+/// Store keys of the operators.
+struct OperatorKeys {
+  /// Key of the configuration.
+  std::string configuration;
+  /// Where evacuations are supported: a prefix of all keys of the operators,
+  /// which is read and watched instead of the key of the configuration, so that
+  /// the number of store calls is the same.
+  std::string all;
+  /// Where evacuations are supported: prefix of the keys that name evacuated
+  /// data centres.
+  std::string evacuations;
+};
+
 /// Watches the store key that holds the operators' configuration. A higher
 /// version replaces the active configuration; lower or equal versions and
 /// configurations that cannot be decoded are ignored. After an error the key is
-/// read and watched again until the store answers.
+/// read and watched again until the store answers. Where evacuations are
+/// supported, one watch covers them too.
 template <store::KeyValueStore Store>
 class ConfigurationWatch {
  public:
   using Decode =
       std::function<core::Expected<Configuration>(const std::string&)>;
   using OnChange = std::function<void(std::shared_ptr<const Configuration>)>;
+  using OnEvacuations = std::function<void(const EvacuationState&)>;
 
+  /// `evacuations_handler` is called with each evacuation state that was read,
+  /// changed or not, and only if `operator_keys` has a prefix for them.
   ConfigurationWatch(Store& store_adapter,
-                     std::string config_key,
+                     const OperatorKeys& operator_keys,
                      Decode decoder,
-                     OnChange change_handler)
+                     OnChange change_handler,
+                     OnEvacuations evacuations_handler)
       : adapter(store_adapter),
-        key(std::move(config_key)),
+        key(operator_keys.configuration),
+        watched_prefix(operator_keys.evacuations.empty()
+                           ? operator_keys.configuration
+                           : operator_keys.all),
         decode(std::move(decoder)),
-        on_change(std::move(change_handler)) {
+        on_change(std::move(change_handler)),
+        on_evacuations(std::move(evacuations_handler)) {
+    if (!operator_keys.evacuations.empty()) {
+      this->evacuations.emplace(operator_keys.evacuations);
+    }
     QObject::connect(&this->timer, &QTimer::timeout,
                      [this] { this->OnTick(core::Clock::Now()); });
     this->timer.start(kTickMs);
@@ -50,6 +78,9 @@
     const bool was_paused =
         this->last_tick && now >= *this->last_tick + kPauseThreshold;
     this->last_tick = now;
+    if (was_paused && this->evacuations) {
+      this->RequireEvacuations();
+    }
     if (!was_paused || this->unconfirmed || !this->current) {
       return;
     }
@@ -58,7 +89,9 @@
                  {{"event", "configuration_unconfirmed"},
                   {"version", std::to_string(this->current->version)}});
     this->unconfirmed = true;
-    this->Read();
+    if (!this->evacuations) {
+      this->Read();
+    }
     wire::RunLater(&this->context, kMaxUnconfirmed,
                    [this] { this->Confirm(); });
   }
@@ -76,6 +109,22 @@
     }
   }
 
+  /// Reads the evacuations again; until the store has answered they are not
+  /// confirmed. A newly elected planner calls this, because its watch may not
+  /// have delivered yet what its predecessor has acted upon.
+  void RequireEvacuations() {
+    this->required_read = this->last_read + 1;
+    this->Read();
+  }
+
+  /// Returns whether the evacuations have been read since the latest pause of
+  /// this process and the latest call of `RequireEvacuations`. There is no
+  /// limit to the time without confirmation: without the store, no entry plans.
+  bool AreEvacuationsConfirmed(core::TimePoint now) {
+    this->OnTick(now);
+    return this->confirmed_read >= this->required_read;
+  }
+
   /// Returns the active configuration, or nullptr before the first one is read.
   std::shared_ptr<const Configuration> Current() const { return this->current; }
 
@@ -98,20 +147,30 @@
   }
 
   void Read() {
-    this->adapter.List(this->key,
-                       [this](const core::Expected<store::Listing>& listing) {
-                         if (!listing) {
-                           this->HandleFailure(listing.error());
-                           return;
-                         }
-                         for (const store::KeyValue& item : listing->items) {
-                           if (item.key == this->key) {
-                             this->Apply(item.value);
-                           }
-                         }
-                         this->Confirm();
-                         this->Watch(listing->revision);
-                       });
+    const std::uint64_t number = ++this->last_read;
+    this->adapter.List(
+        this->watched_prefix,
+        [this, number](const core::Expected<store::Listing>& listing) {
+          if (!listing) {
+            this->HandleFailure(listing.error());
+            return;
+          }
+          this->OnRead(*listing, number);
+        });
+  }
+
+  void OnRead(const store::Listing& listing, std::uint64_t number) {
+    for (const store::KeyValue& item : listing.items) {
+      if (item.key == this->key) {
+        this->Apply(item.value);
+      }
+    }
+    this->confirmed_read = std::max(this->confirmed_read, number);
+    if (this->evacuations && this->evacuations->OnListing(listing)) {
+      this->on_evacuations(this->evacuations->State());
+    }
+    this->Confirm();
+    this->Watch(listing.revision);
   }
 
   void Watch(store::ModRevision revision) {
@@ -119,7 +178,7 @@
       this->adapter.CancelWatch(*this->watch);
     }
     this->watch = this->adapter.Watch(
-        this->key, revision.Next(),
+        this->watched_prefix, revision.Next(),
         [this](const core::Expected<std::vector<store::WatchEvent>>& events) {
           if (!events) {
             this->watch.reset();
@@ -132,9 +191,26 @@
               this->Apply(*event.value);
             }
           }
+          this->ApplyEvacuationEvents(*events);
         });
   }
 
+  void ApplyEvacuationEvents(const std::vector<store::WatchEvent>& events) {
+    if (!this->evacuations) {
+      return;
+    }
+    switch (this->evacuations->OnEvents(events)) {
+      case EventsOutcome::kUnchanged:
+        break;
+      case EventsOutcome::kChanged:
+        this->on_evacuations(this->evacuations->State());
+        break;
+      case EventsOutcome::kOutdated:
+        this->Read();
+        break;
+    }
+  }
+
   void HandleFailure(const core::Error& error) {
     if (!this->failing) {
       observe::Log(observe::LogLevel::kWarn,
@@ -168,8 +244,19 @@
 
   Store& adapter;
   std::string key;
+  /// The key of the configuration, or a prefix of it.
+  std::string watched_prefix;
   Decode decode;
   OnChange on_change;
+  OnEvacuations on_evacuations;
+  /// Empty where evacuations are not supported.
+  std::optional<EvacuationWatch> evacuations;
+  /// Numbers of the latest read, of the latest one that was answered, and of
+  /// the first one whose answer confirms the evacuations. A read that began
+  /// before a pause may have been answered before it.
+  std::uint64_t last_read = 0;
+  std::uint64_t confirmed_read = 0;
+  std::uint64_t required_read = 1;
   std::shared_ptr<const Configuration> current;
   std::optional<store::WatchId> watch;
   bool failing = false;
--- a/modules/batch/process/configuration_watch_test.cc
+++ b/modules/batch/process/configuration_watch_test.cc
@@ -23,7 +23,13 @@
 }
 
 struct Watched {
-  Watched() : watch(store, kKey, Decode, [](const auto&) {}) {
+  Watched()
+      : watch(
+            store,
+            {kKey, {}, {}},
+            Decode,
+            [](const auto&) {},
+            [](const auto&) {}) {
     this->store.DriveByTimer();
     this->Put(1);
     BOOST_REQUIRE(WaitFor([this] { return this->Version() == 1U; }));
--- a/modules/batch/process/hosted_settings.cc
+++ b/modules/batch/process/hosted_settings.cc
@@ -112,6 +112,10 @@
     loaded.min_store_lease = RequiredMilliseconds(reader, "min_store_lease_ms");
     loaded.max_worker_lease =
         RequiredMilliseconds(reader, "max_worker_lease_ms");
+    if (reader.Raw("evacuation_bound_ms") != nullptr) {
+      loaded.evacuation_bound =
+          RequiredMilliseconds(reader, "evacuation_bound_ms");
+    }
   });
 }
 
--- a/modules/batch/process/hosted_settings.h
+++ b/modules/batch/process/hosted_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,10 @@
   core::Duration min_store_lease;
   /// Longest lease that a worker accepts.
   core::Duration max_worker_lease;
+  /// Longest time from the request to evacuate a data centre until no task is
+  /// started there any more. Without it, evacuations are not supported and
+  /// their keys are not read.
+  std::optional<core::Duration> evacuation_bound;
 };
 
 /// Settings of `hemlockdoor hosted-agent`.
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -37,6 +37,16 @@
   std::vector<std::string> entries;
 };
 
+/// Where a planner service learns whether the evacuations that it was given are
+/// up to date.
+struct EvacuationSource {
+  /// Returns whether the evacuations have been read since the latest pause of
+  /// this process and the latest call of `read_again`.
+  std::function<bool(core::TimePoint)> is_confirmed;
+  /// Reads the evacuations again.
+  std::function<void()> read_again;
+};
+
 /// Takes part in the election of the planner. While elected, passes events to
 /// the `Planner` and executes its decisions. Belongs to one Qt event loop.
 template <store::KeyValueStore Store>
@@ -78,6 +88,19 @@
       this->ScheduleDecision();
     }
   }
+  /// From now on starts are withheld while the evacuations are not confirmed,
+  /// and they are read again at the begin of each term.
+  void SetEvacuationSource(EvacuationSource source) {
+    this->evacuation_source = std::move(source);
+  }
+  void SetEvacuations(const EvacuationState& state) {
+    this->evacuations = state;
+    if (this->planner) {
+      this->planner->SetEvacuations(state, core::Clock::Now());
+      this->ScheduleDecision();
+    }
+    this->UpdateEvacuationMetrics();
+  }
   /// Handles a record that was stored at `revision`.
   void OnSubmitted(const JobRecord& record, store::ModRevision revision) {
     if (Planner* active = this->Active()) {
@@ -282,6 +305,9 @@
           observe::LogLevel::kInfo, "planning lease acquired", {},
           {{"event", "planner_elected"},
            {"epoch", std::to_string(this->ownership.Epoch().Number())}});
+      if (this->evacuation_source) {
+        this->evacuation_source->read_again();
+      }
       this->Load();
     } else if (!this->ownership.IsOwner() && this->term_running) {
       this->EndTerm("planning lease lost, another entry may hold it");
@@ -303,6 +329,7 @@
     this->planner.reset();
     this->jobs_read_until = store::ModRevision();
     this->unremoved_jobs.clear();
+    this->UpdateEvacuationMetrics();
     observe::Log(observe::LogLevel::kWarn, "planning ended: " + reason, {},
                  {{"event", "planner_ended"}});
     this->AnswerStateQueries();
@@ -356,6 +383,7 @@
       planner_options.retention = this->options.retention;
       this->planner = std::make_unique<Planner>(planner_options);
       this->planner->SetConfiguration(this->configuration);
+      this->planner->SetEvacuations(this->evacuations, now);
       this->planner->BeginTerm(this->ownership.Epoch(), members, now);
     }
     for (JobRecord& record : records) {
@@ -519,6 +547,9 @@
     }
     const core::TimePoint now = core::Clock::Now();
     const std::int64_t wall_ms = this->wall.WallMilliseconds(now);
+    if (this->evacuation_source) {
+      active->WithholdStarts(!this->evacuation_source->is_confirmed(now));
+    }
     for (AgentOrders& orders : active->Decide(now, wall_ms)) {
       this->SendOrders(std::move(orders));
     }
@@ -528,11 +559,23 @@
       observe::Log(observe::LogLevel::kInfo, note.detail, log_context,
                    {{"event", note.event}});
     }
+    this->UpdateEvacuationMetrics();
     this->StoreMembers(*active, now);
     this->StoreProgress(*active, now, wall_ms);
     this->RemoveExpired(*active, now);
   }
 
+  void UpdateEvacuationMetrics() {
+    if (!this->evacuation_source) {
+      return;
+    }
+    const EvacuationLoad load =
+        this->planner ? this->planner->EvacuatedLoad() : EvacuationLoad();
+    observe::ProcessMetrics().SetEvacuation(
+        this->evacuations.data_centres.size(),
+        static_cast<std::size_t>(load.units), load.remaining);
+  }
+
   void SendOrders(AgentOrders orders) {
     const core::Expected<wire::Endpoint> endpoint =
         wire::Endpoint::Parse(orders.endpoint);
@@ -728,6 +771,9 @@
   std::unique_ptr<Planner> planner;
   std::shared_ptr<const Configuration> configuration =
       std::make_shared<const Configuration>();
+  EvacuationState evacuations;
+  /// Empty where evacuations are not supported.
+  std::optional<EvacuationSource> evacuation_source;
   StableWallClock wall;
   wire::HttpClient client;
   QObject context;
