Replays: the loads of the print bureau and the bookkeeper

Cause: the replays knew even fleets only, so neither slow workers nor the long tail of run times, siblings that vary and large organisations could be studied without a network.

Change: load_replay.h learns workers with time factors in turn, workers that change their speed, a share of runs that take several times as long, siblings whose work differs, gangs at the pace of their slowest member, the time to restore a checkpoint, stops that save no progress, progress that is read once a second, and organisations of different size.

--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -8,14 +8,22 @@
 
 namespace {
 
+using hemlockdoor::batch::testing::BookkeeperPattern;
 using hemlockdoor::batch::testing::ClassResult;
 using hemlockdoor::batch::testing::DrivePattern;
 using hemlockdoor::batch::testing::LoadPattern;
 using hemlockdoor::batch::testing::LoadReplay;
+using hemlockdoor::batch::testing::PrintBureauPattern;
 using hemlockdoor::batch::testing::RegistryPattern;
 using hemlockdoor::batch::testing::ReplayResult;
 
 LoadPattern PatternOf(const std::string& fleet, double load) {
+  if (fleet == "print") {
+    return PrintBureauPattern(load);
+  }
+  if (fleet == "books") {
+    return BookkeeperPattern(load);
+  }
   return fleet == "large" ? DrivePattern(load)
                           : RegistryPattern(fleet == "grown", load);
 }
@@ -57,7 +65,8 @@
             << (total_earned - kWastePrice * wasted) / total_owed << " earned "
             << total_earned / total_owed << " worst class " << worst
             << ", wasted core-s a seed " << wasted / seeds << ", stops "
-            << stops / seeds << " of starts " << starts / seeds << "\n";
+            << stops / seeds << " of starts " << starts / seeds << " ("
+            << static_cast<double>(stops) / starts << " a start)\n";
   for (const auto& [name, sum] : sums) {
     std::cout << "  " << name << ": earned "
               << sum.earned_credit / sum.possible_credit << " jobs " << sum.jobs
@@ -72,7 +81,8 @@
 int main(int argument_count, char** arguments) {
   constexpr int kUsageError = 2;
   if (argument_count != 4) {
-    std::cerr << "usage: batch_load_bench small|grown|large LOAD SEEDS\n";
+    std::cerr
+        << "usage: batch_load_bench small|grown|large|print|books LOAD SEEDS\n";
     return kUsageError;
   }
   Print(arguments[1], std::atof(arguments[2]), std::atoi(arguments[3]));
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <random>
 #include <set>
 #include <string>
@@ -20,7 +21,8 @@
   std::string name;
   int priority = 0;
   int max_attempts = 2;
-  /// The objective of a job is `slack` times its work plus `objective_ms`.
+  /// The objective of a job is `slack` times the mean work of its tasks plus
+  /// `objective_ms`.
   double slack = 1.5;
   double objective_ms = 250;
   double jobs_per_second = 1;
@@ -32,6 +34,9 @@
   std::vector<int> accelerators;
   double work_ms = 2000;
   double work_spread = 0.3;
+  /// Standard deviation of the logarithm of the work of a task relative to the
+  /// mean of its siblings.
+  double sibling_spread = 0;
   bool gang = false;
   double same_rack_share = 0;
   double checkpoint_share = 0;
@@ -49,15 +54,40 @@
   double poison_share = 0;
 };
 
+/// Change of the speed of one worker during the replay.
+struct SpeedChange {
+  /// Index of the worker, from 0.
+  int worker = 0;
+  /// Time from the start of the replay.
+  std::int64_t at_ms = 0;
+  /// From then on its tasks take this many times their work.
+  double time_factor = 1;
+};
+
 /// A fleet and the load that it gets.
 struct LoadPattern {
   int workers = 11;
   int workers_per_rack = 3;
   Resources capacity{64000, 262144, 8};
+  /// Time that a task takes, as a multiple of its work; the workers have these
+  /// factors in turn. Empty: 1.0 for all.
+  std::vector<double> time_factors;
+  std::vector<SpeedChange> speed_changes;
+  /// Probability that a run takes `tail_factor` times as long.
+  double tail_share = 0;
+  double tail_factor = 7;
+  /// Time between two readings of the progress of the runs on a worker; 0: each
+  /// report has the present progress.
+  std::int64_t progress_interval_ms = 0;
   /// Longest time that a task takes to stop.
   std::int64_t stop_grace_ms = 200;
   /// Work between two checkpoints of a run.
   std::int64_t checkpoint_ms = 1000;
+  /// Time that a run needs to restore a checkpoint before it continues.
+  std::int64_t restore_ms = 0;
+  /// Whether a task with checkpoints that is stopped saves all its progress;
+  /// otherwise it continues from its last checkpoint.
+  bool saves_on_stop = true;
   /// Factor by which a run outside its preferred rack, or of a gang that is
   /// spread over several racks against its request, is slower.
   double remote_slowdown = 3;
@@ -74,6 +104,8 @@
   std::int64_t arrivals_ms = 34'000;
   std::int64_t drain_ms = 14'000;
   int organisations = 4;
+  /// Relative numbers of jobs of the organisations; empty: equal.
+  std::vector<double> organisation_shares;
   /// Whether a gang that is wider than a sixth of the fleet gets fewer tasks;
   /// otherwise its tasks run independently of each other.
   bool narrows_gangs = false;
@@ -129,6 +161,7 @@
     const std::int64_t end = this->pattern.arrivals_ms + this->pattern.drain_ms;
     for (std::int64_t t = 0; t < end; t += kStepMs) {
       this->now = start + core::Duration::Milliseconds(t);
+      this->ChangeSpeeds(t);
       this->Submit(t);
       this->Progress();
       this->Report();
@@ -148,6 +181,8 @@
     const LoadClass* load = nullptr;
     std::int64_t arrival_ms = 0;
     double work_ms = 0;
+    /// Work of each task relative to `work_ms`; empty: 1.0 for all.
+    std::vector<double> task_work;
     bool poison = false;
     bool submitted = false;
     std::int64_t started_ms = -1;
@@ -160,6 +195,10 @@
     double done_ms = 0;
     double restored_ms = 0;
     double speed = 1;
+    /// Factor on its run time, for the long tail of run times.
+    double tail = 1;
+    /// Time until which it restores its checkpoint.
+    core::TimePoint resumes_at;
     /// Completed work at which the run fails; -1: it does not fail.
     double fails_at = -1;
     /// Virtual time at which a stop that was ordered takes effect; -1: no stop.
@@ -206,6 +245,11 @@
       report.worker = worker;
       report.is_complete = true;
       this->reports[report.agent] = report;
+      const std::vector<double>& factors = this->pattern.time_factors;
+      this->time_factors[report.agent] =
+          factors.empty()
+              ? 1.0
+              : factors[static_cast<std::size_t>(i) % factors.size()];
     }
     this->Report();
     if (const auto members = this->planner.TakeMembersWrite()) {
@@ -278,14 +322,34 @@
     step.estimate = core::Duration::Milliseconds(
         static_cast<std::int64_t>(LogNormal(job.work_ms, load.estimate_error)));
     job.poison = this->Draw() < load.poison_share;
+    if (load.sibling_spread > 0) {
+      for (int i = 0; i < step.count; ++i) {
+        job.task_work.push_back(LogNormal(1, load.sibling_spread));
+      }
+    }
     job.record =
         MakeJob("j" + std::to_string(10'000 + number), {step}, load.priority);
-    job.record.organisation = core::OrganisationId(
-        "o" + std::to_string(static_cast<int>(this->Draw() *
-                                              this->pattern.organisations)));
+    job.record.organisation =
+        core::OrganisationId("o" + std::to_string(this->DrawOrganisation()));
     job.record.queue = QueueName(load.name);
     return job;
   }
+  /// Returns the index of the organisation of the next job.
+  int DrawOrganisation() {
+    const std::vector<double>& shares = this->pattern.organisation_shares;
+    const double drawn = this->Draw();
+    if (shares.empty()) {
+      return static_cast<int>(drawn * this->pattern.organisations);
+    }
+    double left = drawn * std::accumulate(shares.begin(), shares.end(), 0.0);
+    for (std::size_t i = 0; i + 1 < shares.size(); ++i) {
+      left -= shares[i];
+      if (left < 0) {
+        return static_cast<int>(i);
+      }
+    }
+    return static_cast<int>(shares.size()) - 1;
+  }
   /// Limits gangs as on the deployments: a gang takes at most a sixth of the
   /// fleet, and one that requires a single rack at most half of a rack.
   void ShapeGang(const LoadClass& load, StepSpec& step) {
@@ -331,20 +395,44 @@
     return run.job->record.spec.steps.front();
   }
 
+  void ChangeSpeeds(std::int64_t t) {
+    for (const SpeedChange& change : this->pattern.speed_changes) {
+      if (t - kStepMs < change.at_ms && change.at_ms <= t) {
+        this->time_factors.at(core::AgentId(
+            "w" + std::to_string(1000 + change.worker))) = change.time_factor;
+        for (SimRun& run : this->runs) {
+          run.speed = this->Speed(run);
+        }
+      }
+    }
+  }
+
+  /// Returns the work that a run completes in a millisecond near its data if it
+  /// does not wait for other tasks.
+  double SpeedAlone(const SimRun& run) const {
+    const std::vector<double>& work = run.job->task_work;
+    const double task_work =
+        work.empty() ? 1.0 : work[static_cast<std::size_t>(run.key.task.index)];
+    return 1.0 / (this->time_factors.at(run.agent) * task_work * run.tail);
+  }
+
+  /// Returns the speed of a run. A gang has that of its slowest member.
   double Speed(const SimRun& run) const {
     const StepSpec& step = this->StepOf(run);
     std::set<std::string> racks;
+    double speed = this->SpeedAlone(run);
     for (const SimRun& other : this->runs) {
       if (other.key.task.job == run.key.task.job &&
           (step.gang || other.key == run.key)) {
         racks.insert(this->reports.at(other.agent).worker->rack.Text());
+        speed = std::min(speed, this->SpeedAlone(other));
       }
     }
     const bool away =
         !step.preferred_rack.empty() &&
         (racks.size() > 1 || *racks.begin() != step.preferred_rack);
     const bool split = step.gang && step.same_rack && racks.size() > 1;
-    return away || split ? 1.0 / this->pattern.remote_slowdown : 1.0;
+    return away || split ? speed / this->pattern.remote_slowdown : speed;
   }
 
   void EndRun(SimRun& run, RunEndKind kind) {
@@ -357,8 +445,7 @@
     const auto step_ms = static_cast<double>(this->pattern.checkpoint_ms);
     double saved = run.restored_ms;
     if (step.checkpoints) {
-      // A task that is stopped saves all its progress.
-      saved = kind == RunEndKind::kStopped
+      saved = kind == RunEndKind::kStopped && this->pattern.saves_on_stop
                   ? run.done_ms
                   : std::floor(run.done_ms / step_ms) * step_ms;
       end.checkpoint = std::to_string(static_cast<std::int64_t>(saved));
@@ -377,7 +464,9 @@
   void Progress() {
     std::map<std::pair<core::JobId, std::int64_t>, RunEndKind> gang_ends;
     for (SimRun& run : this->runs) {
-      run.done_ms += static_cast<double>(kStepMs) * run.speed;
+      if (this->now > run.resumes_at) {
+        run.done_ms += static_cast<double>(kStepMs) * run.speed;
+      }
       const bool stopped =
           run.stops_at >= 0 && this->now.InMilliseconds() >= run.stops_at;
       const bool failed = run.fails_at >= 0 && run.done_ms >= run.fails_at;
@@ -407,16 +496,27 @@
     std::erase_if(this->runs, [](const SimRun& run) { return !run.job; });
   }
 
+  /// Updates the progress of the runs that a worker reports.
+  void ReadProgress(AgentReport& report) {
+    for (ActiveRun& active : report.active) {
+      for (const SimRun& run : this->runs) {
+        if (run.key == active.key) {
+          constexpr double kPercent = 100;
+          active.percent =
+              static_cast<int>(run.done_ms / run.job->work_ms * kPercent);
+        }
+      }
+    }
+  }
+
   void Report() {
+    const std::int64_t reports_per_reading =
+        std::max<std::int64_t>(this->pattern.progress_interval_ms / kStepMs, 1);
+    // The readings of the workers are spread over the interval.
+    std::int64_t phase = this->now.InMilliseconds() / kStepMs;
     for (auto& [agent, report] : this->reports) {
-      for (ActiveRun& active : report.active) {
-        for (const SimRun& run : this->runs) {
-          if (run.key == active.key) {
-            constexpr double kPercent = 100;
-            active.percent =
-                static_cast<int>(run.done_ms / run.job->work_ms * kPercent);
-          }
-        }
+      if (++phase % reports_per_reading == 0) {
+        this->ReadProgress(report);
       }
       ++report.sequence;
       const ReportAnswer answer = this->planner.OnReport(report, this->now);
@@ -477,6 +577,12 @@
     if (!start.checkpoint.empty()) {
       run.restored_ms = std::stod(start.checkpoint);
       run.done_ms = run.restored_ms;
+      run.resumes_at =
+          this->now + core::Duration::Milliseconds(this->pattern.restore_ms);
+    }
+    if (this->pattern.tail_share > 0 &&
+        this->Draw() < this->pattern.tail_share) {
+      run.tail = this->pattern.tail_factor;
     }
     const double chance = run.job->poison ? 1.0 : run.job->load->failure_share;
     if (this->Draw() < chance) {
@@ -547,6 +653,7 @@
   Planner planner;
   core::TimePoint now = At(1'000'000);
   std::map<core::AgentId, AgentReport> reports;
+  std::map<core::AgentId, double> time_factors;
   std::map<core::AgentId, std::uint64_t> last_end;
   std::vector<SimJob> jobs;
   std::map<core::JobId, SimJob*> by_id;
@@ -697,4 +804,138 @@
   return pattern;
 }
 
+/// Sets what the loads of the print bureau and the bookkeeper have in common.
+inline void SetUnevenFleet(LoadPattern& pattern) {
+  pattern.capacity.memory_mb = 262144;
+  pattern.progress_interval_ms = 1000;
+  pattern.restore_ms = 600;
+  pattern.saves_on_stop = false;
+  pattern.organisations = 10;
+  pattern.organisation_shares = {6, 4, 3, 1, 1, 1, 1, 1, 1, 1};
+  pattern.narrows_gangs = true;
+}
+
+/// Returns a class of gangs of 6 tasks on average with a priority of 1.
+inline LoadClass OrdinaryGangs(const std::string& name) {
+  LoadClass load;
+  load.name = name;
+  load.priority = 1;
+  load.max_attempts = 2;
+  load.slack = 3.0;
+  load.objective_ms = 1000;
+  load.width_mean = 6;
+  load.width_max = 39;
+  load.accelerators = {1, 2, 4, 8, 8};
+  load.sibling_spread = 0.15;
+  load.gang = true;
+  load.same_rack_share = 0.6;
+  load.checkpoint_share = 0.45;
+  load.estimate_error = 0.9;
+  load.credit = 3;
+  load.late_credit = 0.9;
+  load.failure_share = 0.005;
+  load.poison_share = 0.03;
+  return load;
+}
+
+/// Returns a class of gangs of 5 tasks on average with a priority of 0.
+inline LoadClass UrgentGangs(const std::string& name) {
+  LoadClass load;
+  load.name = name;
+  load.priority = 0;
+  load.max_attempts = 3;
+  load.slack = 1.5;
+  load.width_mean = 5;
+  load.width_max = 32;
+  load.accelerators = {1, 2, 4, 8, 8};
+  load.work_spread = 0.5;
+  load.sibling_spread = 0.2;
+  load.gang = true;
+  load.same_rack_share = 0.8;
+  load.estimate_error = 0.9;
+  load.credit = 4;
+  load.late_credit = 0.8;
+  load.failure_share = 0.005;
+  return load;
+}
+
+/// Returns a class of wide steps of 39 tasks on average with a priority of 2.
+inline LoadClass WideBatches(const std::string& name) {
+  LoadClass load;
+  load.name = name;
+  load.priority = 2;
+  load.max_attempts = 4;
+  load.slack = 3.0;
+  load.objective_ms = 3000;
+  load.width_mean = 39;
+  load.width_max = 230;
+  load.sibling_spread = 0.3;
+  load.checkpoint_share = 0.45;
+  load.estimate_error = 0.2;
+  load.credit = 1;
+  load.late_credit = 0.3;
+  load.failure_share = 0.05;
+  return load;
+}
+
+/// Steps of a job of `WideBatches`; each is replayed as a job of its own.
+inline constexpr double kWideStepsPerJob = 1.3;
+
+/// Returns the load of the print bureau on its 62 workers, a third of which are
+/// slower. `load_factor` scales the arrival rates.
+inline LoadPattern PrintBureauPattern(double load_factor) {
+  LoadPattern pattern;
+  pattern.workers = 62;
+  pattern.workers_per_rack = 7;
+  SetUnevenFleet(pattern);
+  pattern.capacity.millicores = 128'000;
+  pattern.time_factors = {1.0, 1.0, 1.3};
+  pattern.stop_grace_ms = 900;
+  pattern.checkpoint_ms = 2000;
+  LoadClass slice = OrdinaryGangs("slice-full");
+  slice.jobs_per_second = 0.496 * load_factor;
+  slice.need = {52000, 140'000, 8};
+  slice.work_ms = 11'000;
+  LoadClass check = UrgentGangs("check-fit");
+  check.jobs_per_second = 1.63 * load_factor;
+  check.objective_ms = 300;
+  check.need = {15000, 22'000, 8};
+  check.work_ms = 2500;
+  LoadClass school = WideBatches("school-batch");
+  school.jobs_per_second = 0.375 * kWideStepsPerJob * load_factor;
+  school.need = {11000, 16'000, 1};
+  school.work_ms = 6100;
+  pattern.classes = {slice, check, school};
+  return pattern;
+}
+
+/// Returns the load of the bookkeeper on its 63 workers, a third of which are
+/// much slower, and where some runs take seven times as long. `load_factor`
+/// scales the arrival rates.
+inline LoadPattern BookkeeperPattern(double load_factor) {
+  LoadPattern pattern;
+  pattern.workers = 63;
+  pattern.workers_per_rack = 8;
+  SetUnevenFleet(pattern);
+  pattern.time_factors = {0.7, 0.7, 1.7};
+  pattern.tail_share = 0.03;
+  pattern.stop_grace_ms = 200;
+  pattern.checkpoint_ms = 1000;
+  LoadClass bank = OrdinaryGangs("bank-recon");
+  bank.jobs_per_second = 0.817 * load_factor;
+  bank.need = {26000, 140'000, 8};
+  bank.work_ms = 5800;
+  LoadClass invoice = UrgentGangs("einvoice-check");
+  invoice.jobs_per_second = 1.39 * load_factor;
+  invoice.objective_ms = 250;
+  invoice.need = {7500, 31'000, 8};
+  invoice.work_ms = 2100;
+  LoadClass receipt = WideBatches("receipt-batch");
+  receipt.jobs_per_second = 0.403 * kWideStepsPerJob * load_factor;
+  receipt.need = {5600, 23'000, 1};
+  receipt.work_ms = 5200;
+  pattern.classes = {bank, invoice, receipt};
+  return pattern;
+}
+
 }  // namespace hemlockdoor::batch::testing
