--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -137,6 +137,9 @@
                                                 kind,
                                                 checkpoint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Rejection, key, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedSpeed,
+                                                log_factor,
+                                                weight)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportAnswer,
                                                 epoch,
                                                 session,
@@ -144,6 +147,7 @@
                                                 earlier_leases,
                                                 worker,
                                                 acknowledged,
+                                                speed,
                                                 entries)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder,
                                                 key,
@@ -187,6 +191,12 @@
           {"active", report.active},
           {"ends", report.ends},
           {"rejections", report.rejections}};
+  if (report.speed.weight > 0) {
+    json["speed"] = report.speed;
+  }
+  if (report.progress_age > core::Duration()) {
+    json["progress_age"] = report.progress_age;
+  }
   if (report.worker) {
     json["worker"] = *report.worker;
   }
@@ -202,6 +212,8 @@
   json.at("worker_reachable").get_to(report.worker_reachable);
   json.at("is_complete").get_to(report.is_complete);
   report.can_start = json.value("can_start", true);
+  report.speed = json.value("speed", ReportedSpeed());
+  report.progress_age = json.value("progress_age", core::Duration());
   json.at("active").get_to(report.active);
   json.at("ends").get_to(report.ends);
   json.at("rejections").get_to(report.rejections);
@@ -291,10 +303,26 @@
   return ValidateEndpoint(member.endpoint, "endpoint");
 }
 
+core::Expected<void> Validate(const ReportedSpeed& speed) {
+  constexpr double kMaxLogFactor = 10;
+  constexpr double kMaxWeight = 1e6;
+  if (std::abs(speed.log_factor) > kMaxLogFactor || speed.weight < 0 ||
+      speed.weight > kMaxWeight) {
+    return Invalid("factor or weight out of range", "speed");
+  }
+  return {};
+}
+
 core::Expected<void> Validate(const AgentReport& report) {
   if (report.agent.IsEmpty()) {
     return Invalid("expected an id", "agent");
   }
+  if (report.progress_age < core::Duration()) {
+    return Invalid("expected a positive length of time", "progress_age");
+  }
+  if (const core::Expected<void> valid = Validate(report.speed); !valid) {
+    return valid;
+  }
   const bool runs_valid = std::all_of(
       report.active.begin(), report.active.end(), [](const ActiveRun& run) {
         return run.key.run >= 0 && run.still >= core::Duration();
@@ -312,7 +340,7 @@
   if (answer.earlier_leases < core::Duration()) {
     return Invalid("expected a positive length of time", "earlier_leases");
   }
-  return {};
+  return Validate(answer.speed);
 }
 
 core::Expected<void> Validate(const OrderBatch& /*batch*/) {
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -83,6 +83,15 @@
   RejectReason reason = RejectReason::kInvalid;
 };
 
+/// A planner's estimate of the speed of an agent's worker. Agents repeat it, so
+/// that it survives a change of the planner.
+struct ReportedSpeed {
+  /// Natural logarithm of the time factor; 0 is the fleet's median.
+  double log_factor = 0;
+  /// Number of runs that the estimate is worth; 0 if there is none.
+  double weight = 0;
+};
+
 /// Snapshot of what an agent knows about its worker.
 struct AgentReport {
   core::AgentId agent;
@@ -109,6 +118,10 @@
   /// worker's clock. Without both it cannot set the lease of a run, and refuses
   /// starts.
   bool can_start = true;
+  /// Estimate from the latest answer of a planner.
+  ReportedSpeed speed;
+  /// Time since the worker stated the progress of the active runs.
+  core::Duration progress_age;
   std::vector<ActiveRun> active;
   std::vector<RunEnd> ends;
   std::vector<Rejection> rejections;
@@ -136,6 +149,8 @@
   /// Ends up to this number are recorded, so that agent and worker may drop
   /// them.
   std::uint64_t acknowledged = 0;
+  /// Estimate of the speed of the agent's worker, which the agent repeats.
+  ReportedSpeed speed;
   /// Internal endpoints of all entries.
   std::vector<std::string> entries;
 };
