Placement by expected end on workers of different speeds

Cause: on the bookkeeper's nearly empty fleet most urgent jobs start at once and more than half end late: a gang of five has a slow member nearly nine times in ten and runs at its pace, since the searches do not know speeds.

Change: a placement request states the speeds, the expected run time and the time that may be lost. Single tasks rank workers on which their job becomes late last; urgent work prefers fast workers and work with time to spare slow ones. A gang takes the fastest workers that it fits on, with time to spare equally slow ones, and is spread over speeds only if it fits nowhere else; then it holds as few fast ones as it can. Reservations choose the earliest end instead of the earliest start, and a unit whose job would become late on the workers that are free now waits for faster ones if it ends sooner there. Stops by preemption are sought first where the job is in time.

--- a/modules/batch/planner/candidates.cc
+++ b/modules/batch/planner/candidates.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace hemlockdoor::batch::detail {
@@ -11,6 +12,10 @@
 /// Accelerators are the scarcest resource, so they outweigh memory and
 /// processors together.
 constexpr double kAcceleratorWeight = 100.0;
+/// A unit leaves fast workers free if it may lose this many times the time that
+/// it is expected to lose on slow ones. Run times are known to within a factor
+/// of about 1.5.
+constexpr double kTimeToSpareFactor = 1.5;
 
 bool HasLabel(const WorkerDescription& worker, const std::string& label) {
   const std::vector<std::string>& labels = worker.labels;
@@ -29,13 +34,22 @@
          share(left.millicores, capacity.millicores);
 }
 
+/// Returns the milliseconds that the unit loses by a run on a worker with this
+/// time factor.
+double TimeLost(const PlacementRequest& request, double time_factor) {
+  return (time_factor - 1.0) *
+         static_cast<double>(request.run_time.InMilliseconds());
+}
+
 }  // namespace
 
 bool CandidateRank::operator<(const CandidateRank& other) const {
-  return std::tie(this->is_remote, this->is_suspended, this->is_avoided,
-                  this->failing_jobs, this->free_share, *this->agent) <
-         std::tie(other.is_remote, other.is_suspended, other.is_avoided,
-                  other.failing_jobs, other.free_share, *other.agent);
+  return std::tie(this->is_late, this->is_remote, this->is_suspended,
+                  this->is_avoided, this->failing_jobs, this->speed,
+                  this->free_share, *this->agent) <
+         std::tie(other.is_late, other.is_remote, other.is_suspended,
+                  other.is_avoided, other.failing_jobs, other.speed,
+                  other.free_share, *other.agent);
 }
 
 bool IsEligible(const AgentView& view, const PlacementRequest& request) {
@@ -63,6 +77,9 @@
     const auto placed = request.placed_tasks.find(agent);
     candidate.placed_tasks =
         placed == request.placed_tasks.end() ? 0 : placed->second;
+    if (request.speeds != nullptr) {
+      candidate.time_factor = request.speeds->FactorOf(agent);
+    }
     candidates.push_back(candidate);
   }
   return candidates;
@@ -74,6 +91,37 @@
   return limit == 0 || candidate.placed_tasks < limit;
 }
 
+bool IsInTime(const PlacementRequest& request, double time_factor) {
+  return TimeLost(request, time_factor) <=
+         static_cast<double>(request.slack.InMilliseconds());
+}
+
+bool HasTimeToSpare(const PlacementRequest& request, double time_factor) {
+  return request.priority > 0 && request.run_time > core::Duration() &&
+         TimeLost(request, time_factor) * kTimeToSpareFactor <=
+             static_cast<double>(request.slack.InMilliseconds());
+}
+
+std::vector<Candidate> WithTimeFactors(const std::vector<Candidate>& candidates,
+                                       double lowest,
+                                       double highest) {
+  std::vector<Candidate> chosen;
+  for (const Candidate& candidate : candidates) {
+    if (lowest <= candidate.time_factor && candidate.time_factor <= highest) {
+      chosen.push_back(candidate);
+    }
+  }
+  return chosen;
+}
+
+std::vector<double> TimeFactors(const std::vector<Candidate>& candidates) {
+  std::set<double> factors;
+  for (const Candidate& candidate : candidates) {
+    factors.insert(candidate.time_factor);
+  }
+  return {factors.begin(), factors.end()};
+}
+
 bool HasRoom(const Candidate& candidate, const PlacementRequest& request) {
   return IsBelowTaskLimit(candidate, request) &&
          CountedNeed(*request.step).FitsIn(candidate.free);
@@ -90,6 +138,13 @@
   rank.is_avoided = request.avoided_workers != nullptr &&
                     request.avoided_workers->contains(worker.identity.id);
   rank.failing_jobs = candidate.view->failing_jobs.size();
+  // A gang runs at the pace of its slowest member, so the search limits the
+  // time factor of the whole gang, and within the limit prefers slow workers.
+  const bool is_gang = request.size > 1;
+  rank.is_late = !is_gang && !IsInTime(request, candidate.time_factor);
+  const bool prefers_slow =
+      is_gang || HasTimeToSpare(request, candidate.time_factor);
+  rank.speed = prefers_slow ? -candidate.time_factor : candidate.time_factor;
   rank.free_share = WeightedFreeShare(left, worker.capacity);
   rank.agent = &candidate.view->agent;
   return rank;
--- a/modules/batch/planner/candidates.h
+++ b/modules/batch/planner/candidates.h
@@ -13,15 +13,21 @@
   const AgentView* view = nullptr;
   Resources free;
   int placed_tasks = 0;
+  /// Time factor of the worker; see WorkerSpeeds::FactorOf.
+  double time_factor = 1.0;
 };
 
 /// Sort key of a candidate; the lowest is the best. Ties are broken by the
 /// agent's id, so that placement is deterministic.
 struct CandidateRank {
+  /// The job is expected to become late on the worker.
+  bool is_late = false;
   bool is_remote = false;
   bool is_suspended = false;
   bool is_avoided = false;
   std::size_t failing_jobs = 0;
+  /// Time factor, negative if the unit should use slow workers.
+  double speed = 0;
   double free_share = 0;
   const core::AgentId* agent = nullptr;
 
@@ -41,6 +47,22 @@
 bool IsBelowTaskLimit(const Candidate& candidate,
                       const PlacementRequest& request);
 
+/// Returns whether the job is expected not to become late if the unit starts
+/// now on workers with time factors of up to `time_factor`.
+bool IsInTime(const PlacementRequest& request, double time_factor);
+
+/// Returns whether the unit has enough time to spare for workers with this
+/// factor that it should leave faster ones free.
+bool HasTimeToSpare(const PlacementRequest& request, double time_factor);
+
+/// Returns the candidates with time factors in [lowest, highest].
+std::vector<Candidate> WithTimeFactors(const std::vector<Candidate>& candidates,
+                                       double lowest,
+                                       double highest);
+
+/// Returns the different time factors of the candidates in rising order.
+std::vector<double> TimeFactors(const std::vector<Candidate>& candidates);
+
 /// Returns whether one more task of the step fits.
 bool HasRoom(const Candidate& candidate, const PlacementRequest& request);
 
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -1,6 +1,7 @@
 #include "modules/batch/planner/placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -48,6 +49,66 @@
   return agents;
 }
 
+/// Workers that differ by at most this factor count as equally fast: the factor
+/// between adjacent steps of the estimates is 1.16.
+constexpr double kUniformFactorRange = 1.25;
+
+/// Range of time factors.
+struct FactorRange {
+  double lowest = 0;
+  double highest = 0;
+};
+
+/// Returns the ranges of time factors that are tried for a gang, the preferred
+/// one first. `factors` are those of the candidates, in rising order. A gang
+/// with time to spare should use workers that are equally slow, any other gang
+/// the fastest ones.
+std::vector<FactorRange> RangesForGang(const std::vector<double>& factors,
+                                       const PlacementRequest& request) {
+  std::vector<FactorRange> ranges;
+  for (auto factor = factors.rbegin(); factor != factors.rend(); ++factor) {
+    if (detail::HasTimeToSpare(request, *factor)) {
+      ranges.push_back({*factor / kUniformFactorRange, *factor});
+    }
+  }
+  for (const double factor : factors) {
+    ranges.push_back({0, factor});
+  }
+  return ranges;
+}
+
+/// Places the unit in the first of the groups where it fits, for a gang on
+/// workers of the preferred speeds.
+std::optional<std::vector<core::AgentId>> PlaceInFirst(
+    std::vector<std::vector<Candidate>> groups,
+    const PlacementRequest& request) {
+  std::set<double> factors;
+  for (const std::vector<Candidate>& group : groups) {
+    for (const Candidate& candidate : group) {
+      factors.insert(candidate.time_factor);
+    }
+  }
+  std::vector<FactorRange> ranges = {
+      {0, std::numeric_limits<double>::infinity()}};
+  if (request.size > 1 && factors.size() > 1) {
+    // The search by speed is done only where the unit fits at all.
+    std::erase_if(groups, [&request](const std::vector<Candidate>& group) {
+      return !PlaceGreedily(group, request);
+    });
+    ranges = RangesForGang({factors.begin(), factors.end()}, request);
+  }
+  for (const FactorRange& range : ranges) {
+    for (const std::vector<Candidate>& group : groups) {
+      if (auto placed = PlaceGreedily(
+              detail::WithTimeFactors(group, range.lowest, range.highest),
+              request)) {
+        return placed;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 std::int64_t FreeAccelerators(const std::vector<Candidate>& candidates) {
   std::int64_t free = 0;
   for (const Candidate& candidate : candidates) {
@@ -65,7 +126,7 @@
   const bool one_rack = request.step->same_rack && request.size > 1;
   if (!data_rack.empty()) {
     const auto placed =
-        PlaceGreedily(InRack(candidates, core::RackId(data_rack)), request);
+        PlaceInFirst({InRack(candidates, core::RackId(data_rack))}, request);
     if (placed || !request.allow_remote) {
       return placed;
     }
@@ -76,16 +137,12 @@
               [](const auto& left, const auto& right) {
                 return FreeAccelerators(left) < FreeAccelerators(right);
               });
-    for (const std::vector<Candidate>& rack : racks) {
-      if (auto placed = PlaceGreedily(rack, request)) {
-        return placed;
-      }
-    }
-    if (!request.allow_remote) {
-      return std::nullopt;
+    auto placed = PlaceInFirst(std::move(racks), request);
+    if (placed || !request.allow_remote) {
+      return placed;
     }
   }
-  return PlaceGreedily(candidates, request);
+  return PlaceInFirst({candidates}, request);
 }
 
 using VictimsByAgent = std::map<core::AgentId, std::vector<const Victim*>>;
@@ -217,6 +274,36 @@
   return placement;
 }
 
+/// Returns the cheapest placement over the permitted racks.
+std::optional<PreemptingPlacement> PlaceInCheapest(
+    const std::vector<Candidate>& candidates,
+    const PlacementRequest& request,
+    const VictimsByAgent& by_agent) {
+  std::optional<PreemptingPlacement> best;
+  for (const std::vector<Candidate>& group :
+       CandidateGroups(candidates, request)) {
+    std::optional<PreemptingPlacement> found =
+        PlaceWithVictims(group, request, by_agent);
+    if (found && (!best || found->cost < best->cost)) {
+      best = std::move(found);
+    }
+  }
+  return best;
+}
+
+/// Returns the candidates on which the job does not become late.
+std::vector<Candidate> InTimeCandidates(
+    const std::vector<Candidate>& candidates,
+    const PlacementRequest& request) {
+  std::vector<Candidate> chosen;
+  for (const Candidate& candidate : candidates) {
+    if (detail::IsInTime(request, candidate.time_factor)) {
+      chosen.push_back(candidate);
+    }
+  }
+  return chosen;
+}
+
 }  // namespace
 
 std::optional<std::vector<core::AgentId>> FindPlacement(
@@ -231,16 +318,30 @@
     const std::vector<Victim>& victims) {
   const std::vector<Candidate> candidates = UsableCandidates(fleet, request);
   const VictimsByAgent by_agent = GroupByAgent(victims);
-  std::optional<PreemptingPlacement> best;
-  for (const std::vector<Candidate>& group :
-       CandidateGroups(candidates, request)) {
-    std::optional<PreemptingPlacement> found =
-        PlaceWithVictims(group, request, by_agent);
-    if (found && (!best || found->cost < best->cost)) {
-      best = std::move(found);
+  // Work is not stopped for a place where the job becomes late, unless no other
+  // place can be freed.
+  if (const auto in_time = InTimeCandidates(candidates, request);
+      !in_time.empty() && in_time.size() < candidates.size()) {
+    if (auto placement = PlaceInCheapest(in_time, request, by_agent)) {
+      return placement;
     }
   }
-  return best;
+  return PlaceInCheapest(candidates, request, by_agent);
+}
+
+double HighestTimeFactor(const WorkerSpeeds& speeds,
+                         const std::vector<core::AgentId>& agents) {
+  double highest = 0;
+  for (const core::AgentId& agent : agents) {
+    highest = std::max(highest, speeds.FactorOf(agent));
+  }
+  return highest;
+}
+
+bool IsInTimeOn(const PlacementRequest& request,
+                const std::vector<core::AgentId>& agents) {
+  return request.speeds == nullptr ||
+         detail::IsInTime(request, HighestTimeFactor(*request.speeds, agents));
 }
 
 bool NeedsSuspendedWorkers(const Fleet& fleet,
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -7,6 +7,7 @@
 
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
+#include "modules/batch/planner/worker_speeds.h"
 
 namespace hemlockdoor::batch {
 
@@ -32,6 +33,13 @@
   /// Allows workers that are suspended after failed runs. They are ranked
   /// behind others.
   bool use_suspended = false;
+  /// Speeds of the workers; nullptr stands for a homogeneous fleet.
+  const WorkerSpeeds* speeds = nullptr;
+  /// Expected run time of a task on a worker with a time factor of 1.0.
+  core::Duration run_time;
+  /// Time that the unit may lose before its job becomes late, if it starts now
+  /// on a worker with a time factor of 1.0.
+  core::Duration slack;
   core::TimePoint now;
 };
 
@@ -55,10 +63,13 @@
 /// Finds workers for all tasks of a unit in the free capacity (best fit).
 /// A step with a rack for its input data is placed in this rack, and a gang
 /// with `same_rack` in a single rack, unless `allow_remote` permits others.
-/// Among the workers that fit, avoided workers and those with failing jobs come
-/// last, and those with the smallest share of accelerators left free come
-/// first, so that whole workers stay free for wide tasks. Returns the agent of
-/// each task, or nullopt if the tasks do not fit now.
+/// Among the workers that fit, those on which the job becomes late, avoided
+/// workers and those with failing jobs come last. Fast workers come first for
+/// urgent work, and slow ones for work with time to spare. Those with the
+/// smallest share of accelerators left free come next, so that whole workers
+/// stay free for wide tasks. A gang runs at the pace of its slowest member: it
+/// is not spread over speeds if it fits on workers of about the same one.
+/// Returns the agent of each task, or nullopt if the tasks do not fit now.
 std::optional<std::vector<core::AgentId>> FindPlacement(
     const Fleet& fleet,
     const PlacementRequest& request);
@@ -72,6 +83,15 @@
     const PlacementRequest& request,
     const std::vector<Victim>& victims);
 
+/// Returns the highest time factor of the agents' workers.
+double HighestTimeFactor(const WorkerSpeeds& speeds,
+                         const std::vector<core::AgentId>& agents);
+
+/// Returns whether the job is expected not to become late if the unit starts
+/// now on the workers of the agents.
+bool IsInTimeOn(const PlacementRequest& request,
+                const std::vector<core::AgentId>& agents);
+
 /// Returns true if some worker is suspended, and the unit would not fit on
 /// those that are not, even if they were idle.
 bool NeedsSuspendedWorkers(const Fleet& fleet, const PlacementRequest& request);
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1043,6 +1043,11 @@
   request.avoided_workers = &unit.avoided_workers;
   request.own_reservation = &unit.reserved;
   request.now = now;
+  request.speeds = &this->speeds;
+  if (!step.long_running && job.record.spec.occurrences == 0) {
+    request.run_time = this->ExpectedRunTime(job, unit);
+    request.slack = LatestStartInTime(job, unit.step, request.run_time) - now;
+  }
   const bool is_bound_to_racks =
       !step.preferred_rack.empty() || (step.same_rack && unit.size > 1);
   request.allow_remote =
@@ -1077,6 +1082,9 @@
   PlacementRequest request = this->RequestFor(job, unit, now);
   request.use_suspended = NeedsSuspendedWorkers(this->fleet, request);
   const auto placed = FindPlacement(this->fleet, request);
+  if (placed && this->ReserveFaster(job, unit, request, *placed, now)) {
+    return true;
+  }
   if (placed) {
     this->Assign(job, unit, *placed, now);
     return true;
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -274,6 +274,15 @@
                   Unit& unit,
                   const PlacementRequest& request,
                   core::TimePoint now);
+  /// Keeps faster workers for a unit that could start now, if its job would
+  /// become late on these workers and the unit is expected to end sooner on the
+  /// faster ones although it starts there later. Returns false if it should
+  /// start now.
+  bool ReserveFaster(Job& job,
+                     Unit& unit,
+                     const PlacementRequest& request,
+                     const std::vector<core::AgentId>& workers,
+                     core::TimePoint now);
   /// Returns the latest time until which the unit should rather wait for
   /// running work to end than have it stopped.
   core::TimePoint LatestWorthwhileWait(const Job& job,
@@ -357,6 +366,7 @@
   std::map<core::JobId, Job> jobs;
   /// Average run times of completed tasks, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
+  WorkerSpeeds speeds;
   BackfillLimit backfill_limit;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -35,6 +35,9 @@
 /// to end. Jobs within their guarantee must start within 2.7 s of it, and stops
 /// take up to 900 ms.
 constexpr core::Duration kMaxUrgentWait = core::Duration::Milliseconds(1200);
+/// A unit waits for faster workers only if it is expected to end this much
+/// sooner there, since the ends of other runs are known roughly.
+constexpr core::Duration kMinGainOfWait = core::Duration::Milliseconds(300);
 /// Longest expected wait for which capacity is kept free for another job.
 constexpr core::Duration kMaxOrdinaryWait = core::Duration::Milliseconds(1500);
 
@@ -116,6 +119,29 @@
   return true;
 }
 
+bool Planner::ReserveFaster(Job& job,
+                            Unit& unit,
+                            const PlacementRequest& request,
+                            const std::vector<core::AgentId>& workers,
+                            core::TimePoint now) {
+  if (job.record.priority >= kBackfillPriority || !unit.reserved.empty() ||
+      IsInTimeOn(request, workers)) {
+    return false;
+  }
+  const core::TimePoint end =
+      now + core::Duration::Milliseconds(static_cast<std::int64_t>(
+                HighestTimeFactor(this->speeds, workers) *
+                static_cast<double>(request.run_time.InMilliseconds())));
+  const std::optional<Reservation> faster =
+      FindReservation(this->fleet, request, this->Releases(now),
+                      this->LatestWorthwhileWait(job, unit, now));
+  if (!faster || faster->end + kMinGainOfWait > end) {
+    return false;
+  }
+  this->Reserve(job, unit, faster->agents);
+  return true;
+}
+
 double Planner::MaxPreemptionCost(const Job& job,
                                   const Unit& unit,
                                   core::TimePoint now) const {
--- a/modules/batch/planner/reservation.cc
+++ b/modules/batch/planner/reservation.cc
@@ -1,6 +1,7 @@
 #include "modules/batch/planner/reservation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -37,6 +38,16 @@
   }
 }
 
+/// Returns the expected end of a unit that starts at `start` on workers with
+/// time factors of up to `time_factor`.
+core::TimePoint ExpectedEnd(const PlacementRequest& request,
+                            core::TimePoint start,
+                            double time_factor) {
+  return start + core::Duration::Milliseconds(std::llround(
+                     time_factor *
+                     static_cast<double>(request.run_time.InMilliseconds())));
+}
+
 std::optional<Reservation> ReserveIn(std::vector<Candidate> group,
                                      const PlacementRequest& request,
                                      const ExpectedReleases& releases,
@@ -69,6 +80,21 @@
   return reservation;
 }
 
+/// Reserves in the group, without the workers with a higher time factor.
+std::optional<Reservation> ReserveUpTo(double time_factor,
+                                       const std::vector<Candidate>& group,
+                                       const PlacementRequest& request,
+                                       const ExpectedReleases& releases,
+                                       core::TimePoint latest) {
+  std::optional<Reservation> found =
+      ReserveIn(detail::WithTimeFactors(group, 0, time_factor), request,
+                releases, latest);
+  if (found) {
+    found->end = ExpectedEnd(request, found->start, time_factor);
+  }
+  return found;
+}
+
 }  // namespace
 
 std::optional<Reservation> FindReservation(const Fleet& fleet,
@@ -76,12 +102,14 @@
                                            const ExpectedReleases& releases,
                                            core::TimePoint latest) {
   std::optional<Reservation> best;
-  for (std::vector<Candidate>& group : detail::CandidateGroups(
+  for (const std::vector<Candidate>& group : detail::CandidateGroups(
            detail::UsableCandidates(fleet, request), request)) {
-    std::optional<Reservation> found =
-        ReserveIn(std::move(group), request, releases, latest);
-    if (found && (!best || found->start < best->start)) {
-      best = std::move(found);
+    for (const double time_factor : detail::TimeFactors(group)) {
+      std::optional<Reservation> found =
+          ReserveUpTo(time_factor, group, request, releases, latest);
+      if (found && (!best || found->end < best->end)) {
+        best = std::move(found);
+      }
     }
   }
   return best;
--- a/modules/batch/planner/reservation.h
+++ b/modules/batch/planner/reservation.h
@@ -23,10 +23,12 @@
   /// Agent of each task.
   std::vector<core::AgentId> agents;
   core::TimePoint start;
+  /// Expected end, with the speeds of the workers.
+  core::TimePoint end;
 };
 
-/// Finds the workers on which all tasks of a unit are expected to fit the
-/// soonest, if running work ends as expected and nothing else starts there.
+/// Finds the workers on which the unit is expected to end the soonest, if
+/// running work ends as expected and nothing else starts there.
 /// This is the reservation of EASY backfill (Lifka 1995), on sets of workers.
 /// Honours racks like `FindPlacement`. Returns nullopt if the unit is not
 /// expected to fit by `latest`.
