Planner: run times take the speed of workers into account; agents echo it

Cause: expected ends, stalls and the run-time average of a queue assume that all workers are equally fast. Change: the planner feeds WorkerSpeeds from reports and run ends, multiplies the run time of placed units by the factor of their slowest worker, keeps the average normalised to factor 1.0, logs worker_slow and worker_normal and the expected end in unit_placed. Reports state the age of the progress, so that its pace is exact.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -110,6 +110,9 @@
       std::min(this->earlier_process_limit,
                received + answer.earlier_leases +
                    answer.earlier_leases / kClockDriftDivisor);
+  if (answer.speed.weight > 0) {
+    this->speed = answer.speed;
+  }
   if (this->worker && answer.worker == this->worker->identity) {
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
     this->ends.erase(this->ends.begin(),
@@ -291,6 +294,7 @@
     return;
   }
   this->last_listing_clock_ms = listing.worker_clock_ms;
+  this->last_listing_at = now;
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
   this->last_listing_epoch = std::max(this->last_listing_epoch, listing.epoch);
@@ -513,6 +517,10 @@
   report.worker_reachable = this->IsWorkerReachable();
   report.is_complete = this->IsComplete(now);
   report.can_start = this->LeaseDeadline(now).has_value();
+  report.speed = this->speed;
+  if (!this->runs.empty() && this->last_listing_at != core::TimePoint()) {
+    report.progress_age = now - this->last_listing_at;
+  }
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -243,11 +243,14 @@
   bool is_complete = false;
   /// Worker clock and epoch of the newest listing.
   std::int64_t last_listing_clock_ms = 0;
+  core::TimePoint last_listing_at;
   core::SchedulingEpoch last_listing_epoch;
   std::map<RunKey, Run> runs;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   std::deque<Rejection> rejections;
+  /// Speed of the worker, as the planner estimated it last.
+  ReportedSpeed speed;
   bool unreported_change = true;
 };
 
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -114,6 +114,8 @@
   /// `reserved_until`; any other is decided anew with each decision.
   bool reserved_by_preemption = false;
   core::TimePoint reserved_until;
+  /// Time factor of the slowest of the workers of its latest runs.
+  double time_factor = 1.0;
   /// Number of times it was preempted.
   int preemptions = 0;
 
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -104,6 +104,7 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
+  this->speeds = WorkerSpeeds();
   const core::Duration longest = MaxLeaseDuration(this->options.term);
   this->recovery_deadline = now + longest;
   for (const MemberRecord& member : members) {
@@ -252,6 +253,7 @@
   AgentView& view = this->UpdateView(report, now);
   view.leases_expire_at = std::max(view.leases_expire_at,
                                    now + MaxLeaseDuration(this->options.term));
+  this->speeds.Restore(report.agent, report.speed);
   const bool is_current =
       report.epoch == this->epoch && report.sequence > view.sequence;
   if (is_current) {
@@ -272,6 +274,7 @@
   answer.epoch = this->epoch;
   answer.session = view.session;
   answer.term = this->options.term;
+  answer.speed = this->speeds.ReportedOf(report.agent);
   answer.earlier_leases =
       std::max(view.earlier_leases_expire_at - now, core::Duration());
   if (view.worker) {
@@ -312,6 +315,9 @@
   if (is_new_drain_notice) {
     view.leaves_at = now + report.worker->remaining;
   }
+  if (report.worker) {
+    this->speeds.OnWorker(report.agent, *report.worker);
+  }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
@@ -382,6 +388,9 @@
       unit.members.begin(), unit.members.end(), [&end](const UnitMember& each) {
         return each.run == end.key.run && each.index == end.key.task.index;
       });
+  if (member != unit.members.end()) {
+    this->RecordSpeed(job, unit, *member, end, now);
+  }
   const bool is_sample = end.kind == RunEndKind::kDone &&
                          member != unit.members.end() && !member->adopted &&
                          member->started_from.empty();
@@ -389,7 +398,9 @@
     return;
   }
   RunTimeAverage& times = this->run_times[job.record.queue];
-  const auto took = static_cast<double>((now - member->since).InMilliseconds());
+  const double took =
+      static_cast<double>((now - member->since).InMilliseconds()) /
+      unit.time_factor;
   ++times.samples;
   const double weight = std::max(kRunTimeAverageWeight, 1.0 / times.samples);
   times.mean_ms += weight * (took - times.mean_ms);
@@ -525,6 +536,8 @@
                             " run=" + Text(active.key.run) +
                             " agent=" + view.agent.Text());
       unit->members.push_back(found_member);
+      unit->time_factor =
+          std::max(unit->time_factor, this->speeds.FactorOf(view.agent));
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
@@ -537,6 +550,7 @@
       member->percent_at = now;
     }
     member->still = active.still;
+    this->RecordPace(job, *unit, *member, report, now);
     this->ApplyCheckpoint(job, *unit, active, now);
   }
   for (const auto& [key, resources] : orphan_runs) {
@@ -599,6 +613,7 @@
           unit.start_not_before = now + kRejectionBackoff;
           unit.avoided_workers.insert(member->worker.id);
         }
+        this->speeds.OnRunDiscarded(view.agent, key);
         member = unit.members.erase(member);
         removed = true;
       }
@@ -832,6 +847,7 @@
                                          std::int64_t wall_ms) {
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
+  this->UpdateSpeeds(now);
   this->UpdatePhases(now, wall_ms);
   this->RecountUsage();
   this->SumGuaranteedNeeds();
@@ -861,6 +877,7 @@
 }
 
 void Planner::RemoveMembers(const AgentView& view, core::TimePoint now) {
+  this->speeds.OnRunsLost(view.agent);
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
       const std::size_t removed =
@@ -1143,6 +1160,7 @@
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
   ++unit.highest_run;
+  unit.time_factor = this->SlowestFactor(agents);
   std::string worker_list;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     AgentView& view = this->fleet[agents[i]];
@@ -1161,7 +1179,9 @@
       "unit_placed", job.record.spec.id,
       "task=" + job.NameOf(unit, unit.first).ToText() +
           " run=" + Text(unit.highest_run) + " workers=" + worker_list +
-          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()));
+          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()) +
+          " expected_end_in_ms=" +
+          Text(this->PlacedRunTime(job, unit).InMilliseconds()));
 }
 
 std::vector<AgentOrders> Planner::CollectOrders(core::TimePoint now) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -20,6 +20,7 @@
 #include "modules/batch/planner/lateness.h"
 #include "modules/batch/planner/placement.h"
 #include "modules/batch/planner/reservation.h"
+#include "modules/batch/planner/worker_speeds.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -153,6 +154,7 @@
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
+  const WorkerSpeeds& Speeds() const { return this->speeds; }
 
  private:
   /// Sort key for the order of starts: priority level after penalties for
@@ -206,6 +208,32 @@
                      const Unit& unit,
                      const RunEnd& end,
                      core::TimePoint now);
+  /// Returns true if the run shows the speed of its worker: it began from the
+  /// beginning, in this planner's term, and its step has a certain amount of
+  /// work and its own share of the processor.
+  bool ShowsSpeed(const Job& job,
+                  const Unit& unit,
+                  const UnitMember& member) const;
+  /// Returns true if the runs of the unit are slowed down by their distance
+  /// from the input data or from each other.
+  bool IsRemote(const Job& job, const Unit& unit) const;
+  /// Passes the pace of an active run on to the estimates of worker speeds.
+  void RecordPace(const Job& job,
+                  const Unit& unit,
+                  const UnitMember& member,
+                  const AgentReport& report,
+                  core::TimePoint now);
+  /// Passes the end of a run on to the estimates of worker speeds.
+  void RecordSpeed(const Job& job,
+                   const Unit& unit,
+                   const UnitMember& member,
+                   const RunEnd& end,
+                   core::TimePoint now);
+  /// Brings the estimates of worker speeds up to date and logs workers that
+  /// have become slow or normal.
+  void UpdateSpeeds(core::TimePoint now);
+  /// Returns the largest factor (`WorkerSpeeds::FactorOf`) of the workers.
+  double SlowestFactor(const std::vector<core::AgentId>& agents) const;
   void OnDone(Job& job, Unit& unit, core::TimePoint now);
   void OnFailedRun(Job& job,
                    Unit& unit,
@@ -311,9 +339,11 @@
   /// Returns true if the job is of priority 0 and all open jobs of priority 0
   /// of its organisation together fit in the guaranteed accelerators.
   bool IsWithinGuarantee(const Job& job) const;
-  /// Returns the average run time of the queue, or the declared estimate as
-  /// long as there are too few samples.
+  /// Returns the average run time of the queue on a worker of factor 1.0, or
+  /// the declared estimate as long as there are too few samples.
   core::Duration ExpectedRunTime(const Job& job, const Unit& unit) const;
+  /// Returns the expected run time on the workers on which the unit has runs.
+  core::Duration PlacedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
   Lateness LatenessOf(const Job& job,
                       const Unit& unit,
@@ -355,8 +385,9 @@
       std::make_shared<const Configuration>();
   Fleet fleet;
   std::map<core::JobId, Job> jobs;
-  /// Average run times of completed tasks, by queue.
+  /// Average run times of completed tasks on a worker of factor 1.0, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
+  WorkerSpeeds speeds;
   BackfillLimit backfill_limit;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
--- a/modules/batch/planner/planner_relocation.cc
+++ b/modules/batch/planner/planner_relocation.cc
@@ -42,7 +42,7 @@
         has_pace ? (member.percent_at - member.since) *
                            (kFullPercent - member.percent) / member.percent -
                        (now - member.percent_at)
-                 : this->ExpectedRunTime(job, unit) - elapsed;
+                 : this->PlacedRunTime(job, unit) - elapsed;
     remaining = std::max(remaining, left);
   }
   return remaining;
@@ -114,7 +114,7 @@
     return false;
   }
   const core::Duration time_per_point =
-      this->ExpectedRunTime(job, unit) / kFullPercent;
+      this->PlacedRunTime(job, unit) / kFullPercent;
   return member.still >= time_per_point * kStallProgressPoints;
 }
 
--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -337,9 +337,13 @@
   }
 }
 
-void WorkerSpeeds::Remove(const core::AgentId& agent) {
-  this->machines.erase(agent);
-  this->changes.erase(agent);
+void WorkerSpeeds::OnRunsLost(const core::AgentId& agent) {
+  const auto found = this->machines.find(agent);
+  if (found != this->machines.end()) {
+    std::erase_if(found->second.recent,
+                  [](const Sample& each) { return !each.has_ended; });
+    this->has_new_samples = true;
+  }
 }
 
 void WorkerSpeeds::AddQueueTime(const QueueName& queue,
--- a/modules/batch/planner/worker_speeds.h
+++ b/modules/batch/planner/worker_speeds.h
@@ -86,8 +86,8 @@
   void OnRunDiscarded(const core::AgentId& agent, const RunKey& key);
   /// A gang has completed.
   void OnGangEnded(const GangSample& sample);
-  /// The agent is gone. A later one of the same id begins with `Restore`.
-  void Remove(const core::AgentId& agent);
+  /// What became of the active runs of the agent is unknown.
+  void OnRunsLost(const core::AgentId& agent);
 
   /// Brings the estimates up to date with the samples. At most once in
   /// `kRefreshInterval`; further calls do nothing.
