--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -104,6 +104,7 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
+  this->speeds = WorkerSpeeds();
   const core::Duration longest = MaxLeaseDuration(this->options.term);
   this->recovery_deadline = now + longest;
   for (const MemberRecord& member : members) {
@@ -252,6 +253,7 @@
   AgentView& view = this->UpdateView(report, now);
   view.leases_expire_at = std::max(view.leases_expire_at,
                                    now + MaxLeaseDuration(this->options.term));
+  this->speeds.Restore(report.agent, report.speed);
   const bool is_current =
       report.epoch == this->epoch && report.sequence > view.sequence;
   if (is_current) {
@@ -272,6 +274,7 @@
   answer.epoch = this->epoch;
   answer.session = view.session;
   answer.term = this->options.term;
+  answer.speed = this->speeds.ReportedOf(report.agent);
   answer.earlier_leases =
       std::max(view.earlier_leases_expire_at - now, core::Duration());
   if (view.worker) {
@@ -320,6 +323,9 @@
   if (has_new_warm_up) {
     view.cold_until = now + report.worker->cold_left;
   }
+  if (report.worker) {
+    this->speeds.OnWorker(report.agent, *report.worker);
+  }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
@@ -390,6 +396,9 @@
       unit.members.begin(), unit.members.end(), [&end](const UnitMember& each) {
         return each.run == end.key.run && each.index == end.key.task.index;
       });
+  if (member != unit.members.end()) {
+    this->RecordSpeed(job, unit, *member, end, now);
+  }
   const bool is_sample = end.kind == RunEndKind::kDone &&
                          member != unit.members.end() && !member->adopted &&
                          member->started_from.empty();
@@ -397,7 +406,9 @@
     return;
   }
   RunTimeAverage& times = this->run_times[job.record.queue];
-  const auto took = static_cast<double>((now - member->since).InMilliseconds());
+  const double took =
+      static_cast<double>((now - member->since).InMilliseconds()) /
+      unit.time_factor;
   ++times.samples;
   const double weight = std::max(kRunTimeAverageWeight, 1.0 / times.samples);
   times.mean_ms += weight * (took - times.mean_ms);
@@ -533,6 +544,8 @@
                             " run=" + Text(active.key.run) +
                             " agent=" + view.agent.Text());
       unit->members.push_back(found_member);
+      unit->time_factor =
+          std::max(unit->time_factor, this->speeds.FactorOf(view.agent));
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
@@ -545,6 +558,7 @@
       member->percent_at = now;
     }
     member->still = active.still;
+    this->RecordPace(job, *unit, *member, report, now);
     this->ApplyCheckpoint(job, *unit, active, now);
   }
   for (const auto& [key, resources] : orphan_runs) {
@@ -610,6 +624,7 @@
             unit.avoided_workers.insert(member->worker.id);
           }
         }
+        this->speeds.OnRunDiscarded(view.agent, key);
         member = unit.members.erase(member);
         removed = true;
       }
@@ -843,6 +858,7 @@
                                          std::int64_t wall_ms) {
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
+  this->UpdateSpeeds(now);
   this->UpdatePhases(now, wall_ms);
   this->ApplyEvacuations(now);
   this->RecountUsage();
@@ -878,6 +894,7 @@
 }
 
 void Planner::RemoveMembers(const AgentView& view, core::TimePoint now) {
+  this->speeds.OnRunsLost(view.agent);
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
       const std::size_t removed =
@@ -1061,6 +1078,11 @@
   request.avoided_workers = &unit.avoided_workers;
   request.own_reservation = &unit.reserved;
   request.now = now;
+  request.speeds = &this->speeds;
+  if (!step.long_running && job.record.spec.occurrences == 0) {
+    request.run_time = this->ExpectedRunTime(job, unit);
+    request.slack = LatestStartInTime(job, unit.step, request.run_time) - now;
+  }
   const bool is_bound_to_racks =
       !step.preferred_rack.empty() || (step.same_rack && unit.size > 1);
   request.allow_remote =
@@ -1095,6 +1117,9 @@
   PlacementRequest request = this->RequestFor(job, unit, now);
   request.use_suspended = NeedsSuspendedWorkers(this->fleet, request);
   const auto placed = FindPlacement(this->fleet, request);
+  if (placed && this->ReserveFaster(job, unit, request, *placed, now)) {
+    return true;
+  }
   if (placed) {
     this->Assign(job, unit, *placed, now);
     return true;
@@ -1161,6 +1186,7 @@
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
   ++unit.highest_run;
+  unit.time_factor = this->SlowestFactor(agents);
   std::string worker_list;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     AgentView& view = this->fleet[agents[i]];
@@ -1179,7 +1205,9 @@
       "unit_placed", job.record.spec.id,
       "task=" + job.NameOf(unit, unit.first).ToText() +
           " run=" + Text(unit.highest_run) + " workers=" + worker_list +
-          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()));
+          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()) +
+          " expected_end_in_ms=" +
+          Text(this->PlacedRunTime(job, unit).InMilliseconds()));
 }
 
 std::vector<AgentOrders> Planner::CollectOrders(core::TimePoint now) {
