--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -35,6 +35,25 @@
   return batch;
 }
 
+/// Puts the worker into data centre "a" and delivers an answer with these
+/// evacuations.
+void Evacuate(WorkerSupervisor& supervisor,
+              std::uint64_t revision,
+              const std::vector<std::string>& names,
+              core::TimePoint now) {
+  WorkerDescription worker = MakeWorker("w1");
+  worker.data_centre = core::DataCentreId("a");
+  supervisor.OnAnnouncement(worker, 2, 500, now);
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  answer.evacuation_revision = store::ModRevision(revision);
+  for (const std::string& name : names) {
+    answer.evacuated.insert(core::DataCentreId(name));
+  }
+  supervisor.OnReportAnswer(answer, now, now);
+}
+
 /// Leaves the start and all its repetitions without an answer.
 void LoseAllStarts(WorkerSupervisor& supervisor, core::TimePoint now) {
   do {
@@ -379,6 +398,42 @@
   BOOST_TEST(!supervisor.MakeReport(At(7000)).can_start);
 }
 
+// Orders from before an evacuation arrive after the agent has learned of it.
+BOOST_AUTO_TEST_CASE(RefusesStartsInItsOwnEvacuatedDataCentre) {
+  WorkerSupervisor supervisor = MakeReady();
+  Evacuate(supervisor, 10, {"a"}, At(1020));
+  const auto calls =
+      supervisor.OnOrders(MakeBatch(1, {{kRun, "", ""}}), At(1030));
+  BOOST_REQUIRE(calls.has_value());
+  BOOST_TEST(calls->starts.empty());
+  BOOST_TEST(calls->refused_evacuated.size() == 1U);
+  const AgentReport report = supervisor.MakeReport(At(1040));
+  BOOST_TEST(report.active.empty());
+  BOOST_REQUIRE_EQUAL(report.rejections.size(), 1U);
+  BOOST_TEST((report.rejections[0].reason == RejectReason::kEvacuated));
+  // An answer from before the request does not take it back; a later state,
+  // here in the orders themselves, does.
+  Evacuate(supervisor, 9, {}, At(1050));
+  BOOST_TEST(supervisor.OnOrders(MakeBatch(2, {{kRun, "", ""}}), At(1060))
+                 ->starts.empty());
+  OrderBatch later = MakeBatch(3, {{kRun, "", ""}});
+  later.evacuated = {core::DataCentreId("b")};
+  later.evacuation_revision = store::ModRevision(11);
+  BOOST_TEST(supervisor.OnOrders(later, At(1070))->starts.size() == 1U);
+}
+
+// The worker leaves a start without an answer, and the data centre is evacuated
+// before the agent would send it again.
+BOOST_AUTO_TEST_CASE(RepeatsNoStartInAnEvacuatedDataCentre) {
+  WorkerSupervisor supervisor = MakeReady();
+  BOOST_REQUIRE(supervisor.OnOrders(MakeBatch(1, {{kRun, "", ""}}), At(1020)));
+  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
+                           0, At(1270));
+  Evacuate(supervisor, 10, {"a"}, At(1280));
+  BOOST_TEST(supervisor.DueStarts(At(1290)).empty());
+  BOOST_TEST(supervisor.DueStops(At(1290)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/model/messages_test.cc
+++ b/modules/batch/model/messages_test.cc
@@ -43,6 +43,44 @@
   BOOST_TEST(decoded->is_complete);
 }
 
+BOOST_AUTO_TEST_CASE(EvacuationsRoundTripThroughText) {
+  ReportAnswer answer;
+  answer.evacuated = {core::DataCentreId("a"), core::DataCentreId("b")};
+  answer.evacuation_revision = store::ModRevision(9);
+  const auto decoded = ReportAnswerFromText(ToText(answer));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->evacuated == answer.evacuated));
+  BOOST_TEST((decoded->evacuation_revision == answer.evacuation_revision));
+}
+
+// During a rolling update, processes of the earlier version send messages
+// without the evacuations, and refuse a report with an unknown reason.
+BOOST_AUTO_TEST_CASE(MessagesOfProcessesWithoutEvacuationsAreUnderstood) {
+  const auto without_evacuations = [](const std::string& text) {
+    nlohmann::json json = nlohmann::json::parse(text);
+    BOOST_TEST(json.erase("evacuated") == 1U);
+    BOOST_TEST(json.erase("evacuation_revision") == 1U);
+    return json.dump();
+  };
+  const auto answer =
+      ReportAnswerFromText(without_evacuations(ToText(ReportAnswer())));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->evacuation_revision.Number() == 0U);
+  BOOST_TEST(OrderBatchFromText(without_evacuations(ToText(OrderBatch())))
+                 .has_value());
+  AgentReport report;
+  report.agent = core::AgentId("a");
+  report.endpoint = "127.0.0.1:1";
+  report.rejections = {
+      {{{core::JobId("j"), 0, 0, 1}, 2}, RejectReason::kEvacuated}};
+  const std::string text = ToText(report);
+  BOOST_TEST(nlohmann::json::parse(text)["rejections"][0]["reason"] ==
+             "unhealthy");
+  const auto decoded = ReportFromText(text);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded->rejections[0].reason == RejectReason::kEvacuated));
+}
+
 BOOST_AUTO_TEST_CASE(RejectsMalformedReports) {
   for (const char* text : {"", "[]", "{\"agent\":3}", "{"}) {
     BOOST_TEST_CONTEXT(text) {
--- a/modules/batch/process/configuration_watch_test.cc
+++ b/modules/batch/process/configuration_watch_test.cc
@@ -48,6 +48,29 @@
   ConfigurationWatch<store::MemoryStore> watch;
 };
 
+/// A watch of the configuration and the evacuations, which has read both.
+struct WatchedEvacuations {
+  WatchedEvacuations()
+      : watch(
+            store,
+            {"op/config", "op/", "op/evacuate/"},
+            Decode,
+            [](const auto&) {},
+            [this](const EvacuationState& read) { this->state = read; }) {
+    this->store.DriveByTimer();
+    this->Write("op/config", "1");
+    BOOST_REQUIRE(WaitFor([this] { return this->watch.Current() != nullptr; }));
+  }
+  void Write(const std::string& key, std::optional<std::string> value) {
+    this->store.Commit({{}, {{key, std::move(value), std::nullopt}}},
+                       [](const auto&) {});
+  }
+
+  store::MemoryStore store;
+  EvacuationState state;
+  ConfigurationWatch<store::MemoryStore> watch;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(ConfigurationWatchTest)
@@ -91,6 +114,70 @@
   BOOST_TEST(WaitFor([&used] { return used; }));
 }
 
+// The planner's process is paused while a data centre is evacuated, and a
+// decision is the first event afterwards. An answer to a read from before the
+// pause confirms nothing.
+BOOST_AUTO_TEST_CASE(EvacuationsAreConfirmedOnlyByAReadAfterThePause) {
+  WatchedEvacuations watched;
+  const core::TimePoint now = core::Clock::Now();
+  BOOST_TEST(watched.watch.AreEvacuationsConfirmed(now));
+  watched.Write("op/evacuate/a", "{}");
+  BOOST_TEST(
+      !watched.watch.AreEvacuationsConfirmed(now + core::Duration::Seconds(5)));
+  BOOST_REQUIRE(WaitFor([&] {
+    return watched.watch.AreEvacuationsConfirmed(now +
+                                                 core::Duration::Seconds(5));
+  }));
+  BOOST_TEST(watched.state.data_centres.contains(core::DataCentreId("a")));
+}
+
+// Without an answer of the store, a state that may be outdated is never taken
+// as confirmed.
+BOOST_AUTO_TEST_CASE(EvacuationsStayUnconfirmedWhileTheStoreIsAway) {
+  WatchedEvacuations watched;
+  store::MemoryStoreFaults faults;
+  faults.down = true;
+  watched.store.SetFaults(faults);
+  watched.watch.RequireEvacuations();
+  const auto is_confirmed = [&watched] {
+    return watched.watch.AreEvacuationsConfirmed(core::Clock::Now());
+  };
+  BOOST_TEST(!WaitFor(is_confirmed, 1300));
+  watched.store.SetFaults({});
+  BOOST_TEST(WaitFor(is_confirmed));
+}
+
+// Guards against a data centre that stays evacuated for ever: the watch is lost
+// and the store has forgotten the removal of the key.
+BOOST_AUTO_TEST_CASE(AReturnToServiceIsSeenAfterALostWatch) {
+  WatchedEvacuations watched;
+  const store::MemoryStoreSnapshot before = watched.store.TakeSnapshot();
+  watched.Write("op/evacuate/a", "{}");
+  BOOST_REQUIRE(WaitFor([&] { return !watched.state.data_centres.empty(); }));
+  store::MemoryStoreSnapshot after = watched.store.TakeSnapshot();
+  after.items = before.items;
+  after.revision = after.revision.Next();
+  watched.store.Restore(after);
+  BOOST_TEST(WaitFor([&] { return watched.state.data_centres.empty(); }));
+}
+
+// The deployments without evacuations must not see another store call.
+BOOST_AUTO_TEST_CASE(WithoutAPrefixEvacuationKeysAreNeitherReadNorWatched) {
+  store::MemoryStore store;
+  store.DriveByTimer();
+  int handled = 0;
+  ConfigurationWatch<store::MemoryStore> watch(
+      store, {"op/config", {}, {}}, Decode, [](const auto&) {},
+      [&handled](const auto&) { ++handled; });
+  store.Commit({{}, {{"op/evacuate/a", "{}", std::nullopt}}},
+               [](const auto&) {});
+  store.Commit({{}, {{"op/config", "1", std::nullopt}}}, [](const auto&) {});
+  BOOST_REQUIRE(WaitFor([&watch] { return watch.Current() != nullptr; }));
+  BOOST_TEST(handled == 0);
+  BOOST_TEST(store.Counts().reads == 1U);
+  BOOST_TEST(store.Counts().watches == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/hosted_settings_test.cc
+++ b/modules/batch/process/hosted_settings_test.cc
@@ -46,6 +46,18 @@
   }
 }
 
+// Deployments without the setting read no evacuations.
+BOOST_AUTO_TEST_CASE(TheEvacuationBoundIsOptional) {
+  const auto without = Load(EntrySettings("2", "6000"));
+  BOOST_REQUIRE(without.has_value());
+  BOOST_TEST(!without->evacuation_bound.has_value());
+  const auto with =
+      Load(EntrySettings("2, \"evacuation_bound_ms\": 5000", "6000"));
+  BOOST_REQUIRE(with.has_value());
+  BOOST_REQUIRE(with->evacuation_bound.has_value());
+  BOOST_TEST(with->evacuation_bound->InMilliseconds() == 5000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/planner_service_test.cc
+++ b/modules/batch/process/planner_service_test.cc
@@ -249,6 +249,47 @@
   BOOST_TEST(WaitFor([&is_owned] { return !is_owned(); }, 1000));
 }
 
+// A planner is replaced between the operator's write and the next start. Its
+// successor withholds starts until the read that it has requested is answered,
+// and then follows it.
+BOOST_AUTO_TEST_CASE(StartsNothingBeforeTheEvacuationsAreReadInThisTerm) {
+  store::MemoryStore store;
+  ObedientAgent agent;
+  PlannerService<store::MemoryStore> service(
+      PlannerWithRunningJob::Options(entry::kPlanningLease), store);
+  bool is_confirmed = true;
+  int reads = 0;
+  service.SetEvacuationSource({[&](core::TimePoint) { return is_confirmed; },
+                               [&] {
+                                 ++reads;
+                                 is_confirmed = false;
+                               }});
+  const JobRecord record =
+      testing::MakeJob("stored", {testing::MakeStep(1, {1000, 1000, 1})});
+  store.Commit(
+      {{},
+       {{store_keys::JobKey(record.spec.id), ToText(record), std::nullopt}}},
+      [](const auto&) {});
+  store.DriveByTimer();
+  BOOST_REQUIRE(WaitFor([&] { return service.Active() != nullptr; }, 5000));
+  BOOST_TEST(reads == 1);
+  const auto runs_within = [&](int milliseconds) {
+    return WaitFor(
+        [&] {
+          service.OnReport(agent.NextReport());
+          return agent.Runs();
+        },
+        milliseconds);
+  };
+  BOOST_TEST(!runs_within(700));
+  EvacuationState evacuated{{core::DataCentreId()}, store::ModRevision(50)};
+  service.SetEvacuations(evacuated);
+  is_confirmed = true;
+  BOOST_TEST(!runs_within(700));
+  service.SetEvacuations({{}, store::ModRevision(51)});
+  BOOST_TEST(runs_within(2000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
