Exploration: evacuations, and no start there later than the bound

The exploration knows requests to evacuate data centres, one or both, and lost watches. The rule: no start there later than 5,000 ms after the request, or 11,000 ms if the store or the watch was away meanwhile, until it is taken back. The evacuations come from a sequence of their own, so that the scenarios without them stay the same.

--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -70,6 +70,33 @@
   BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
 }
 
+// The same faults while data centres are evacuated: no task starts there later
+// than 5,000 ms after the request, until it is taken back.
+BOOST_AUTO_TEST_CASE(NoTaskStartsInAnEvacuatedDataCentre) {
+  const std::uint64_t first = FromEnvironment("HEMLOCKDOOR_SEED", kDefaultSeed);
+  const std::uint64_t runs =
+      FromEnvironment("HEMLOCKDOOR_EXPLORATION_RUNS", kDefaultRuns);
+  int failures = 0;
+  std::uint64_t played = 0;
+  for (; played < runs && failures < kMaxFailures; ++played) {
+    Scenario scenario = DrawScenario(first + played);
+    AddEvacuations(scenario);
+    failures += Check(scenario) ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
+}
+
+// Seeds that fail without the agents' guard: a cut holds up orders, and they
+// arrive after the agent has learned of the evacuation. A change to
+// DrawScenario or AddEvacuations turns them into others.
+BOOST_AUTO_TEST_CASE(SeedsThatNeedTheAgentsGuardPass) {
+  for (const std::uint64_t seed : {20261923, 20262970, 20263151}) {
+    Scenario scenario = DrawScenario(seed);
+    AddEvacuations(scenario);
+    BOOST_TEST(Check(scenario));
+  }
+}
+
 // Seeds that failed once, each with its cause. A change to DrawScenario turns
 // them into others.
 BOOST_AUTO_TEST_CASE(SeedsThatFailedOncePass) {
--- a/tests/exploration/scenario.cc
+++ b/tests/exploration/scenario.cc
@@ -46,7 +46,11 @@
     KindOfFault{FaultKind::kStartsLate, "starts carried out late", 300, 3000},
     KindOfFault{FaultKind::kWorkerLost, "worker lost for good", 0, 0},
     KindOfFault{FaultKind::kWorkerReborn, "worker crashes", 100, 4000},
+    // The store client notices a silent watch and reads again within this time.
+    KindOfFault{FaultKind::kWatchLost, "watch lost", 300, 3500},
 };
+/// Kinds that `DrawFault` draws: all but the last, which `AddEvacuations` adds.
+constexpr auto kDrawnKinds = static_cast<std::int64_t>(kKinds.size()) - 1;
 
 const KindOfFault& KindOf(const Fault& fault) {
   return *std::find_if(
@@ -67,9 +71,8 @@
 
 Fault DrawFault(Draw& draw, int agents, const std::vector<Fault>& earlier) {
   Fault fault;
-  const auto last = static_cast<std::int64_t>(kKinds.size()) - 1;
   const KindOfFault& kind =
-      kKinds[static_cast<std::size_t>(draw.Between(0, last))];
+      kKinds[static_cast<std::size_t>(draw.Between(0, kDrawnKinds - 1))];
   fault.kind = kind.kind;
   fault.length =
       Duration::Milliseconds(draw.Between(kind.shortest_ms, kind.longest_ms));
@@ -135,6 +138,43 @@
   return scenario;
 }
 
+void AddEvacuations(Scenario& scenario) {
+  // Another sequence than that of the scenario, so that it does not change.
+  constexpr std::uint64_t kSeedOffset = 1'000'000'007;
+  constexpr std::int64_t kMaxEvacuations = 3;
+  constexpr std::int64_t kLongestMs = 14'000;
+  Draw draw(scenario.seed + kSeedOffset);
+  const auto faults = static_cast<std::int64_t>(scenario.faults.size());
+  const std::int64_t count = draw.Between(1, kMaxEvacuations);
+  for (std::int64_t i = 0; i < count; ++i) {
+    PlannedEvacuation evacuation;
+    evacuation.at = Duration::Milliseconds(draw.Between(500, kLastFaultMs));
+    if (draw.Between(0, 1) == 0) {
+      const Fault& fault =
+          scenario
+              .faults[static_cast<std::size_t>(draw.Between(0, faults - 1))];
+      evacuation.at = std::max(
+          Duration(),
+          fault.at + Duration::Milliseconds(draw.Between(-kNearMs, kNearMs)));
+    }
+    evacuation.length =
+        Duration::Milliseconds(draw.Between(kFirstFaultMs, kLongestMs));
+    evacuation.data_centre =
+        static_cast<int>(draw.Between(0, kDataCentres - 1));
+    if (draw.Between(0, 3) == 0) {
+      Fault lost;
+      lost.kind = FaultKind::kWatchLost;
+      lost.at = std::max(
+          Duration(),
+          evacuation.at + Duration::Milliseconds(draw.Between(-kNearMs, 0)));
+      lost.length = Duration::Milliseconds(
+          draw.Between(KindOf(lost).shortest_ms, KindOf(lost).longest_ms));
+      scenario.faults.push_back(lost);
+    }
+    scenario.evacuations.push_back(evacuation);
+  }
+}
+
 std::string Describe(const Scenario& scenario) {
   std::multimap<Duration, std::string> lines;
   for (std::size_t i = 0; i < scenario.jobs.size(); ++i) {
@@ -150,6 +190,13 @@
                                 std::to_string(fault.length.InMilliseconds()) +
                                 " ms)");
   }
+  for (const PlannedEvacuation& evacuation : scenario.evacuations) {
+    lines.emplace(evacuation.at,
+                  "data centre " + std::to_string(evacuation.data_centre) +
+                      " evacuated (" +
+                      std::to_string(evacuation.length.InMilliseconds()) +
+                      " ms)");
+  }
   std::string text = "seed " + std::to_string(scenario.seed) + ", " +
                      std::to_string(scenario.agents) + " agents\n";
   for (const auto& [at, line] : lines) {
@@ -173,6 +220,7 @@
     }
   };
   shorten(&Scenario::faults);
+  shorten(&Scenario::evacuations);
   shorten(&Scenario::jobs);
   return scenario;
 }
--- a/tests/exploration/scenario.h
+++ b/tests/exploration/scenario.h
@@ -21,6 +21,7 @@
   kStartsLate,    ///< The worker answers no starts and carries them out later.
   kWorkerLost,    ///< The worker is gone for good.
   kWorkerReborn,  ///< The worker crashes; `length` later a new one announces.
+  kWatchLost,     ///< Entries learn of changes only from a later listing.
 };
 
 struct Fault {
@@ -32,6 +33,13 @@
   int agent = 0;
 };
 
+/// The operator evacuates a data centre and takes it back later.
+struct PlannedEvacuation {
+  core::Duration at;
+  core::Duration length;
+  int data_centre = 0;
+};
+
 struct PlannedJob {
   core::Duration at;
   int tasks = 1;
@@ -44,17 +52,26 @@
   int agents = 2;
   std::vector<PlannedJob> jobs;
   std::vector<Fault> faults;
+  std::vector<PlannedEvacuation> evacuations;
 };
 
+/// Number of data centres. Agent number n is in data centre n modulo this.
+inline constexpr int kDataCentres = 2;
+
 /// Draws a scenario. Cuts and pauses tend to last about as long as a term, and
 /// jobs to come with a fault. Faults after the first one tend to begin at a
 /// moment around the begin or end of an earlier one.
 Scenario DrawScenario(std::uint64_t seed);
 
+/// Adds evacuations, of one data centre or both, and losses of the watch. They
+/// tend to come with a fault.
+void AddEvacuations(Scenario& scenario);
+
 /// Returns the scenario as text, an event a line, in the order of their times.
 std::string Describe(const Scenario& scenario);
 
-/// Removes faults and jobs as long as `fails` returns true for the rest.
+/// Removes faults, evacuations and jobs as long as `fails` returns true for the
+/// rest.
 Scenario Shorten(Scenario scenario,
                  const std::function<bool(const Scenario&)>& fails);
 
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -36,6 +36,17 @@
 constexpr Duration kAfterwards = Duration::Seconds(6);
 constexpr Resources kNeed{1000, 1000, 1};
 
+/// Time from the request to evacuate a data centre until no task is started
+/// there any more, and by how much longer it may take while the store or the
+/// watch does not work.
+constexpr Duration kEvacuationBound = Duration::Milliseconds(5000);
+constexpr Duration kUnstableExtension = Duration::Milliseconds(6000);
+constexpr const char* kEvacuationPrefix = "op/evacuate/";
+
+std::string DataCentreName(int index) {
+  return "dc-" + std::to_string(index % kDataCentres);
+}
+
 Duration Milliseconds(std::int64_t count) {
   return Duration::Milliseconds(count);
 }
@@ -46,6 +57,7 @@
     : scenario(played_scenario),
       engine(played_scenario.seed),
       begin(this->queue.Now()),
+      evacuation_watch(kEvacuationPrefix),
       agents(static_cast<std::size_t>(played_scenario.agents)) {}
 
 std::int64_t Simulation::Between(std::int64_t low, std::int64_t high) {
@@ -70,6 +82,12 @@
     last = std::max(last, fault.at + fault.length);
     this->queue.After(fault.at, [this, fault] { this->Strike(fault); });
   }
+  for (const PlannedEvacuation& evacuation : this->scenario.evacuations) {
+    last = std::max(last, evacuation.at + evacuation.length);
+    this->queue.After(evacuation.at, [this, evacuation] {
+      this->WriteEvacuation(evacuation, true);
+    });
+  }
   const core::TimePoint latest = this->begin + last + kRecovery;
   this->queue.RunUntil(this->begin + last);
   while (!this->AllJobsCompleted() && this->Now() < latest) {
@@ -181,6 +199,11 @@
     case FaultKind::kStoreDown:
       this->store_down_until = end;
       break;
+    case FaultKind::kWatchLost:
+      this->watch_lost_until = std::max(this->watch_lost_until, end);
+      this->queue.After(fault.length,
+                        [this] { this->ReadEvacuations(this->term); });
+      break;
     case FaultKind::kStartsLate:
       agent.starts_late_until = end;
       break;
@@ -228,7 +251,8 @@
   agent.worker = std::make_unique<WorkerModel>(
       WorkerIdentity{WorkerId("worker-" + std::to_string(index)),
                      this->Now().InMilliseconds()},
-      drift, this->Now(), this->witness);
+      core::DataCentreId(DataCentreName(index)), drift, this->Now(),
+      this->witness);
   this->TickWorker(index);
   this->Announce(index);
 }
@@ -245,6 +269,106 @@
   }
 }
 
+void Simulation::WriteEvacuation(const PlannedEvacuation& evacuation,
+                                 bool is_present) {
+  if (this->Now() < this->store_down_until) {
+    this->queue.After(kStoreRetryDelay, [this, evacuation, is_present] {
+      this->WriteEvacuation(evacuation, is_present);
+    });
+    return;
+  }
+  const std::string key =
+      kEvacuationPrefix + DataCentreName(evacuation.data_centre);
+  const bool was_present = this->store.evacuations.contains(key);
+  if (!is_present && !was_present) {
+    return;
+  }
+  store::WatchEvent event;
+  event.key = key;
+  event.mod_revision = store::ModRevision(++this->store.revision);
+  if (is_present) {
+    event.value = "{}";
+    this->store.evacuations[key] = this->store.revision;
+    this->queue.After(evacuation.length, [this, evacuation] {
+      this->WriteEvacuation(evacuation, false);
+    });
+  } else {
+    this->store.evacuations.erase(key);
+  }
+  this->Note(key + (is_present ? " is written" : " is removed"));
+  if (is_present != was_present) {
+    this->JudgeStarts(evacuation, is_present);
+  }
+  this->queue.After(this->MessageDelay(),
+                    [this, event] { this->DeliverEvacuation(event); });
+}
+
+void Simulation::JudgeStarts(const PlannedEvacuation& evacuation,
+                             bool is_evacuated) {
+  const core::TimePoint bound = this->Now() + kEvacuationBound;
+  const bool is_unstable = std::any_of(
+      this->scenario.faults.begin(), this->scenario.faults.end(),
+      [this, bound](const Fault& fault) {
+        const bool concerns_reads = fault.kind == FaultKind::kStoreDown ||
+                                    fault.kind == FaultKind::kWatchLost;
+        return concerns_reads &&
+               this->begin +
+                   fault.at<bound&& this->begin + fault.at + fault.length> this
+                       ->Now();
+      });
+  for (int agent = 0; agent < this->scenario.agents; ++agent) {
+    if (agent % kDataCentres != evacuation.data_centre) {
+      continue;
+    }
+    const WorkerId worker("worker-" + std::to_string(agent));
+    if (is_evacuated) {
+      this->witness.ForbidStarts(
+          worker, is_unstable ? bound + kUnstableExtension : bound);
+    } else {
+      this->witness.AllowStarts(worker);
+    }
+  }
+}
+
+void Simulation::DeliverEvacuation(const store::WatchEvent& event) {
+  if (this->Now() < this->watch_lost_until) {
+    return;
+  }
+  if (this->Now() < this->store_down_until) {
+    this->ReadEvacuations(this->term);
+    return;
+  }
+  const EventsOutcome outcome = this->evacuation_watch.OnEvents({event});
+  if (outcome == EventsOutcome::kOutdated) {
+    this->ReadEvacuations(this->term);
+  } else if (this->planner) {
+    this->planner->SetEvacuations(this->evacuation_watch.State(), this->Now());
+  }
+}
+
+void Simulation::ReadEvacuations(std::uint64_t own_term) {
+  if (this->Now() < this->store_down_until) {
+    this->queue.After(kStoreRetryDelay,
+                      [this, own_term] { this->ReadEvacuations(own_term); });
+    return;
+  }
+  store::Listing listing;
+  listing.revision = store::ModRevision(this->store.revision);
+  for (const auto& [key, revision] : this->store.evacuations) {
+    listing.items.push_back({key, "{}", store::ModRevision(revision)});
+  }
+  this->queue.After(this->MessageDelay(), [this, own_term, listing] {
+    this->evacuation_watch.OnListing(listing);
+    if (!this->planner) {
+      return;
+    }
+    this->planner->SetEvacuations(this->evacuation_watch.State(), this->Now());
+    if (own_term == this->term) {
+      this->planner->WithholdStarts(false);
+    }
+  });
+}
+
 void Simulation::KillPlanner(Duration gap) {
   if (!this->planner) {
     return;
@@ -282,6 +406,10 @@
   }
   this->members_in_flight = false;
   this->progress_in_flight = false;
+  if (!this->scenario.evacuations.empty()) {
+    this->planner->WithholdStarts(true);
+    this->ReadEvacuations(this->term);
+  }
   this->TickPlanner(this->term);
 }
 
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -45,6 +45,8 @@
     StoredList list;
     std::map<core::JobId, std::pair<ProgressRecord, std::uint64_t>> progress;
     std::vector<JobRecord> jobs;
+    /// Keys of evacuated data centres, and the version of each write.
+    std::map<std::string, std::uint64_t> evacuations;
   };
   /// A process of an agent, with its worker. `process` tells callbacks of an
   /// ended process from those of the present one.
@@ -103,6 +105,16 @@
   void StartAgentProcess(int agent);
   void StartWorker(int agent);
   void SubmitJob(std::size_t index);
+  /// The operator writes the key of a data centre, and removes it after the
+  /// length of the evacuation. Tries again until the store answers.
+  void WriteEvacuation(const PlannedEvacuation& evacuation, bool is_present);
+  /// Forbids or allows starts on the workers of the data centre.
+  void JudgeStarts(const PlannedEvacuation& evacuation, bool is_evacuated);
+  /// Delivers a change to the entries, unless their watch is lost.
+  void DeliverEvacuation(const store::WatchEvent& event);
+  /// Lists the keys of evacuations, and confirms them to the planner of the
+  /// term. Tries again until the store answers.
+  void ReadEvacuations(std::uint64_t own_term);
   void KillPlanner(core::Duration gap);
   void LoadPlanner();
 
@@ -140,6 +152,9 @@
   core::TimePoint answers_lost_until;
   core::TimePoint writes_late_until;
   core::TimePoint store_down_until;
+  core::TimePoint watch_lost_until;
+  /// What the entries know of evacuations.
+  EvacuationWatch evacuation_watch;
   std::vector<Agent> agents;
   std::unique_ptr<Planner> planner;
   /// Changes with each begin and end of a planner.
--- a/tests/exploration/witness.cc
+++ b/tests/exploration/witness.cc
@@ -14,6 +14,13 @@
     this->violations.push_back("TWICE: two runs of " + key.task.ToText() +
                                " at the same time");
   }
+  const auto forbidden = this->forbidden_from.find(worker.id);
+  if (forbidden != this->forbidden_from.end() && now > forbidden->second) {
+    this->violations.push_back(
+        "EVACUATED: " + key.task.ToText() + " starts on " + worker.id.Text() +
+        " " + std::to_string((now - forbidden->second).InMilliseconds()) +
+        " ms too late");
+  }
   history.active.emplace(key.run, worker);
   history.starts.push_back(now);
   this->CheckFinished(key.task, history);
--- a/tests/exploration/witness.h
+++ b/tests/exploration/witness.h
@@ -13,7 +13,8 @@
 
 /// Judges runs by the rule TWICE: no two runs of a task at the same time on
 /// workers that are up, and no start after an end `done` that was or is
-/// acknowledged.
+/// acknowledged; and by the rule EVACUATED: no start on a worker after the time
+/// from which starts are forbidden there.
 class Witness {
  public:
   void OnStart(const RunKey& key,
@@ -25,6 +26,13 @@
   /// The system has acknowledged the end `done` of the run, and the lease has
   /// not expired in between.
   void OnDoneAcknowledged(const RunKey& key);
+  /// Starts on the worker later than `from` are violations until `AllowStarts`.
+  void ForbidStarts(const WorkerId& worker, core::TimePoint from) {
+    this->forbidden_from[worker] = from;
+  }
+  void AllowStarts(const WorkerId& worker) {
+    this->forbidden_from.erase(worker);
+  }
   void Note(core::TimePoint now, const std::string& line);
 
   const std::vector<std::string>& Violations() const {
@@ -44,6 +52,7 @@
   void CheckFinished(const TaskName& task, const TaskHistory& history);
 
   std::map<TaskName, TaskHistory> tasks;
+  std::map<WorkerId, core::TimePoint> forbidden_from;
   std::vector<std::string> violations;
   std::vector<std::string> story;
 };
--- a/tests/exploration/worker_model.cc
+++ b/tests/exploration/worker_model.cc
@@ -21,10 +21,12 @@
 }  // namespace
 
 WorkerModel::WorkerModel(WorkerIdentity own_identity,
+                         core::DataCentreId own_data_centre,
                          std::int64_t clock_drift_per_mille,
                          core::TimePoint now,
                          Witness& run_witness)
     : identity(std::move(own_identity)),
+      data_centre(std::move(own_data_centre)),
       drift_per_mille(clock_drift_per_mille),
       born(now),
       witness(run_witness) {}
@@ -32,6 +34,7 @@
 WorkerDescription WorkerModel::Describe() const {
   WorkerDescription description = testing::MakeWorker(this->identity.id.Text());
   description.identity = this->identity;
+  description.data_centre = this->data_centre;
   return description;
 }
 
--- a/tests/exploration/worker_model.h
+++ b/tests/exploration/worker_model.h
@@ -24,6 +24,7 @@
  public:
   /// `drift_per_mille` is by how much the worker's clock is slow.
   WorkerModel(WorkerIdentity own_identity,
+              core::DataCentreId own_data_centre,
               std::int64_t drift_per_mille,
               core::TimePoint now,
               Witness& run_witness);
@@ -57,6 +58,7 @@
   void End(const RunKey& key, RunEndKind kind, core::TimePoint now);
 
   WorkerIdentity identity;
+  core::DataCentreId data_centre;
   std::int64_t drift_per_mille;
   core::TimePoint born;
   Witness& witness;
