--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -57,6 +57,26 @@
   BOOST_TEST(supervisor.MakeReport(At(1100)).is_complete);
 }
 
+// The next planner learns the speed of the worker from the agent. A planner
+// that has no estimate yet must not erase it.
+BOOST_AUTO_TEST_CASE(RepeatsTheSpeedAndStatesTheAgeOfProgress) {
+  WorkerSupervisor supervisor = MakeReady();
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.speed = {0.5, 9};
+  supervisor.OnReportAnswer(answer, At(1100), At(1100));
+  answer.epoch = core::SchedulingEpoch(2);
+  answer.speed = {};
+  supervisor.OnReportAnswer(answer, At(1200), At(1200));
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({800, 1000, {run}, {}, answer.epoch}, At(1300));
+  const AgentReport report = supervisor.MakeReport(At(1700));
+  BOOST_TEST(report.speed.log_factor == 0.5);
+  BOOST_TEST(report.speed.weight == 9.0);
+  BOOST_TEST((report.progress_age == core::Duration::Milliseconds(400)));
+}
+
 // A lease requested by a predecessor of the agent is still valid. A poll that
 // fails before this agent has a term does not prove that the runs have ended.
 BOOST_AUTO_TEST_CASE(KeepsFoundRunsWhenAPollFailsAfterARestart) {
--- a/modules/batch/model/messages_test.cc
+++ b/modules/batch/model/messages_test.cc
@@ -43,6 +43,37 @@
   BOOST_TEST(decoded->is_complete);
 }
 
+// During a rolling update, planners and agents of the previous version neither
+// send the speed nor the age of the progress.
+BOOST_AUTO_TEST_CASE(SpeedsRoundTripAndMayBeMissing) {
+  AgentReport report;
+  report.agent = core::AgentId("a");
+  report.endpoint = "127.0.0.1:1";
+  BOOST_TEST(ToText(report).find("speed") == std::string::npos);
+  const auto without = ReportFromText(ToText(report));
+  BOOST_REQUIRE(without.has_value());
+  BOOST_TEST(without->speed.weight == 0.0);
+  report.speed = {0.1 + 0.2, 7.3};
+  report.progress_age = core::Duration::Milliseconds(250);
+  const auto with = ReportFromText(ToText(report));
+  BOOST_REQUIRE(with.has_value());
+  BOOST_TEST(with->speed.log_factor == report.speed.log_factor);
+  BOOST_TEST(with->speed.weight == report.speed.weight);
+  BOOST_TEST((with->progress_age == report.progress_age));
+  ReportAnswer answer;
+  answer.speed = {-0.5, 3};
+  auto json = nlohmann::json::parse(ToText(answer));
+  const auto answered = ReportAnswerFromText(json.dump());
+  BOOST_REQUIRE(answered.has_value());
+  BOOST_TEST(answered->speed.log_factor == -0.5);
+  json.erase("speed");
+  const auto old_answer = ReportAnswerFromText(json.dump());
+  BOOST_REQUIRE(old_answer.has_value());
+  BOOST_TEST(old_answer->speed.weight == 0.0);
+  json["speed"] = {{"log_factor", 50.0}, {"weight", 1.0}};
+  BOOST_TEST(!ReportAnswerFromText(json.dump()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(RejectsMalformedReports) {
   for (const char* text : {"", "[]", "{\"agent\":3}", "{"}) {
     BOOST_TEST_CONTEXT(text) {
--- a/modules/batch/planner/load_replay_test.cc
+++ b/modules/batch/planner/load_replay_test.cc
@@ -9,6 +9,7 @@
 
 using testing::ClassResult;
 using testing::DrivePattern;
+using testing::LoadPattern;
 using testing::LoadReplay;
 using testing::RegistryPattern;
 using testing::ReplayResult;
@@ -74,6 +75,19 @@
   BOOST_TEST(result.stops * kMinStartsPerStop <= result.starts);
 }
 
+// The factors of an even fleet are exactly 1.0, so its decisions are those of a
+// planner without worker speeds.
+BOOST_AUTO_TEST_CASE(EvenFleetsHaveNoSlowWorkers) {
+  for (const LoadPattern& pattern :
+       {RegistryPattern(false, 1.0), RegistryPattern(true, 2.0),
+        DrivePattern(1.0)}) {
+    const ReplayResult result = LoadReplay(pattern, 3).Run();
+    BOOST_TEST_CONTEXT("workers " << pattern.workers) {
+      BOOST_TEST(result.uneven_factors == 0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SameSeedGivesTheSameDecisions) {
   const ReplayResult first = LoadReplay(RegistryPattern(false, 1.0), 5).Run();
   const ReplayResult second = LoadReplay(RegistryPattern(false, 1.0), 5).Run();
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -1,6 +1,7 @@
 #include "modules/batch/planner/planner.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 #include "modules/batch/testing/fixtures.h"
 
@@ -986,6 +987,69 @@
   BOOST_TEST(fleet.Active().front().second.run > last);
 }
 
+// Units placed on a slow worker end later, while the average of the queue must
+// not depend on which workers its tasks ran on.
+BOOST_AUTO_TEST_CASE(ExpectedEndsFollowTheSpeedOfTheWorker) {
+  SimulatedFleet sim(
+      {MakeWorker("w1", "slow"), MakeWorker("w2"), MakeWorker("w3")});
+  sim.ReportOf("w1").speed = {std::log(2.0), 20};
+  sim.ReportOf("w2").speed = {0, 20};
+  sim.ReportOf("w3").speed = {0, 20};
+  sim.Settle();
+  const double factor =
+      sim.planner.Speeds().FactorOf(core::AgentId("agent-w1"));
+  BOOST_TEST(factor > 1.5);
+  const auto expected_end_of = [&sim](const std::string& job) {
+    StepSpec step = MakeStep(1, {1000, 1000, 1});
+    step.required_label = "slow";
+    sim.planner.AddJob(MakeJob(job, {step}), sim.now);
+    sim.planner.TakeDecisionLog();
+    sim.Settle();
+    std::string found;
+    for (const DecisionLogEntry& entry : sim.planner.TakeDecisionLog()) {
+      const std::string field = "expected_end_in_ms=";
+      const auto at = entry.detail.find(field);
+      if (entry.event == "unit_placed" && at != std::string::npos) {
+        found = entry.detail.substr(at + field.size());
+      }
+    }
+    return found;
+  };
+  // The declared estimate is two seconds.
+  BOOST_TEST(expected_end_of("a") ==
+             std::to_string(std::llround(2000 * factor)));
+  for (const char* job : {"b", "c", "d"}) {
+    expected_end_of(job);
+  }
+  sim.Advance(4000);
+  for (const auto& [worker, key] : sim.Active()) {
+    sim.End(worker, key, RunEndKind::kDone);
+  }
+  sim.Settle();
+  // The runs took 4 s, which is the expected time on a slow worker.
+  const double next = std::stod(expected_end_of("e"));
+  BOOST_TEST(std::abs(next - 4000) < 100);
+}
+
+// A new planner must know the slow workers before it places anything.
+BOOST_AUTO_TEST_CASE(ANewPlannerTakesTheSpeedsFromTheAgents) {
+  SimulatedFleet sim({MakeWorker("w1"), MakeWorker("w2")});
+  const core::AgentId slow("agent-w1");
+  sim.ReportOf("w1").speed = {0.8, 12};
+  AgentReport report = sim.ReportOf("w1");
+  Planner next{PlannerOptions{}};
+  next.BeginTerm(core::SchedulingEpoch(2), {}, sim.now);
+  const ReportAnswer answer = next.OnReport(report, sim.now);
+  BOOST_TEST(next.Speeds().FactorOf(slow) > 1.5);
+  BOOST_TEST(answer.speed.log_factor ==
+             next.Speeds().ReportedOf(slow).log_factor);
+  BOOST_TEST(answer.speed.weight > 10.0);
+  // Later reports repeat an estimate that the planner has made itself.
+  report.speed = {0, 24};
+  next.OnReport(report, sim.now);
+  BOOST_TEST(next.Speeds().FactorOf(slow) > 1.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -23,18 +23,23 @@
 constexpr double kSpreadBound = 3.0;
 /// Number of alternations between work and speeds in one fit.
 constexpr int kSweeps = 3;
-/// Completed samples of a worker that are fitted one by one, and the largest
-/// weight of the older ones. Together they bound the number of runs after which
-/// a gradual change shows.
-constexpr std::size_t kRecentSamples = 12;
+/// Number of the latest runs of a worker that are fitted one by one, and the
+/// largest weight of the older ones. Together they bound the number of runs
+/// after which a gradual change shows.
+constexpr std::size_t kRecentSamples = 16;
 constexpr double kMaxHistoryWeight = 24;
 /// Upper bound of the samples of a worker, in case ends go unnoticed.
 constexpr std::size_t kMaxSamples = 256;
-/// Number of the newest samples that are compared with the older ones, and how
-/// many standard deviations of difference show a change of speed.
-constexpr std::size_t kChangeSamples = 6;
+/// The newest samples, of these numbers, are compared with the older ones. A
+/// difference of so many standard deviations shows a change of speed.
+constexpr std::size_t kMinChangeSamples = 4;
+constexpr std::size_t kMaxChangeSamples = 12;
 constexpr double kChangeDeviations = 3.0;
 constexpr double kMinChangeWeight = 2.5;
+/// Of the newest samples, at most one in so many may show less than this share
+/// of the change. Half of a few samples may be outliers, all of them hardly.
+constexpr std::size_t kChangeSamplesPerOutlier = 5;
+constexpr double kMinAgreement = 0.4;
 /// The pace of a run counts from this progress and time on.
 constexpr int kMinPercent = 5;
 constexpr core::Duration kMinElapsed = core::Duration::Milliseconds(600);
@@ -107,16 +112,22 @@
       std::max<std::int64_t>(duration.InMilliseconds(), 1)));
 }
 
+template <typename Samples>
+double TotalWeight(const Samples& samples) {
+  double total = 0;
+  for (const auto& each : samples) {
+    total += each.weight;
+  }
+  return total;
+}
+
 template <typename Samples>
 double WeightedMedian(Samples& samples) {
   std::sort(samples.begin(), samples.end(),
             [](const auto& left, const auto& right) {
               return left.value < right.value;
             });
-  double total = 0;
-  for (const auto& each : samples) {
-    total += each.weight;
-  }
+  const double total = TotalWeight(samples);
   double passed = 0;
   for (std::size_t i = 0; i < samples.size(); ++i) {
     passed += samples[i].weight;
@@ -236,10 +247,14 @@
   if (run.percent < kMinPercent || run.elapsed < kMinElapsed) {
     return;
   }
-  Sample& sample = this->SampleOf(this->MachineOf(run.agent), run);
+  Machine& machine = this->MachineOf(run.agent);
+  Sample& sample = this->SampleOf(machine, run);
+  if (sample.is_retired) {
+    return;
+  }
   const core::Duration per_point = run.elapsed / run.percent;
-  sample.is_excluded =
-      sample.is_excluded ||
+  sample.has_stalled =
+      sample.has_stalled ||
       (run.percent < kFullPercent && run.still >= kStallThreshold &&
        run.still >= per_point * kStallPoints);
   const double percent = std::min(run.percent + kMeanPercentError,
@@ -251,13 +266,14 @@
       Square(kPercentError / percent) +
       Square(kTimeErrorMs / static_cast<double>(run.elapsed.InMilliseconds())) +
       (run.is_remote ? kRemoteVariance : 0);
+  this->FoldOldSamples(machine);
   this->has_new_samples = true;
 }
 
 void WorkerSpeeds::OnRunEnded(const RunSample& run) {
   Machine& machine = this->MachineOf(run.agent);
   Sample& sample = this->SampleOf(machine, run);
-  if (sample.is_excluded) {
+  if (sample.has_stalled) {
     this->OnRunDiscarded(run.agent, run.key);
     return;
   }
@@ -274,6 +290,9 @@
   this->AddQueueTime(
       run.queue, sample.log_time - (machine.log_factor - this->fleet_median),
       1 / siblings);
+  if (sample.is_retired) {
+    this->OnRunDiscarded(run.agent, run.key);
+  }
   this->FoldOldSamples(machine);
   this->has_new_samples = true;
 }
@@ -309,8 +328,8 @@
   const QueueTimes queue = this->queues[gang.queue];
   const double known =
       std::isfinite(slowest) ? slowest - this->fleet_median : 0;
-  this->AddQueueTime(gang.queue, log_time - known, 1);
   if (queue.samples < kMinQueueSamples) {
+    this->AddQueueTime(gang.queue, log_time - known, 1);
     return;
   }
   // Speed of the slowest member, as far as the work of the job is average.
@@ -325,6 +344,9 @@
     this->FoldOldSamples(machine);
     this->has_new_samples = true;
   };
+  if (slowest - shown <= bound) {
+    this->AddQueueTime(gang.queue, log_time - known, 1);
+  }
   for (Machine* machine : members) {
     if (machine->weight >= kKnownWeight &&
         machine->log_factor - shown > bound) {
@@ -387,7 +409,7 @@
   fitted.reserve(machine.recent.size() + 2);
   const double variance = Square(this->noise);
   for (const Sample& sample : machine.recent) {
-    if (sample.is_excluded) {
+    if (!sample.IsFitted()) {
       continue;
     }
     if (!sample.group) {
@@ -399,7 +421,7 @@
     const auto own = static_cast<std::size_t>(
         std::count_if(machine.recent.begin(), machine.recent.end(),
                       [&sample](const Sample& each) {
-                        return each.group == sample.group && !each.is_excluded;
+                        return each.group == sample.group && each.IsFitted();
                       }));
     if (sample.group->samples == 0) {
       // Its work has not been fitted yet.
@@ -416,78 +438,92 @@
   return fitted;
 }
 
+void WorkerSpeeds::RetireOldest(Machine& machine) {
+  const auto oldest =
+      std::find_if(machine.recent.begin(), machine.recent.end(),
+                   [](const Sample& each) { return each.IsFitted(); });
+  ++machine.older_runs;
+  if (oldest->has_ended) {
+    machine.recent.erase(oldest);
+  } else {
+    oldest->is_retired = true;
+  }
+}
+
 void WorkerSpeeds::FoldOldSamples(Machine& machine) {
-  auto ended = static_cast<std::size_t>(
+  auto fitted_count = static_cast<std::size_t>(
       std::count_if(machine.recent.begin(), machine.recent.end(),
-                    [](const Sample& each) { return each.has_ended; }));
-  while (ended > kRecentSamples || machine.recent.size() > kMaxSamples) {
-    const auto oldest =
-        std::find_if(machine.recent.begin(), machine.recent.end(),
-                     [](const Sample& each) { return each.has_ended; });
-    if (oldest == machine.recent.end()) {
-      machine.recent.erase(machine.recent.begin());
-      continue;
-    }
-    const std::vector<FittedSample> fitted = this->FittedSamples(machine);
-    const auto excluded_before =
-        std::count_if(machine.recent.begin(), oldest,
-                      [](const Sample& each) { return each.is_excluded; });
-    const FittedSample sample = fitted[static_cast<std::size_t>(
-        oldest - machine.recent.begin() - excluded_before)];
+                    [](const Sample& each) { return each.IsFitted(); }));
+  while (fitted_count > kRecentSamples) {
+    const FittedSample sample = this->FittedSamples(machine).front();
     const double bound = kHuberBound * this->noise;
     const double difference =
         std::clamp(sample.value - machine.log_factor, -bound, bound) +
         machine.log_factor - machine.history;
-    const double total = machine.history_weight + sample.weight;
+    // Each run ages the earlier ones, so that their weight stays bounded.
+    const double total =
+        machine.history_weight * (1 - 1 / kMaxHistoryWeight) + sample.weight;
     machine.history += total > 0 ? difference * sample.weight / total : 0;
-    machine.history_weight = std::min(total, kMaxHistoryWeight);
-    ++machine.older_runs;
-    machine.recent.erase(oldest);
-    --ended;
+    machine.history_weight = total;
+    RetireOldest(machine);
+    --fitted_count;
+  }
+  // Ends may go unnoticed.
+  if (machine.recent.size() > kMaxSamples) {
+    machine.recent.erase(machine.recent.begin());
   }
 }
 
-void WorkerSpeeds::ForgetBeforeChange(Machine& machine) {
-  const std::size_t count = machine.recent.size();
-  if (count < kChangeSamples) {
-    return;
-  }
-  const std::vector<FittedSample> fitted = this->FittedSamples(machine);
-  if (fitted.size() != count) {
-    return;
-  }
-  const auto split = fitted.end() - kChangeSamples;
+bool WorkerSpeeds::HaveChanged(const Machine& machine,
+                               const std::vector<FittedSample>& fitted,
+                               std::size_t count) const {
+  const auto split = fitted.end() - static_cast<std::ptrdiff_t>(count);
   std::vector<FittedSample> newer(split, fitted.end());
   std::vector<FittedSample> older(fitted.begin(), split);
   older.push_back({machine.history, machine.history_weight, 0});
-  const auto weight_of = [](const std::vector<FittedSample>& samples) {
-    double total = 0;
-    for (const FittedSample& each : samples) {
-      total += each.weight;
-    }
-    return total;
-  };
-  const double newer_weight = weight_of(newer);
-  const double older_weight = weight_of(older);
+  const double newer_weight = TotalWeight(newer);
+  const double older_weight = TotalWeight(older);
   if (newer_weight < kMinChangeWeight || older_weight < kMinChangeWeight) {
-    return;
+    return false;
   }
   const double deviation =
       this->noise *
       std::sqrt(kMedianVarianceFactor / newer_weight + 1 / older_weight);
-  if (std::abs(WeightedMedian(newer) - RobustMean(older, this->noise)) >
-      kChangeDeviations * deviation) {
-    machine.older_runs += static_cast<int>(count - kChangeSamples);
-    machine.recent.erase(machine.recent.begin(),
-                         machine.recent.end() - kChangeSamples);
+  const double before = RobustMean(older, this->noise);
+  const double change = WeightedMedian(newer) - before;
+  if (std::abs(change) <= kChangeDeviations * deviation) {
+    return false;
+  }
+  const auto agreeing = std::count_if(
+      newer.begin(), newer.end(), [before, change](const FittedSample& each) {
+        return (each.value - before) / change > kMinAgreement;
+      });
+  return static_cast<std::size_t>(agreeing) >=
+         count - count / kChangeSamplesPerOutlier;
+}
+
+void WorkerSpeeds::ForgetBeforeChange(Machine& machine) {
+  if (machine.recent.size() < kMinChangeSamples) {
+    return;
+  }
+  const std::vector<FittedSample> fitted = this->FittedSamples(machine);
+  for (std::size_t count = kMinChangeSamples;
+       count <= std::min(kMaxChangeSamples, fitted.size()); count += 2) {
+    if (!this->HaveChanged(machine, fitted, count)) {
+      continue;
+    }
+    for (std::size_t i = count; i < fitted.size(); ++i) {
+      RetireOldest(machine);
+    }
     machine.history_weight = 0;
+    return;
   }
 }
 
 void WorkerSpeeds::FitGroups() {
   for (const auto& [agent, machine] : this->machines) {
     for (const Sample& sample : machine.recent) {
-      if (!sample.group || sample.is_excluded) {
+      if (!sample.group || !sample.IsFitted()) {
         continue;
       }
       Group& group = *sample.group;
@@ -533,10 +569,7 @@
 void WorkerSpeeds::FitMachine(Machine& machine) {
   std::vector<FittedSample> fitted = this->FittedSamples(machine);
   machine.runs = machine.older_runs + static_cast<int>(fitted.size());
-  double weight = 0;
-  for (const FittedSample& each : fitted) {
-    weight += each.weight;
-  }
+  double weight = TotalWeight(fitted);
   const SpeedEstimate prior = this->PriorOf(machine);
   const double prior_weight = Square(this->noise) / Square(prior.uncertainty);
   const std::size_t samples = fitted.size();
@@ -572,7 +605,7 @@
     }
     ++parameters;
     for (const Sample& sample : machine.recent) {
-      if (sample.group && !sample.is_excluded && sample.group->workers > 1) {
+      if (sample.group && sample.IsFitted() && sample.group->workers > 1) {
         residuals.push_back(std::abs(sample.log_time - sample.group->work -
                                      machine.log_factor));
       }
--- a/modules/batch/planner/worker_speeds.h
+++ b/modules/batch/planner/worker_speeds.h
@@ -151,14 +151,20 @@
     double error_variance = 0;
     bool has_ended = false;
     /// The run has stalled and is left out.
-    bool is_excluded = false;
+    bool has_stalled = false;
+    /// The run is still active, but its sample is part of the history. Runs are
+    /// retired in the order of their starts, active or not, since the active
+    /// ones alone would contain too many that take unusually long.
+    bool is_retired = false;
+
+    bool IsFitted() const { return !this->has_stalled && !this->is_retired; }
   };
   struct Machine {
     WorkerId worker;
     /// Machines of the same kind have the same capacity.
     std::string kind;
     std::string rack;
-    /// Samples of active runs and of the latest completed ones, oldest first.
+    /// Samples of the latest runs, oldest first, and of all active ones.
     std::vector<Sample> recent;
     /// Mean of older samples, relative to the same zero as `log_factor`, and
     /// its weight in runs.
@@ -185,8 +191,15 @@
   Sample* FindSample(Machine& machine, const RunKey& key);
   Sample& SampleOf(Machine& machine, const RunSample& run);
   void AddQueueTime(const QueueName& queue, double log_time, double weight);
-  /// Removes the oldest completed samples beyond the limit into the history.
+  /// Takes the oldest sample out of the fit.
+  static void RetireOldest(Machine& machine);
+  /// Moves the oldest samples beyond the limit into the history.
   void FoldOldSamples(Machine& machine);
+  /// Returns true if the newest `count` samples show another speed than those
+  /// before.
+  bool HaveChanged(const Machine& machine,
+                   const std::vector<FittedSample>& fitted,
+                   std::size_t count) const;
   /// Forgets samples from before a change of the worker's speed.
   void ForgetBeforeChange(Machine& machine);
   void FitGroups();
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -102,6 +102,9 @@
   /// Numbers of runs that the planner started and stopped.
   int starts = 0;
   int stops = 0;
+  /// Number of decisions and workers for which the worker had another time
+  /// factor than 1.0.
+  int uneven_factors = 0;
   /// Returns the earned credit as a share of the possible credit, in [0, 1].
   double EarnedShare() const {
     double possible_credit = 0;
@@ -439,6 +442,10 @@
     const auto orders =
         this->planner.Decide(this->now, this->now.InMilliseconds());
     this->planner.TakeDecisionLog();
+    for (const auto& [agent, report] : this->reports) {
+      const bool is_even = this->planner.Speeds().FactorOf(agent) == 1.0;
+      this->result.uneven_factors += is_even ? 0 : 1;
+    }
     for (const AgentOrders& each : orders) {
       AgentReport& report = this->reports.at(each.agent);
       report.batch = each.batch.number;
