Replays: agents repeat the planner's estimates of worker speeds

Change: the replayed agents state the age of the progress that they report and repeat the planner's estimate; with knows_speeds they report the actual speeds when the term begins (batch_load_bench print-known, books-known). One function, IsInTime, tells whether a job becomes late on workers of a speed.

--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -21,6 +21,12 @@
   if (fleet == "print") {
     return PrintBureauPattern(load);
   }
+  if (fleet == "print-known" || fleet == "books-known") {
+    LoadPattern pattern = fleet == "print-known" ? PrintBureauPattern(load)
+                                                 : BookkeeperPattern(load);
+    pattern.knows_speeds = true;
+    return pattern;
+  }
   if (fleet == "books") {
     return BookkeeperPattern(load);
   }
--- a/modules/batch/planner/candidates.cc
+++ b/modules/batch/planner/candidates.cc
@@ -91,11 +91,6 @@
   return limit == 0 || candidate.placed_tasks < limit;
 }
 
-bool IsInTime(const PlacementRequest& request, double time_factor) {
-  return TimeLost(request, time_factor) <=
-         static_cast<double>(request.slack.InMilliseconds());
-}
-
 bool HasTimeToSpare(const PlacementRequest& request, double time_factor) {
   return request.priority > 0 && request.run_time > core::Duration() &&
          TimeLost(request, time_factor) * kTimeToSpareFactor <=
@@ -191,3 +186,12 @@
 }
 
 }  // namespace hemlockdoor::batch::detail
+
+namespace hemlockdoor::batch {
+
+bool IsInTime(const PlacementRequest& request, double time_factor) {
+  return detail::TimeLost(request, time_factor) <=
+         static_cast<double>(request.slack.InMilliseconds());
+}
+
+}  // namespace hemlockdoor::batch
--- a/modules/batch/planner/candidates.h
+++ b/modules/batch/planner/candidates.h
@@ -47,10 +47,6 @@
 bool IsBelowTaskLimit(const Candidate& candidate,
                       const PlacementRequest& request);
 
-/// Returns whether the job is expected not to become late if the unit starts
-/// now on workers with time factors of up to `time_factor`.
-bool IsInTime(const PlacementRequest& request, double time_factor);
-
 /// Returns whether the unit has enough time to spare for workers with this
 /// factor that it should leave faster ones free.
 bool HasTimeToSpare(const PlacementRequest& request, double time_factor);
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -297,7 +297,7 @@
     const PlacementRequest& request) {
   std::vector<Candidate> chosen;
   for (const Candidate& candidate : candidates) {
-    if (detail::IsInTime(request, candidate.time_factor)) {
+    if (IsInTime(request, candidate.time_factor)) {
       chosen.push_back(candidate);
     }
   }
@@ -329,21 +329,6 @@
   return PlaceInCheapest(candidates, request, by_agent);
 }
 
-double HighestTimeFactor(const WorkerSpeeds& speeds,
-                         const std::vector<core::AgentId>& agents) {
-  double highest = 0;
-  for (const core::AgentId& agent : agents) {
-    highest = std::max(highest, speeds.FactorOf(agent));
-  }
-  return highest;
-}
-
-bool IsInTimeOn(const PlacementRequest& request,
-                const std::vector<core::AgentId>& agents) {
-  return request.speeds == nullptr ||
-         detail::IsInTime(request, HighestTimeFactor(*request.speeds, agents));
-}
-
 bool NeedsSuspendedWorkers(const Fleet& fleet,
                            const PlacementRequest& request) {
   const bool some_are_suspended =
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -83,14 +83,9 @@
     const PlacementRequest& request,
     const std::vector<Victim>& victims);
 
-/// Returns the highest time factor of the agents' workers.
-double HighestTimeFactor(const WorkerSpeeds& speeds,
-                         const std::vector<core::AgentId>& agents);
-
 /// Returns whether the job is expected not to become late if the unit starts
-/// now on the workers of the agents.
-bool IsInTimeOn(const PlacementRequest& request,
-                const std::vector<core::AgentId>& agents);
+/// now on workers with time factors of up to `time_factor`.
+bool IsInTime(const PlacementRequest& request, double time_factor);
 
 /// Returns true if some worker is suspended, and the unit would not fit on
 /// those that are not, even if they were idle.
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -124,13 +124,14 @@
                             const PlacementRequest& request,
                             const std::vector<core::AgentId>& workers,
                             core::TimePoint now) {
+  const double time_factor = this->SlowestFactor(workers);
   if (job.record.priority >= kBackfillPriority || !unit.reserved.empty() ||
-      IsInTimeOn(request, workers)) {
+      IsInTime(request, time_factor)) {
     return false;
   }
   const core::TimePoint end =
       now + core::Duration::Milliseconds(static_cast<std::int64_t>(
-                HighestTimeFactor(this->speeds, workers) *
+                time_factor *
                 static_cast<double>(request.run_time.InMilliseconds())));
   const std::optional<Reservation> faster =
       FindReservation(this->fleet, request, this->Releases(now),
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -109,6 +109,9 @@
   /// Whether a gang that is wider than a sixth of the fleet gets fewer tasks;
   /// otherwise its tasks run independently of each other.
   bool narrows_gangs = false;
+  /// Whether the agents report the actual speeds of their workers when the
+  /// planner's term begins, as after a change of the planner.
+  bool knows_speeds = false;
 };
 
 /// Result of the jobs of one class, without those whose runs always fail.
@@ -244,12 +247,15 @@
       report.epoch = this->planner.Epoch();
       report.worker = worker;
       report.is_complete = true;
-      this->reports[report.agent] = report;
       const std::vector<double>& factors = this->pattern.time_factors;
       this->time_factors[report.agent] =
           factors.empty()
               ? 1.0
               : factors[static_cast<std::size_t>(i) % factors.size()];
+      if (this->pattern.knows_speeds) {
+        report.speed = this->ActualSpeed(report.agent);
+      }
+      this->reports[report.agent] = report;
     }
     this->Report();
     if (const auto members = this->planner.TakeMembersWrite()) {
@@ -259,6 +265,16 @@
     this->Report();
   }
 
+  /// Returns the time factor of a worker relative to the median of the fleet.
+  ReportedSpeed ActualSpeed(const core::AgentId& agent) const {
+    std::vector<double> factors = this->pattern.time_factors;
+    std::sort(factors.begin(), factors.end());
+    constexpr double kManyRuns = 50;
+    return {
+        std::log(this->time_factors.at(agent) / factors[factors.size() / 2]),
+        kManyRuns};
+  }
+
   void MakeJobs() {
     int number = 0;
     for (const LoadClass& load : this->pattern.classes) {
@@ -515,11 +531,14 @@
     // The readings of the workers are spread over the interval.
     std::int64_t phase = this->now.InMilliseconds() / kStepMs;
     for (auto& [agent, report] : this->reports) {
-      if (++phase % reports_per_reading == 0) {
+      report.progress_age =
+          core::Duration::Milliseconds(++phase % reports_per_reading * kStepMs);
+      if (report.progress_age == core::Duration()) {
         this->ReadProgress(report);
       }
       ++report.sequence;
       const ReportAnswer answer = this->planner.OnReport(report, this->now);
+      report.speed = answer.speed;
       std::erase_if(report.ends, [&answer](const RunEnd& end) {
         return end.number <= answer.acknowledged;
       });
