Stragglers: runs that are far too slow are started again elsewhere

Cause: on the bookkeeper's fleet 3 of 100 runs take seven times as long; one in seven urgent gangs and two in three wide steps have such a run and end late or too late.

Change: stragglers.h decides from the median of at least four siblings, or for gangs and small steps from the median of the queue and the declared run time, whether a run is a straggler, and whether a new one ends clearly sooner and gains more time than it throws away. At most 5% of the running tasks are moved in 2 s, each unit once; the workers of the new run are kept free while the present one stops. A worker that has turned slow since the start does not explain the pace.

WideStepsLeaveWorkersThatTurnSlow also passes without moves and needs a harder load. batch_test passes.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -381,7 +381,7 @@
 }
 
 void Planner::RecordRunTime(const Job& job,
-                            const Unit& unit,
+                            Unit& unit,
                             const RunEnd& end,
                             core::TimePoint now) {
   const auto member = std::find_if(
@@ -404,6 +404,11 @@
   ++times.samples;
   const double weight = std::max(kRunTimeAverageWeight, 1.0 / times.samples);
   times.mean_ms += weight * (took - times.mean_ms);
+  if (static_cast<int>(unit.members.size()) == unit.size) {
+    unit.run_time =
+        core::Duration::Milliseconds(static_cast<std::int64_t>(took));
+    this->queue_run_times.Add(job.record.queue, unit.run_time);
+  }
 }
 
 void Planner::OnDone(Job& job, Unit& unit, core::TimePoint now) {
@@ -856,6 +861,7 @@
   }
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
+  this->MoveStragglers(now);
   this->Schedule(now);
   return this->CollectOrders(now);
 }
@@ -1169,6 +1175,7 @@
   }
   ++unit.highest_run;
   unit.time_factor = this->SlowestFactor(agents);
+  unit.placed_time_factor = unit.time_factor;
   std::string worker_list;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     AgentView& view = this->fleet[agents[i]];
