--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -109,6 +109,9 @@
   /// Whether a gang that is wider than a sixth of the fleet gets fewer tasks;
   /// otherwise its tasks run independently of each other.
   bool narrows_gangs = false;
+  /// Whether the agents report the actual speeds of their workers when the
+  /// planner's term begins, as after a change of the planner.
+  bool knows_speeds = false;
 };
 
 /// Result of the jobs of one class, without those whose runs always fail.
@@ -247,12 +250,15 @@
       report.epoch = this->planner.Epoch();
       report.worker = worker;
       report.is_complete = true;
-      this->reports[report.agent] = report;
       const std::vector<double>& factors = this->pattern.time_factors;
       this->time_factors[report.agent] =
           factors.empty()
               ? 1.0
               : factors[static_cast<std::size_t>(i) % factors.size()];
+      if (this->pattern.knows_speeds) {
+        report.speed = this->ActualSpeed(report.agent);
+      }
+      this->reports[report.agent] = report;
     }
     this->Report();
     if (const auto members = this->planner.TakeMembersWrite()) {
@@ -262,6 +268,16 @@
     this->Report();
   }
 
+  /// Returns the time factor of a worker relative to the median of the fleet.
+  ReportedSpeed ActualSpeed(const core::AgentId& agent) const {
+    std::vector<double> factors = this->pattern.time_factors;
+    std::sort(factors.begin(), factors.end());
+    constexpr double kManyRuns = 50;
+    return {
+        std::log(this->time_factors.at(agent) / factors[factors.size() / 2]),
+        kManyRuns};
+  }
+
   void MakeJobs() {
     int number = 0;
     for (const LoadClass& load : this->pattern.classes) {
@@ -438,6 +454,14 @@
     return away || split ? speed / this->pattern.remote_slowdown : speed;
   }
 
+  /// Returns the work of the run that its last checkpoint contains.
+  double SavedWork(const SimRun& run) const {
+    const auto interval = static_cast<double>(this->pattern.checkpoint_ms);
+    return this->StepOf(run).checkpoints
+               ? std::floor(run.done_ms / interval) * interval
+               : 0.0;
+  }
+
   void EndRun(SimRun& run, RunEndKind kind) {
     AgentReport& report = this->reports.at(run.agent);
     RunEnd end;
@@ -445,12 +469,11 @@
     end.key = run.key;
     end.kind = kind;
     const StepSpec& step = this->StepOf(run);
-    const auto step_ms = static_cast<double>(this->pattern.checkpoint_ms);
     double saved = run.restored_ms;
     if (step.checkpoints) {
       saved = kind == RunEndKind::kStopped && this->pattern.saves_on_stop
                   ? run.done_ms
-                  : std::floor(run.done_ms / step_ms) * step_ms;
+                  : this->SavedWork(run);
       end.checkpoint = std::to_string(static_cast<std::int64_t>(saved));
     }
     if (kind != RunEndKind::kDone) {
@@ -507,6 +530,11 @@
           constexpr double kPercent = 100;
           active.percent =
               static_cast<int>(run.done_ms / run.job->work_ms * kPercent);
+          const double saved = this->SavedWork(run);
+          if (!this->pattern.saves_on_stop && saved > 0) {
+            active.checkpoint =
+                std::to_string(static_cast<std::int64_t>(saved));
+          }
         }
       }
     }
@@ -518,11 +546,14 @@
     // The readings of the workers are spread over the interval.
     std::int64_t phase = this->now.InMilliseconds() / kStepMs;
     for (auto& [agent, report] : this->reports) {
-      if (++phase % reports_per_reading == 0) {
+      report.progress_age =
+          core::Duration::Milliseconds(++phase % reports_per_reading * kStepMs);
+      if (report.progress_age == core::Duration()) {
         this->ReadProgress(report);
       }
       ++report.sequence;
       const ReportAnswer answer = this->planner.OnReport(report, this->now);
+      report.speed = answer.speed;
       std::erase_if(report.ends, [&answer](const RunEnd& end) {
         return end.number <= answer.acknowledged;
       });
