Admission: reject jobs that are worthless to their callers by every estimate

Every job was accepted, whatever the backlog, and also jobs that no worker could ever hold. The planner now makes a RoomSummary (drain rate and backlog by priority, shapes and labels of the fleet, organisations beyond their guarantee), which travels in the answers to submissions and state queries, at most once a second to each entry. Entries decide with DecideAdmission.

A refusal is stored under hd/refused/ID, on the condition that the job is not stored, and the commit of a job requires that its refusal has not changed since the request arrived. So a caller is never told that a job was refused which another entry has stored or is still storing. A refusal costs one write; an accepted job costs no call more than before.

--- a/modules/batch/model/job_spec.h
+++ b/modules/batch/model/job_spec.h
@@ -1,6 +1,7 @@
 // Jobs and their steps, as submitted by callers and as stored.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -128,7 +129,18 @@
   core::Duration objective;
   /// Unix milliseconds.
   std::int64_t accepted_wall_ms = 0;
-
+  /// Time of the caller's first request if an earlier one was rejected, in Unix
+  /// milliseconds; otherwise 0. Completion times are measured from it.
+  std::int64_t first_attempt_wall_ms = 0;
+
+  /// Returns the time from the caller's first request to the acceptance.
+  core::Duration AgeWhenAccepted() const {
+    return core::Duration::Milliseconds(
+        this->first_attempt_wall_ms == 0
+            ? 0
+            : std::max<std::int64_t>(
+                  0, this->accepted_wall_ms - this->first_attempt_wall_ms));
+  }
   JobOwner Owner() const { return {this->organisation, this->queue}; }
 };
 
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -110,7 +110,8 @@
                                                 max_attempts,
                                                 slack_factor,
                                                 objective,
-                                                accepted_wall_ms)
+                                                accepted_wall_ms,
+                                                first_attempt_wall_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(WorkerIdentity,
                                                 id,
                                                 born_wall_ms)
@@ -270,7 +271,8 @@
       record.priority >= 0 && record.priority <= kMaxPriority &&
       record.max_attempts >= 1 && record.max_attempts <= kMaxAttempts &&
       record.slack_factor >= 0 && record.slack_factor <= kMaxSlackFactor &&
-      record.objective >= core::Duration() && record.accepted_wall_ms >= 0;
+      record.objective >= core::Duration() && record.accepted_wall_ms >= 0 &&
+      record.first_attempt_wall_ms >= 0;
   if (!valid) {
     return Invalid("priority, attempts or objective out of range");
   }
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -104,6 +104,7 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
+  this->room = RoomMeter();
   const core::Duration longest = MaxLeaseDuration(this->options.term);
   this->recovery_deadline = now + longest;
   for (const MemberRecord& member : members) {
@@ -128,10 +129,12 @@
                       core::TimePoint now,
                       std::int64_t wall_ms) {
   const core::JobId id = record.spec.id;
-  const std::int64_t age_ms =
-      std::max<std::int64_t>(0, wall_ms - record.accepted_wall_ms);
+  const core::Duration age =
+      core::Duration::Milliseconds(
+          std::max<std::int64_t>(0, wall_ms - record.accepted_wall_ms)) +
+      record.AgeWhenAccepted();
   Job job = Job::Create(std::move(record), progress);
-  job.accepted = now - core::Duration::Milliseconds(age_ms);
+  job.accepted = now - age;
   job.from_earlier_term = true;
   job.cancelled = cancelled && job.outcome == JobOutcome::kOpen;
   const auto floor =
@@ -155,7 +158,7 @@
     return;
   }
   Job job = Job::Create(std::move(record), nullptr);
-  job.accepted = now;
+  job.accepted = now - job.record.AgeWhenAccepted();
   this->LogDecision("job_added", id,
                     "queue=" + job.record.queue.Text() +
                         " priority=" + Text(job.record.priority) + " units=" +
@@ -1099,6 +1102,26 @@
   }
 }
 
+const RoomSummary* Planner::Room(core::TimePoint now) {
+  if (this->IsRecovering(now)) {
+    return nullptr;
+  }
+  if (this->room.IsDue(now)) {
+    std::map<QueueName, core::Duration> averages;
+    for (const auto& [queue, average] : this->run_times) {
+      if (average.samples >= kMinRunTimeSamples) {
+        averages[queue] = core::Duration::Milliseconds(
+            static_cast<std::int64_t>(average.mean_ms));
+      }
+    }
+    this->SumGuaranteedNeeds();
+    this->room.Measure({this->fleet, this->jobs, averages,
+                        this->guaranteed_needs, *this->configuration},
+                       now);
+  }
+  return &this->room.Summary();
+}
+
 bool Planner::IsWithinGuarantee(const Job& job) const {
   if (job.record.priority != 0) {
     return false;
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -20,6 +20,7 @@
 #include "modules/batch/planner/lateness.h"
 #include "modules/batch/planner/placement.h"
 #include "modules/batch/planner/reservation.h"
+#include "modules/batch/planner/room_summary.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -150,6 +151,10 @@
   /// Returns the number of open jobs of the queue that have not started. Jobs
   /// with scheduled occurrences do not count.
   std::size_t CountWaitingJobs(const QueueName& queue) const;
+  /// Returns a summary of the fleet and the backlog that is at most
+  /// `kRoomInterval` old, or nullptr while the planner is still waiting for
+  /// agents of the stored member list.
+  const RoomSummary* Room(core::TimePoint now);
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
@@ -365,6 +370,7 @@
   /// Earliest time of the next write of checkpoints of running tasks.
   core::TimePoint next_checkpoint_write;
   std::vector<DecisionLogEntry> decision_log;
+  RoomMeter room;
 };
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -9,8 +9,11 @@
 #include <string>
 #include <utility>
 
+#include "modules/batch/planner/admission.h"
 #include "modules/batch/process/outage_hold.h"
 #include "modules/batch/process/planner_service.h"
+#include "modules/batch/process/refusal_store.h"
+#include "modules/batch/process/refused_jobs.h"
 #include "modules/model/model.h"
 
 namespace hemlockdoor::batch {
@@ -21,6 +24,7 @@
   kNotStored,  ///< Certainly not stored: the job will never run.
   kUnknown,    ///< May be stored; the caller retries with the same id.
   kConflict,   ///< The id belongs to another organisation's job.
+  kRejected,   ///< Not admitted and not stored; see `RefusalStore`.
 };
 
 /// Result of a cancellation.
@@ -40,10 +44,55 @@
 class EntryService {
  public:
   EntryService(PlannerServiceOptions options, Store& store_adapter)
-      : adapter(store_adapter), planning(std::move(options), store_adapter) {}
+      : adapter(store_adapter),
+        planning(std::move(options), store_adapter),
+        refusals(store_adapter) {}
 
   PlannerService<Store>& Planning() { return this->planning; }
 
+  /// Decides whether the job is worth accepting. Sets the time of the caller's
+  /// first request if this entry has rejected the job before.
+  AdmissionDecision Admit(JobRecord& record) {
+    const core::TimePoint now = core::Clock::Now();
+    if (const RefusedJob* refused =
+            this->refused_jobs.Find(record.spec.id, now)) {
+      record.first_attempt_wall_ms = refused->first_attempt_wall_ms;
+    }
+    if (const RoomSummary* own = this->planning.Room()) {
+      return DecideAdmission(own, core::Duration(), record);
+    }
+    return DecideAdmission(this->room ? &*this->room : nullptr,
+                           now - this->room_received, record);
+  }
+
+  /// Refuses the job as `decision` says, unless it is stored already or the
+  /// refusal cannot be stored; then it is submitted. A job that `done` reports
+  /// as rejected is not stored, and no earlier request can store it any more.
+  void Refuse(std::shared_ptr<const JobRecord> record,
+              const AdmissionDecision& decision,
+              core::TimePoint deadline,
+              std::function<void(SubmitResult)> done) {
+    const std::int64_t first_attempt_wall_ms =
+        record->first_attempt_wall_ms == 0 ? record->accepted_wall_ms
+                                           : record->first_attempt_wall_ms;
+    this->refusals.Refuse(
+        record->spec.id, first_attempt_wall_ms,
+        [this, record, decision, deadline, first_attempt_wall_ms,
+         done = std::move(done)](
+            const core::Expected<store::TransactionResult>& outcome) {
+          if (!outcome || !outcome->succeeded) {
+            this->Submit(record, deadline, done);
+            return;
+          }
+          this->planning.OnRevisionSeen(outcome->revision);
+          this->refused_jobs.Remember(
+              record->spec.id, {first_attempt_wall_ms, outcome->revision},
+              core::Clock::Now());
+          LogRejection(*record, decision);
+          done(SubmitResult::kRejected);
+        });
+  }
+
   /// Stores the job. Retries the commit until `deadline` while its outcome is
   /// unknown, and for the time of `OutageHoldEnd` while the store is away. The
   /// commit requires that the job's key does not exist, so at most one attempt
@@ -57,7 +106,11 @@
       hold_end =
           OutageHoldEnd(this->adapter.OutageDuration(now), deadline, now);
     }
-    this->TrySubmit({std::move(record), deadline, hold_end, std::move(done)},
+    const RefusedJob* refused = this->refused_jobs.Find(record->spec.id, now);
+    const store::ModRevision refusal =
+        refused == nullptr ? store::ModRevision() : refused->revision;
+    this->TrySubmit({std::move(record), deadline, hold_end, refusal,
+                     this->planning.SeenRevision(), std::move(done)},
                     false);
   }
 
@@ -109,8 +162,10 @@
     }
     this->CallRemotePlanner(
         internal_api::kState + std::string("?") + job.Text(),
-        [answer](std::optional<std::string> text) {
-          answer(text ? OwnedStateFromText(*text) : std::nullopt);
+        [this, answer](std::optional<std::string> text) {
+          std::string room_text;
+          answer(text ? OwnedStateFromText(*text, room_text) : std::nullopt);
+          this->OnRoomReceived(room_text);
         });
   }
 
@@ -144,10 +199,12 @@
       }
       response.status =
           record ? wire::http_status::kOk : wire::http_status::kBadRequest;
+      response.body = this->RoomTextFor(request);
     } else if (request.path == internal_api::kCancelled) {
       this->planning.OnCancelled(core::JobId(request.body));
     } else if (request.path == internal_api::kState) {
-      this->AnswerState(core::JobId(request.query), responder);
+      this->AnswerState(core::JobId(request.query), this->RoomTextFor(request),
+                        responder);
       return true;
     } else if (request.path == internal_api::kWaiting) {
       response = this->AnswerFromPlanner(
@@ -185,6 +242,9 @@
   /// Timeout of calls to the planner, which answers from memory.
   static constexpr core::Duration kPlannerTimeout =
       core::Duration::Milliseconds(400);
+  /// Shortest time between two requests for a summary.
+  static constexpr core::Duration kRoomRequestInterval =
+      core::Duration::Seconds(1);
   static constexpr core::Duration kCommitRetryDelay =
       core::Duration::Milliseconds(100);
 
@@ -213,13 +273,21 @@
 
   /// Encodes and decodes the planner's answer to another entry. An entry that
   /// cannot decode it reads the state from the store.
-  static std::string OwnedStateText(const OwnedState& state) {
-    return model::DumpJson(
-        nlohmann::json{{"state", StateText(state.state)},
-                       {"organisation", state.owner.organisation.Text()},
-                       {"queue", state.owner.queue.Text()}});
+  static std::string OwnedStateText(const OwnedState& state,
+                                    const std::string& room_text) {
+    nlohmann::json document = {
+        {"state", StateText(state.state)},
+        {"organisation", state.owner.organisation.Text()},
+        {"queue", state.owner.queue.Text()}};
+    if (!room_text.empty()) {
+      document["room"] = room_text;
+    }
+    return model::DumpJson(document);
   }
-  static std::optional<OwnedState> OwnedStateFromText(const std::string& text) {
+  /// Sets `room_text` to the summary in the answer, if there is one.
+  static std::optional<OwnedState> OwnedStateFromText(const std::string& text,
+                                                      std::string& room_text) {
+    constexpr std::size_t kMaxRoomBytes = 64U * 1024U;
     const core::Expected<nlohmann::json> document = model::ParseJson(text);
     if (!document || !document->is_object()) {
       return std::nullopt;
@@ -230,6 +298,7 @@
     const core::OrganisationId organisation(
         reader.RequiredString("organisation"));
     const QueueName queue(reader.RequiredString("queue"));
+    room_text = reader.OptionalString("room", {}, kMaxRoomBytes);
     if (!state || !reader.FinishLenient()) {
       return std::nullopt;
     }
@@ -242,26 +311,37 @@
     /// Until this time the commit is tried again although it certainly had no
     /// effect.
     core::TimePoint hold_end;
+    /// Revision of the refusal that the request replaces; 0 if none.
+    store::ModRevision refusal;
+    /// Highest revision of the store that was known when the request arrived.
+    store::ModRevision seen_revision;
     std::function<void(SubmitResult)> done;
   };
 
   void TrySubmit(Submission submission, bool may_be_stored) {
     const std::string key = store_keys::JobKey(submission.record->spec.id);
     store::Transaction transaction;
-    transaction.compares = {{key, store::ModRevision()}};
+    const std::string refusal_key =
+        store_keys::RefusalKey(submission.record->spec.id);
+    transaction.compares = {{key, store::ModRevision()},
+                            {refusal_key, submission.refusal}};
     transaction.writes = {{key, ToText(*submission.record), std::nullopt}};
+    if (submission.refusal != store::ModRevision()) {
+      transaction.writes.push_back({refusal_key, std::nullopt, std::nullopt});
+    }
     this->adapter.Commit(
         transaction,
         [this, submission = std::move(submission), may_be_stored](
             const core::Expected<store::TransactionResult>& outcome) mutable {
           if (outcome && outcome->succeeded) {
+            this->planning.OnRevisionSeen(outcome->revision);
             const JobRecord& record = *submission.record;
             this->NotifyPlanner(SubmittedTarget(outcome->revision),
                                 ToText(record));
             this->planning.OnSubmitted(record, outcome->revision);
             submission.done(SubmitResult::kAccepted);
           } else if (outcome) {
-            this->CompareStored(submission.record, std::move(submission.done));
+            this->CompareStored(std::move(submission), may_be_stored);
           } else {
             const bool lost = may_be_stored ||
                               outcome.error().code == core::ErrorCode::kTimeout;
@@ -305,18 +385,24 @@
         });
   }
 
-  /// Handles a commit that failed because the key exists: either the same job
-  /// was stored before, or the id belongs to another organisation's job.
-  void CompareStored(std::shared_ptr<const JobRecord> record,
-                     std::function<void(SubmitResult)> done) {
+  /// Handles a commit whose conditions did not hold: the same job was stored
+  /// before, the id belongs to another organisation's job, or the job was
+  /// refused.
+  void CompareStored(Submission submission, bool may_be_stored) {
+    const std::string key = store_keys::JobKey(submission.record->spec.id);
     this->adapter.Get(
-        store_keys::JobKey(record->spec.id),
-        [record, done = std::move(done)](
-            const core::Expected<std::optional<store::KeyValue>>& item) {
-          if (!item || !*item) {
+        key, [this, submission = std::move(submission), may_be_stored](
+                 const core::Expected<std::optional<store::KeyValue>>& item) {
+          const auto& [record, done] =
+              std::tie(submission.record, submission.done);
+          if (!item) {
             done(SubmitResult::kUnknown);
             return;
           }
+          if (!*item) {
+            this->CompareRefusal(submission, may_be_stored);
+            return;
+          }
           const core::Expected<JobRecord> stored =
               JobRecordFromText((*item)->value);
           const bool same =
@@ -328,6 +414,118 @@
         });
   }
 
+  /// Handles a commit whose conditions did not hold although the job is not
+  /// stored. A refusal that was stored before the request arrived is replaced:
+  /// the caller asks again. A later one holds: the caller left this entry and
+  /// was told elsewhere that the job was refused.
+  void CompareRefusal(Submission submission, bool may_be_stored) {
+    const std::string key = store_keys::RefusalKey(submission.record->spec.id);
+    this->adapter.Get(
+        key, [this, submission = std::move(submission), may_be_stored](
+                 const core::Expected<std::optional<store::KeyValue>>&
+                     item) mutable {
+          if (!item) {
+            submission.done(SubmitResult::kUnknown);
+            return;
+          }
+          const store::ModRevision refusal =
+              *item ? (*item)->mod_revision : store::ModRevision();
+          if (*item && refusal > submission.seen_revision) {
+            LogSubmission(*submission.record, "submit_refused_meanwhile",
+                          "the job was refused while its request was handled");
+            submission.done(SubmitResult::kRejected);
+            return;
+          }
+          this->Resubmit(std::move(submission), *item, may_be_stored);
+        });
+  }
+
+  /// Submits the job again in place of the refusal, and with the age that the
+  /// refusal states. `refusal` is empty if it has expired.
+  void Resubmit(Submission submission,
+                const std::optional<store::KeyValue>& refusal,
+                bool may_be_stored) {
+    if (core::Clock::Now() >= submission.deadline) {
+      submission.done(SubmitResult::kUnknown);
+      return;
+    }
+    submission.refusal = store::ModRevision();
+    if (refusal) {
+      submission.refusal = refusal->mod_revision;
+      auto record = std::make_shared<JobRecord>(*submission.record);
+      record->first_attempt_wall_ms = FirstAttemptFrom(*refusal);
+      submission.record = std::move(record);
+    }
+    this->TrySubmit(std::move(submission), may_be_stored);
+  }
+
+  /// Returns the time that `RefusalStore` stored; 0 if it cannot be read.
+  static std::int64_t FirstAttemptFrom(const store::KeyValue& refusal) {
+    constexpr int kDecimal = 10;
+    return std::max<std::int64_t>(
+        0, std::strtoll(refusal.value.c_str(), nullptr, kDecimal));
+  }
+
+  static void LogRejection(const JobRecord& record,
+                           const AdmissionDecision& decision) {
+    observe::ProcessMetrics().CountRefusal(
+        decision.reason == AdmissionReason::kTooLate
+            ? observe::RefusalLabel::kDeadline
+            : observe::RefusalLabel::kNeverRunnable);
+    observe::LogContext log_context;
+    log_context.job = record.spec.id;
+    const auto text = [](core::Duration duration) {
+      return std::to_string(duration.InMilliseconds());
+    };
+    observe::Log(observe::LogLevel::kInfo, NameOf(decision.reason), log_context,
+                 {{"event", "job_rejected"},
+                  {"queue", record.queue.Text()},
+                  {"expected_ms", text(decision.expected)},
+                  {"objective_ms", text(decision.objective)},
+                  {"job_age_ms", text(record.AgeWhenAccepted())},
+                  {"summary_age_ms", text(decision.summary_age)},
+                  {"retry_after_ms", text(decision.retry_after)}});
+  }
+
+  /// Returns the planner's summary if the request asks for it; otherwise an
+  /// empty text.
+  std::string RoomTextFor(const wire::HttpRequest& request) {
+    const bool is_wanted =
+        request.headers.Find(internal_api::kWantsRoomHeader).has_value();
+    const RoomSummary* summary = is_wanted ? this->planning.Room() : nullptr;
+    return summary == nullptr ? std::string() : ToText(*summary);
+  }
+  /// Adds to a call to the planner, if it is about a submission or a state,
+  /// that its answer should have a summary; at most once in
+  /// `kRoomRequestInterval`.
+  void RequestRoom(wire::HttpCall& call) {
+    const core::TimePoint now = core::Clock::Now();
+    const bool is_possible =
+        call.target.starts_with(internal_api::kSubmitted) ||
+        call.target.starts_with(internal_api::kState);
+    if (is_possible && now >= this->next_room_request) {
+      this->next_room_request = now + kRoomRequestInterval;
+      call.headers.Add(internal_api::kWantsRoomHeader, "1");
+    }
+  }
+  /// Keeps the summary of a planner's answer. One that cannot be decoded is as
+  /// good as none.
+  void OnRoomReceived(const std::string& text) {
+    if (text.empty()) {
+      return;
+    }
+    core::Expected<RoomSummary> summary = RoomSummaryFromText(text);
+    if (!summary) {
+      observe::Log(
+          observe::LogLevel::kWarn,
+          "summary not decoded: " + summary.error().message, {},
+          {{"event", "room_unreadable"}, {"field", summary.error().path}});
+      return;
+    }
+    this->room = std::move(*summary);
+    this->room_received = core::Clock::Now();
+  }
+
   void StoreCancellation(const core::JobId& job,
                          const std::function<void(CancelResult)>& done) {
     store::Transaction transaction;
@@ -361,13 +559,17 @@
     call.target = target;
     call.body = body;
     call.timeout = kPlannerTimeout;
-    this->client.Send(call, [](const core::Expected<wire::HttpResponse>& end) {
-      if (!end) {
-        observe::Log(observe::LogLevel::kWarn,
-                     "planner not notified: " + end.error().message, {},
-                     {{"event", "announce_failed"}});
-      }
-    });
+    this->RequestRoom(call);
+    this->client.Send(
+        call, [this](const core::Expected<wire::HttpResponse>& end) {
+          if (end && end->status == wire::http_status::kOk) {
+            this->OnRoomReceived(end->body);
+          } else if (!end) {
+            observe::Log(observe::LogLevel::kWarn,
+                         "planner not notified: " + end.error().message, {},
+                         {{"event", "announce_failed"}});
+          }
+        });
   }
 
   void AskPlanner(const std::string& target,
@@ -393,6 +595,7 @@
     call.endpoint = *endpoint;
     call.target = target;
     call.timeout = kPlannerTimeout;
+    this->RequestRoom(call);
     this->client.Send(call, [done = std::move(done)](
                                 const core::Expected<wire::HttpResponse>& end) {
       const bool ok = end && end->status == wire::http_status::kOk;
@@ -480,18 +683,20 @@
   }
 
   void AnswerState(const core::JobId& job,
+                   const std::string& room_text,
                    const wire::HttpResponder& responder) {
     if (this->planning.Active() == nullptr) {
       responder.Respond(this->NotPlanner());
       return;
     }
-    this->planning.FindState(job, [responder](std::optional<OwnedState> state) {
-      wire::HttpResponse response;
-      response.status =
-          state ? wire::http_status::kOk : wire::http_status::kNotFound;
-      response.body = state ? OwnedStateText(*state) : "";
-      responder.Respond(std::move(response));
-    });
+    this->planning.FindState(
+        job, [responder, room_text](std::optional<OwnedState> state) {
+          wire::HttpResponse response;
+          response.status =
+              state ? wire::http_status::kOk : wire::http_status::kNotFound;
+          response.body = state ? OwnedStateText(*state, room_text) : "";
+          responder.Respond(std::move(response));
+        });
   }
 
   wire::HttpResponse AnswerFromPlanner(const Query& query) {
@@ -516,6 +721,12 @@
 
   Store& adapter;
   PlannerService<Store> planning;
+  RefusalStore<Store> refusals;
+  RefusedJobs refused_jobs;
+  /// Latest summary of the planner on another entry, and when it arrived.
+  std::optional<RoomSummary> room;
+  core::TimePoint room_received;
+  core::TimePoint next_room_request;
   wire::HttpClient client;
   QObject context;
 };
--- a/modules/batch/process/entry_service_test.cc
+++ b/modules/batch/process/entry_service_test.cc
@@ -56,6 +56,99 @@
   EntryService<store::MemoryStore> service;
 };
 
+/// Passes calls to a store that others use as well. Holds commits while
+/// `holds_commits` is set, like a request that is late on the network.
+class LateStore {
+ public:
+  explicit LateStore(store::MemoryStore& shared) : inner(shared) {}
+
+  void Get(const std::string& key,
+           store::Callback<std::optional<store::KeyValue>> done) {
+    this->inner.Get(key, std::move(done));
+  }
+  void List(const std::string& prefix, store::Callback<store::Listing> done) {
+    this->inner.List(prefix, std::move(done));
+  }
+  void Commit(const store::Transaction& transaction,
+              store::Callback<store::TransactionResult> done) {
+    if (this->holds_commits) {
+      this->held = [this, transaction, done = std::move(done)] {
+        this->inner.Commit(transaction, done);
+      };
+    } else {
+      this->inner.Commit(transaction, std::move(done));
+    }
+  }
+  void GrantLease(core::Duration ttl, store::Callback<store::LeaseId> done) {
+    this->inner.GrantLease(ttl, std::move(done));
+  }
+  void KeepAlive(store::LeaseId lease, store::Callback<core::Duration> done) {
+    this->inner.KeepAlive(lease, std::move(done));
+  }
+  store::WatchId Watch(
+      const std::string& prefix,
+      store::ModRevision from,
+      store::Callback<std::vector<store::WatchEvent>> on_events) {
+    return this->inner.Watch(prefix, from, std::move(on_events));
+  }
+  void CancelWatch(store::WatchId watch) { this->inner.CancelWatch(watch); }
+  store::CallCounts Counts() const { return this->inner.Counts(); }
+
+  bool holds_commits = false;
+  std::function<void()> held;
+
+ private:
+  store::MemoryStore& inner;
+};
+
+/// Two entries at one store; neither is the planner.
+struct TwoEntries {
+  TwoEntries() : late(store), first(Options(), late), second(Options(), store) {
+    this->store.DriveByTimer();
+    this->first.Planning().Resign();
+    this->second.Planning().Resign();
+  }
+
+  /// Submits or refuses a job at an entry. The result is set later.
+  template <typename Service>
+  std::shared_ptr<std::optional<SubmitResult>> Send(Service& service,
+                                                    bool refuses) {
+    auto result = std::make_shared<std::optional<SubmitResult>>();
+    auto record = std::make_shared<JobRecord>(
+        MakeJob("j", {MakeStep(1, {1000, 1000, 1})}));
+    record->accepted_wall_ms = ++this->wall_ms;
+    AdmissionDecision decision = service.Admit(*record);
+    decision.reason = AdmissionReason::kTooLate;
+    const core::TimePoint deadline = core::Clock::Now() + kPatience;
+    const auto done = [result](SubmitResult outcome) { *result = outcome; };
+    if (refuses) {
+      service.Refuse(record, decision, deadline, done);
+    } else {
+      service.Submit(record, deadline, done);
+    }
+    return result;
+  }
+  template <typename Service>
+  SubmitResult Wait(Service& service, bool refuses) {
+    const auto result = this->Send(service, refuses);
+    BOOST_REQUIRE(WaitFor([result] { return result->has_value(); }));
+    return **result;
+  }
+  std::optional<JobRecord> Stored() {
+    const auto items = this->store.TakeSnapshot().items;
+    const auto found = items.find(store_keys::JobKey(core::JobId("j")));
+    return found == items.end()
+               ? std::nullopt
+               : std::optional(*JobRecordFromText(found->second.value));
+  }
+
+  store::MemoryStore store;
+  LateStore late;
+  EntryService<LateStore> first;
+  EntryService<store::MemoryStore> second;
+  std::int64_t wall_ms = 1'000'000;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(EntryServiceTest)
@@ -87,6 +180,86 @@
   BOOST_TEST(!entry.HoldsJob());
 }
 
+// The caller leaves the first entry, whose commit is late on the network, and
+// is refused at the second one. The late commit must not store the job after
+// that.
+BOOST_AUTO_TEST_CASE(ALateRequestDoesNotStoreARefusedJob) {
+  TwoEntries entries;
+  entries.late.holds_commits = true;
+  const auto first = entries.Send(entries.first, false);
+  BOOST_TEST((entries.Wait(entries.second, true) == SubmitResult::kRejected));
+  entries.late.holds_commits = false;
+  entries.late.held();
+  BOOST_REQUIRE(WaitFor([first] { return first->has_value(); }));
+  BOOST_TEST((*first == SubmitResult::kRejected));
+  BOOST_TEST(!entries.Stored().has_value());
+}
+
+// An entry does not know what other entries have stored: a job that is stored
+// must never be reported as rejected, also if the answer of the store was lost.
+BOOST_AUTO_TEST_CASE(AStoredJobIsNotRejected) {
+  for (const int lost_answers : {0, 1000}) {
+    TwoEntries entries;
+    entries.store.SetFaults({false, lost_answers, core::Duration()});
+    const SubmitResult first = entries.Wait(entries.first, false);
+    BOOST_TEST((first == SubmitResult::kAccepted || lost_answers > 0));
+    entries.store.SetFaults({});
+    BOOST_TEST((entries.Wait(entries.second, true) == SubmitResult::kAccepted));
+  }
+}
+
+// The retry of a rejected job keeps the time of the first request, at the entry
+// that rejected it and at another one. The latter must have seen the store
+// since, which it does every second.
+BOOST_AUTO_TEST_CASE(ARejectedJobIsStoredByARetryAndKeepsItsAge) {
+  for (const bool asks_the_other : {false, true}) {
+    TwoEntries entries;
+    BOOST_TEST((entries.Wait(entries.second, true) == SubmitResult::kRejected));
+    const std::int64_t first_attempt_wall_ms = entries.wall_ms;
+    BOOST_TEST((entries.Wait(entries.second, true) == SubmitResult::kRejected));
+    if (asks_the_other) {
+      entries.first.Planning().OnRevisionSeen(
+          entries.store.TakeSnapshot().revision);
+    }
+    const SubmitResult retry = asks_the_other
+                                   ? entries.Wait(entries.first, false)
+                                   : entries.Wait(entries.second, false);
+    BOOST_TEST((retry == SubmitResult::kAccepted));
+    BOOST_REQUIRE(entries.Stored().has_value());
+    BOOST_TEST(entries.Stored()->first_attempt_wall_ms ==
+               first_attempt_wall_ms);
+    BOOST_TEST((entries.Wait(entries.first, true) == SubmitResult::kAccepted));
+  }
+}
+
+// Whatever happens to the refusal's write, the caller is told that the job was
+// not accepted only if it is not stored.
+BOOST_AUTO_TEST_CASE(ARefusalThatCannotBeStoredIsNotGiven) {
+  for (const int lost_answers : {1, 2, 1000}) {
+    TwoEntries entries;
+    entries.store.SetFaults({false, lost_answers, core::Duration()});
+    const SubmitResult result = entries.Wait(entries.second, true);
+    const bool says_refused =
+        result == SubmitResult::kRejected || result == SubmitResult::kNotStored;
+    BOOST_TEST((!says_refused || !entries.Stored().has_value()));
+  }
+  TwoEntries entries;
+  entries.store.SetFaults({true, 0, core::Duration()});
+  BOOST_TEST((entries.Wait(entries.second, true) == SubmitResult::kNotStored));
+}
+
+BOOST_AUTO_TEST_CASE(ARejectionCostsOneWriteAndAnAcceptanceNoMoreThanBefore) {
+  TwoEntries entries;
+  entries.Wait(entries.second, true);
+  const store::CallCounts before = entries.store.Counts();
+  entries.Wait(entries.second, true);
+  entries.Wait(entries.second, false);
+  const store::CallCounts after = entries.store.Counts();
+  BOOST_TEST(after.writes - before.writes == 2U);
+  BOOST_TEST(after.reads == before.reads);
+  BOOST_TEST(after.lease_calls == before.lease_calls);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -66,6 +66,18 @@
     const auto& owner = this->ownership.Owner();
     return owner ? owner->endpoint : std::string();
   }
+  /// Returns the planner's summary, or nullptr if there is none or this entry
+  /// is not the active planner.
+  const RoomSummary* Room() {
+    Planner* active = this->Active();
+    return active == nullptr ? nullptr : active->Room(core::Clock::Now());
+  }
+  /// Returns the highest revision of the store that its answers have shown.
+  store::ModRevision SeenRevision() const { return this->seen_revision; }
+  /// An answer of the store has shown this revision.
+  void OnRevisionSeen(store::ModRevision revision) {
+    this->seen_revision = std::max(this->seen_revision, revision);
+  }
   bool IsSelf(const std::string& endpoint) const {
     return endpoint == this->options.endpoint;
   }
@@ -220,6 +232,9 @@
       case OwnershipStep::kRead:
         this->adapter.List(entry::PlanningOwnership::kPrefix,
                            [this](const auto& listing) {
+                             if (listing) {
+                               this->OnRevisionSeen(listing->revision);
+                             }
                              this->ownership.OnRead(listing, core::Clock::Now(),
                                                     this->ClaimDelay());
                            });
@@ -504,6 +519,7 @@
   /// Records that the planner has read all jobs stored up to `revision`.
   void OnJobsRead(store::ModRevision revision) {
     this->jobs_read_until = std::max(this->jobs_read_until, revision);
+    this->OnRevisionSeen(revision);
   }
 
   void ScheduleDecision() {
@@ -601,6 +617,7 @@
             return;
           }
           if (outcome && outcome->succeeded) {
+            this->OnRevisionSeen(outcome->revision);
             this->revisions[key] = outcome->revision;
             this->planner->OnMembersRecorded(members);
             this->ScheduleDecision();
@@ -649,6 +666,7 @@
             this->RefreshRevisions();
             return;
           }
+          this->OnRevisionSeen(outcome->revision);
           for (const auto& [job, version] : versions) {
             this->revisions[store_keys::ProgressKey(job)] = outcome->revision;
             this->planner->OnProgressRecorded(job, version);
@@ -746,6 +764,7 @@
   std::map<std::string, store::ModRevision> revisions;
   /// The planner has read all jobs that were stored up to this revision.
   store::ModRevision jobs_read_until;
+  store::ModRevision seen_revision;
   /// Ended and forgotten jobs whose records may still be stored.
   std::vector<core::JobId> unremoved_jobs;
   core::TimePoint removal_retry_at;
--- a/modules/batch/process/store_keys.h
+++ b/modules/batch/process/store_keys.h
@@ -17,12 +17,18 @@
 inline constexpr const char* kProgressPrefix = "hd/progress/";
 inline constexpr const char* kMembersKey = "hd/members";
 
+/// Refusals of jobs, written by entries. Planners do not read them.
+inline constexpr const char* kRefusalPrefix = "hd/refused/";
+
 inline std::string JobKey(const core::JobId& job) {
   return kJobPrefix + job.Text();
 }
 inline std::string CancellationKey(const core::JobId& job) {
   return kCancellationPrefix + job.Text();
 }
+inline std::string RefusalKey(const core::JobId& job) {
+  return kRefusalPrefix + job.Text();
+}
 inline std::string ProgressKey(const core::JobId& job) {
   return kProgressPrefix + job.Text();
 }
