Admission: tests of the transport and of the answer; replays with rejections

The replay can reject jobs as an entry with a summary once a second does, and its callers ask again up to four times.

--- a/modules/batch/process/entry_service_test.cc
+++ b/modules/batch/process/entry_service_test.cc
@@ -232,6 +232,53 @@
   }
 }
 
+// Entries decide from the planner's summary, which comes with its answers to
+// submissions and to state queries, at most once a second.
+BOOST_AUTO_TEST_CASE(TheSummaryTravelsInThePlannersAnswers) {
+  for (const bool asks_for_state : {false, true}) {
+    store::MemoryStore store;
+    store.DriveByTimer();
+    std::unique_ptr<EntryService<store::MemoryStore>> planner;
+    int answers_with_summary = 0;
+    const auto server = wire::HttpServer::Listen(
+        "127.0.0.1", 0, wire::HttpServerLimits(),
+        [&](const wire::HttpRequest& request,
+            const wire::HttpResponder& responder) {
+          answers_with_summary +=
+              request.headers.Find(internal_api::kWantsRoomHeader) ? 1 : 0;
+          planner->HandleInternal(request, responder);
+        });
+    BOOST_REQUIRE(server.has_value());
+    PlannerServiceOptions options = Options();
+    options.endpoint = "127.0.0.1:" + std::to_string((*server)->Port());
+    planner =
+        std::make_unique<EntryService<store::MemoryStore>>(options, store);
+    BOOST_REQUIRE(
+        WaitFor([&] { return planner->Planning().Active() != nullptr; }));
+    EntryService<store::MemoryStore> entry(Options(), store);
+    BOOST_REQUIRE(
+        WaitFor([&] { return !entry.Planning().PlannerEndpoint().empty(); }));
+
+    JobRecord record = MakeJob("j", {MakeStep(1, {1000, 1000, 1})});
+    planner->Planning().Active()->AddJob(record, core::Clock::Now());
+    const auto ask = [&] {
+      if (asks_for_state) {
+        entry.FindState(record.spec.id, [](const auto&) {});
+      } else {
+        entry.Submit(std::make_shared<const JobRecord>(record),
+                     core::Clock::Now() + kPatience, [](SubmitResult) {});
+      }
+    };
+    BOOST_TEST((entry.Admit(record).summary_age > kMaxSummaryAge));
+    ask();
+    BOOST_TEST(WaitFor(
+        [&] { return entry.Admit(record).summary_age < kMaxSummaryAge; }));
+    ask();
+    WaitFor([] { return false; }, 100);
+    BOOST_TEST(answers_with_summary == 1);
+  }
+}
+
 // Whatever happens to the refusal's write, the caller is told that the job was
 // not accepted only if it is not stored.
 BOOST_AUTO_TEST_CASE(ARefusalThatCannotBeStoredIsNotGiven) {
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -134,6 +135,11 @@
   /// Numbers of runs that the planner started and stopped.
   int starts = 0;
   int stops = 0;
+  /// Number of rejections, jobs that were never accepted, and jobs that ended
+  /// within three times their objective.
+  int rejections = 0;
+  std::set<core::JobId> rejected;
+  std::set<core::JobId> served;
   /// Returns the earned credit as a share of the possible credit, in [0, 1].
   double EarnedShare() const {
     double possible_credit = 0;
@@ -149,8 +155,13 @@
 /// Simulates one pattern once; the same pattern and seed give the same result.
 class LoadReplay {
  public:
-  LoadReplay(LoadPattern load, std::uint64_t seed)
-      : pattern(std::move(load)), random(seed), planner(PlannerOptions{}) {}
+  /// `with_admission` tells whether jobs may be rejected, as at an entry that
+  /// receives a summary once a second.
+  LoadReplay(LoadPattern load, std::uint64_t seed, bool with_admission = false)
+      : pattern(std::move(load)),
+        admits(with_admission),
+        random(seed),
+        planner(PlannerOptions{}) {}
 
   ReplayResult Run() {
     this->planner.BeginTerm(core::SchedulingEpoch(1), {}, this->now);
@@ -185,6 +196,9 @@
     std::vector<double> task_work;
     bool poison = false;
     bool submitted = false;
+    /// Time of the next request of its caller, and number of those so far.
+    std::int64_t request_ms = 0;
+    int requests = 0;
     std::int64_t started_ms = -1;
   };
   struct SimRun {
@@ -297,6 +311,7 @@
     SimJob job;
     job.load = &load;
     job.arrival_ms = static_cast<std::int64_t>(arrival);
+    job.request_ms = job.arrival_ms;
     constexpr double kMaxWork = 10;
     job.work_ms = std::min(LogNormal(load.work_ms, load.work_spread),
                            load.work_ms * kMaxWork);
@@ -379,18 +394,54 @@
 
   void Submit(std::int64_t t) {
     for (SimJob& job : this->jobs) {
-      if (job.submitted || job.arrival_ms > t) {
+      if (job.submitted || job.request_ms > t) {
         continue;
       }
-      job.submitted = true;
       job.record.max_attempts = job.load->max_attempts;
       job.record.slack_factor = job.load->slack;
       job.record.objective = core::Duration::Milliseconds(
           static_cast<std::int64_t>(job.load->objective_ms));
-      this->planner.AddJob(job.record, this->now);
+      job.record.accepted_wall_ms = this->now.InMilliseconds();
+      if (this->IsAdmitted(job)) {
+        job.submitted = true;
+        this->planner.AddJob(job.record, this->now);
+      }
     }
   }
 
+  /// Returns false if the job is rejected now. Its caller then asks again, at
+  /// most four times.
+  bool IsAdmitted(SimJob& job) {
+    constexpr int kMaxRequests = 5;
+    constexpr core::Duration kSummaryInterval = core::Duration::Seconds(1);
+    if (!this->admits) {
+      return true;
+    }
+    if (job.requests == kMaxRequests) {
+      return false;
+    }
+    if (!this->room || this->now - this->room_received >= kSummaryInterval) {
+      const RoomSummary* summary = this->planner.Room(this->now);
+      this->room = summary == nullptr ? std::nullopt : std::optional(*summary);
+      this->room_received = this->now;
+    }
+    const AdmissionDecision decision =
+        DecideAdmission(this->room ? &*this->room : nullptr,
+                        this->now - this->room_received, job.record);
+    ++job.requests;
+    if (decision.IsAccepted()) {
+      this->result.rejected.erase(job.record.spec.id);
+      return true;
+    }
+    ++this->result.rejections;
+    this->result.rejected.insert(job.record.spec.id);
+    if (job.requests == 1) {
+      job.record.first_attempt_wall_ms = job.record.accepted_wall_ms;
+    }
+    job.request_ms += decision.retry_after.InMilliseconds();
+    return false;
+  }
+
   const StepSpec& StepOf(const SimRun& run) const {
     return run.job->record.spec.steps.front();
   }
@@ -630,7 +681,9 @@
                     job.arrival_ms);
       const double objective =
           job.load->slack * job.work_ms + job.load->objective_ms;
-      constexpr double kLateFactor = 3;
+      if (took <= kLateFactor * objective) {
+        this->result.served.insert(job.record.spec.id);
+      }
       if (took <= objective) {
         ++sum.in_objective;
         sum.earned_credit += credit;
@@ -649,6 +702,9 @@
   }
 
   LoadPattern pattern;
+  bool admits;
+  std::optional<RoomSummary> room;
+  core::TimePoint room_received;
   std::mt19937_64 random;
   Planner planner;
   core::TimePoint now = At(1'000'000);
