Admission: what operators see of rejections; a replay option for them

batch_load_bench FLEET LOAD SEEDS admission prints rejections, and how many of the rejected jobs the same load served without them.

--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -28,17 +28,38 @@
                           : RegistryPattern(fleet == "grown", load);
 }
 
-void Print(const std::string& fleet, double load, int seeds) {
+/// `with_admission` tells whether jobs may be rejected. Rejected jobs that the
+/// same load served without rejections are counted as wrongly rejected.
+void Print(const std::string& fleet,
+           double load,
+           int seeds,
+           bool with_admission) {
   std::map<std::string, ClassResult> sums;
   double wasted = 0;
   int stops = 0;
   int starts = 0;
+  int rejections = 0;
+  int rejected_jobs = 0;
+  int wrongly_rejected = 0;
   double total_owed = 0;
   double total_earned = 0;
   for (int seed = 1; seed <= seeds; ++seed) {
     const ReplayResult result =
-        LoadReplay(PatternOf(fleet, load), static_cast<std::uint64_t>(seed))
+        LoadReplay(PatternOf(fleet, load), static_cast<std::uint64_t>(seed),
+                   with_admission)
             .Run();
+    rejections += result.rejections;
+    rejected_jobs += static_cast<int>(result.rejected.size());
+    if (!result.rejected.empty()) {
+      const ReplayResult without =
+          LoadReplay(PatternOf(fleet, load), static_cast<std::uint64_t>(seed))
+              .Run();
+      wrongly_rejected += static_cast<int>(
+          std::count_if(result.rejected.begin(), result.rejected.end(),
+                        [&without](const auto& job) {
+                          return without.served.contains(job);
+                        }));
+    }
     wasted += result.lost_core_seconds;
     stops += result.stops;
     starts += result.starts;
@@ -67,6 +88,11 @@
             << ", wasted core-s a seed " << wasted / seeds << ", stops "
             << stops / seeds << " of starts " << starts / seeds << " ("
             << static_cast<double>(stops) / starts << " a start)\n";
+  if (with_admission) {
+    std::cout << "  rejections " << rejections << ", jobs never accepted "
+              << rejected_jobs << ", of which served without rejections "
+              << wrongly_rejected << "\n";
+  }
   for (const auto& [name, sum] : sums) {
     std::cout << "  " << name << ": earned "
               << sum.earned_credit / sum.possible_credit << " jobs " << sum.jobs
@@ -80,11 +106,15 @@
 
 int main(int argument_count, char** arguments) {
   constexpr int kUsageError = 2;
-  if (argument_count != 4) {
-    std::cerr
-        << "usage: batch_load_bench small|grown|large|print|books LOAD SEEDS\n";
+  constexpr int kMinArguments = 4;
+  const bool with_admission = argument_count == kMinArguments + 1 &&
+                              std::string(arguments[4]) == "admission";
+  if (argument_count != kMinArguments && !with_admission) {
+    std::cerr << "usage: batch_load_bench small|grown|large|print|books LOAD "
+                 "SEEDS [admission]\n";
     return kUsageError;
   }
-  Print(arguments[1], std::atof(arguments[2]), std::atoi(arguments[3]));
+  Print(arguments[1], std::atof(arguments[2]), std::atoi(arguments[3]),
+        with_admission);
   return 0;
 }
--- a/modules/batch/planner/room_summary.h
+++ b/modules/batch/planner/room_summary.h
@@ -112,7 +112,7 @@
 
 /// Shortest time between two measurements.
 inline constexpr core::Duration kRoomInterval =
-    core::Duration::Milliseconds(250);
+    core::Duration::Milliseconds(500);
 
 /// A job that takes up to this many times its objective is late but still of
 /// value to its caller, according to the users' rules.
