One measure of what a job's end is worth to its caller

The planner told on-time from late jobs, but not what either is worth, so decisions weighed core-seconds against priorities. CallerCost values a job by its priority, its objective, three times its objective and its work relative to its queue; the former lateness is the share of this value that is left.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -146,6 +146,7 @@
     job.outcome = JobOutcome::kCancelled;
     job.ended = now;
   }
+  this->caller_cost.AddJob(job);
   this->jobs.insert_or_assign(id, std::move(job));
 }
 
@@ -161,6 +162,7 @@
                         " priority=" + Text(job.record.priority) + " units=" +
                         Text(static_cast<std::int64_t>(job.units.size())) +
                         ShapeText(job.record.spec));
+  this->caller_cost.AddJob(job);
   this->jobs.emplace(id, std::move(job));
 }
 
@@ -972,16 +974,10 @@
                               core::TimePoint now) const {
   int level = job.record.priority;
   if (!this->IsWithinGuarantee(job)) {
-    switch (this->LatenessOf(job, unit, now)) {
-      case Lateness::kOnTime:
-        break;
-      case Lateness::kLate:
-        level += kLatePenaltyLevels;
-        break;
-      case Lateness::kTooLate:
-        level += kTooLatePenaltyLevels;
-        break;
-    }
+    const double share = this->WorthShare(job, unit, now);
+    level += share >= 1.0  ? 0
+             : share > 0.0 ? kLatePenaltyLevels
+                           : kTooLatePenaltyLevels;
   }
   return {level, job.record.priority, job.accepted};
 }
@@ -1121,16 +1117,12 @@
       static_cast<std::int64_t>(found->second.mean_ms));
 }
 
-Lateness Planner::LatenessOf(const Job& job,
-                             const Unit& unit,
-                             core::TimePoint now) const {
-  // The objective counts from acceptance, which means nothing for long-running
-  // tasks and scheduled occurrences.
-  if (job.StepOf(unit).long_running || job.record.spec.occurrences > 0) {
-    return Lateness::kOnTime;
-  }
-  const core::Duration run = this->ExpectedRunTime(job, unit);
-  return ExpectedLateness(job, unit.step, run, now);
+double Planner::WorthShare(const Job& job,
+                           const Unit& unit,
+                           core::TimePoint start) const {
+  return this->caller_cost.WorthIfStarted(
+             job, unit.step, this->ExpectedRunTime(job, unit), start) /
+         this->caller_cost.FullWorth(job);
 }
 
 void Planner::Assign(Job& job,
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -15,9 +15,9 @@
 #include "modules/batch/model/configuration.h"
 #include "modules/batch/model/messages.h"
 #include "modules/batch/planner/backfill_limit.h"
+#include "modules/batch/planner/caller_cost.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
-#include "modules/batch/planner/lateness.h"
 #include "modules/batch/planner/placement.h"
 #include "modules/batch/planner/reservation.h"
 #include "modules/core/core.h"
@@ -315,9 +315,11 @@
   /// long as there are too few samples.
   core::Duration ExpectedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
-  Lateness LatenessOf(const Job& job,
-                      const Unit& unit,
-                      core::TimePoint now) const;
+  /// Returns the value of the unit's job if the unit starts at `start`, as a
+  /// share of the value if it ends within its objective.
+  double WorthShare(const Job& job,
+                    const Unit& unit,
+                    core::TimePoint start) const;
   /// Returns the core-seconds of other units' work that may be lost by
   /// preemption for the unit.
   double MaxPreemptionCost(const Job& job,
@@ -357,6 +359,7 @@
   std::map<core::JobId, Job> jobs;
   /// Average run times of completed tasks, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
+  CallerCost caller_cost;
   BackfillLimit backfill_limit;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -125,7 +125,7 @@
   const double own_work = CoreEquivalents(job.StepOf(unit).need) *
                           static_cast<double>(unit.size) *
                           Seconds(this->ExpectedRunTime(job, unit));
-  const bool in_time = this->LatenessOf(job, unit, now) == Lateness::kOnTime;
+  const bool in_time = this->WorthShare(job, unit, now) >= 1.0;
   if (job.record.priority == 0) {
     return own_work * (in_time ? kUrgentLossFactor : kUrgentLateLossFactor);
   }
--- a/modules/batch/planner/planner_relocation.cc
+++ b/modules/batch/planner/planner_relocation.cc
@@ -62,7 +62,7 @@
     // A stop saves its progress, so it is stopped as late as possible.
     return now + kMaxStopTime >= leaves_at;
   }
-  return this->LatenessOf(job, unit, now) == Lateness::kOnTime &&
+  return this->WorthShare(job, unit, now) >= 1.0 &&
          FindPlacement(this->fleet, this->RequestFor(job, unit, now));
 }
 
