--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -105,6 +105,7 @@
   this->fleet.clear();
   this->jobs.clear();
   this->speeds = WorkerSpeeds();
+  this->room = RoomMeter();
   const core::Duration longest = MaxLeaseDuration(this->options.term);
   this->recovery_deadline = now + longest;
   for (const MemberRecord& member : members) {
@@ -129,10 +130,12 @@
                       core::TimePoint now,
                       std::int64_t wall_ms) {
   const core::JobId id = record.spec.id;
-  const std::int64_t age_ms =
-      std::max<std::int64_t>(0, wall_ms - record.accepted_wall_ms);
+  const core::Duration age =
+      core::Duration::Milliseconds(
+          std::max<std::int64_t>(0, wall_ms - record.accepted_wall_ms)) +
+      record.AgeWhenAccepted();
   Job job = Job::Create(std::move(record), progress);
-  job.accepted = now - core::Duration::Milliseconds(age_ms);
+  job.accepted = now - age;
   job.from_earlier_term = true;
   job.cancelled = cancelled && job.outcome == JobOutcome::kOpen;
   const auto floor =
@@ -147,6 +150,7 @@
     job.outcome = JobOutcome::kCancelled;
     job.ended = now;
   }
+  this->caller_cost.AddJob(job);
   this->jobs.insert_or_assign(id, std::move(job));
 }
 
@@ -156,12 +160,13 @@
     return;
   }
   Job job = Job::Create(std::move(record), nullptr);
-  job.accepted = now;
+  job.accepted = now - job.record.AgeWhenAccepted();
   this->LogDecision("job_added", id,
                     "queue=" + job.record.queue.Text() +
                         " priority=" + Text(job.record.priority) + " units=" +
                         Text(static_cast<std::int64_t>(job.units.size())) +
                         ShapeText(job.record.spec));
+  this->caller_cost.AddJob(job);
   this->jobs.emplace(id, std::move(job));
 }
 
@@ -1012,16 +1017,10 @@
                               core::TimePoint now) const {
   int level = job.record.priority;
   if (!this->IsWithinGuarantee(job)) {
-    switch (this->LatenessOf(job, unit, now)) {
-      case Lateness::kOnTime:
-        break;
-      case Lateness::kLate:
-        level += kLatePenaltyLevels;
-        break;
-      case Lateness::kTooLate:
-        level += kTooLatePenaltyLevels;
-        break;
-    }
+    const double share = this->WorthShare(job, unit, now);
+    level += share >= 1.0  ? 0
+             : share > 0.0 ? kLatePenaltyLevels
+                           : kTooLatePenaltyLevels;
   }
   return {level, job.record.priority, job.accepted};
 }
@@ -1148,6 +1147,26 @@
   }
 }
 
+const RoomSummary* Planner::Room(core::TimePoint now) {
+  if (this->IsRecovering(now)) {
+    return nullptr;
+  }
+  if (this->room.IsDue(now)) {
+    std::map<QueueName, core::Duration> averages;
+    for (const auto& [queue, average] : this->run_times) {
+      if (average.samples >= kMinRunTimeSamples) {
+        averages[queue] = core::Duration::Milliseconds(
+            static_cast<std::int64_t>(average.mean_ms));
+      }
+    }
+    this->SumGuaranteedNeeds();
+    this->room.Measure({this->fleet, this->jobs, averages,
+                        this->guaranteed_needs, *this->configuration},
+                       now);
+  }
+  return &this->room.Summary();
+}
+
 bool Planner::IsWithinGuarantee(const Job& job) const {
   if (job.record.priority != 0) {
     return false;
@@ -1170,16 +1189,12 @@
       static_cast<std::int64_t>(found->second.mean_ms));
 }
 
-Lateness Planner::LatenessOf(const Job& job,
-                             const Unit& unit,
-                             core::TimePoint now) const {
-  // The objective counts from acceptance, which means nothing for long-running
-  // tasks and scheduled occurrences.
-  if (job.StepOf(unit).long_running || job.record.spec.occurrences > 0) {
-    return Lateness::kOnTime;
-  }
-  const core::Duration run = this->ExpectedRunTime(job, unit);
-  return ExpectedLateness(job, unit.step, run, now);
+double Planner::WorthShare(const Job& job,
+                           const Unit& unit,
+                           core::TimePoint start) const {
+  return this->caller_cost.WorthIfStarted(
+             job, unit.step, this->ExpectedRunTime(job, unit), start) /
+         this->caller_cost.FullWorth(job);
 }
 
 void Planner::Assign(Job& job,
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -15,12 +15,13 @@
 #include "modules/batch/model/configuration.h"
 #include "modules/batch/model/messages.h"
 #include "modules/batch/planner/backfill_limit.h"
+#include "modules/batch/planner/caller_cost.h"
 #include "modules/batch/planner/evacuation.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
-#include "modules/batch/planner/lateness.h"
 #include "modules/batch/planner/placement.h"
 #include "modules/batch/planner/reservation.h"
+#include "modules/batch/planner/room_summary.h"
 #include "modules/batch/planner/stragglers.h"
 #include "modules/batch/planner/worker_speeds.h"
 #include "modules/core/core.h"
@@ -162,6 +163,10 @@
   /// Returns the number of open jobs of the queue that have not started. Jobs
   /// with scheduled occurrences do not count.
   std::size_t CountWaitingJobs(const QueueName& queue) const;
+  /// Returns a summary of the fleet and the backlog that is at most
+  /// `kRoomInterval` old, or nullptr while the planner is still waiting for
+  /// agents of the stored member list.
+  const RoomSummary* Room(core::TimePoint now);
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
@@ -407,9 +412,11 @@
   /// Returns the expected run time on the workers on which the unit has runs.
   core::Duration PlacedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
-  Lateness LatenessOf(const Job& job,
-                      const Unit& unit,
-                      core::TimePoint now) const;
+  /// Returns the value of the unit's job if the unit starts at `start`, as a
+  /// share of the value if it ends within its objective.
+  double WorthShare(const Job& job,
+                    const Unit& unit,
+                    core::TimePoint start) const;
   /// Returns the core-seconds of other units' work that may be lost by
   /// preemption for the unit.
   double MaxPreemptionCost(const Job& job,
@@ -453,6 +460,7 @@
   QueueRunTimes queue_run_times;
   MoveLimit move_limit;
   core::TimePoint next_straggler_search;
+  CallerCost caller_cost;
   BackfillLimit backfill_limit;
   Evacuations evacuations;
   bool starts_withheld = false;
@@ -465,6 +473,7 @@
   /// Earliest time of the next write of checkpoints of running tasks.
   core::TimePoint next_checkpoint_write;
   std::vector<DecisionLogEntry> decision_log;
+  RoomMeter room;
 };
 
 }  // namespace hemlockdoor::batch
