--- a/modules/batch/planner/planner_evacuation_test.cc
+++ b/modules/batch/planner/planner_evacuation_test.cc
@@ -173,9 +173,11 @@
   fleet.Settle();
   fleet.planner.WithholdStarts(true);
   fleet.DeliverOrders("w1");
+  fleet.planner.TakeDecisionLog();
   AddJob(fleet, "new", MakeStep(1, kSmall));
   fleet.Advance(4000);
   BOOST_TEST(fleet.Active().empty());
+  BOOST_TEST(CountLogged(fleet, "unit_placed") == 0U);
   fleet.planner.WithholdStarts(false);
   fleet.Settle();
   BOOST_TEST(fleet.Active().size() == 3U);
