--- a/modules/batch/planner/planner_speeds.cc
+++ b/modules/batch/planner/planner_speeds.cc
@@ -67,8 +67,12 @@
   sample.elapsed = now - report.progress_age - member.since;
   sample.percent = member.percent;
   sample.still = member.still;
-  sample.is_remote = this->IsRemote(job, unit);
-  this->speeds.OnProgress(sample);
+  // Long runs are reported many times with the same progress.
+  const bool has_progressed = member.percent_at == now;
+  if (has_progressed || WorkerSpeeds::HasStalled(sample)) {
+    sample.is_remote = this->IsRemote(job, unit);
+    this->speeds.OnProgress(sample);
+  }
 }
 
 void Planner::RecordSpeed(const Job& job,
--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -103,6 +103,11 @@
 constexpr double kMaxPriorSpread = 0.15;
 constexpr double kMinPriorDeviation = 0.15;
 
+/// A fit costs about 8 us a worker (`worker_speeds_bench`). Large fleets are
+/// fitted less often, so that the fits take at most 2% of a core.
+constexpr core::Duration kRefreshTimePerWorker = core::Duration::Seconds(1);
+constexpr std::int64_t kRefreshWorkers = 2000;
+
 constexpr double Square(double value) {
   return value * value;
 }
@@ -112,6 +117,14 @@
       std::max<std::int64_t>(duration.InMilliseconds(), 1)));
 }
 
+/// Variance of the logarithm of a measured time.
+double TimeVariance(const RunSample& run) {
+  const auto elapsed_ms = static_cast<double>(
+      std::max<std::int64_t>(run.elapsed.InMilliseconds(), 1));
+  return Square(kTimeErrorMs / elapsed_ms) +
+         (run.is_remote ? kRemoteVariance : 0);
+}
+
 template <typename Samples>
 double TotalWeight(const Samples& samples) {
   double total = 0;
@@ -243,6 +256,12 @@
   return machine.recent.back();
 }
 
+bool WorkerSpeeds::HasStalled(const RunSample& run) {
+  return run.percent > 0 && run.percent < kFullPercent &&
+         run.still >= kStallThreshold &&
+         run.still >= run.elapsed / run.percent * kStallPoints;
+}
+
 void WorkerSpeeds::OnProgress(const RunSample& run) {
   if (run.percent < kMinPercent || run.elapsed < kMinElapsed) {
     return;
@@ -252,20 +271,14 @@
   if (sample.is_retired) {
     return;
   }
-  const core::Duration per_point = run.elapsed / run.percent;
-  sample.has_stalled =
-      sample.has_stalled ||
-      (run.percent < kFullPercent && run.still >= kStallThreshold &&
-       run.still >= per_point * kStallPoints);
+  sample.has_stalled = sample.has_stalled || HasStalled(run);
   const double percent = std::min(run.percent + kMeanPercentError,
                                   static_cast<double>(kFullPercent));
-  sample.log_time = LogMilliseconds(run.elapsed) -
-                    std::log(percent / kFullPercent) -
-                    (run.is_remote ? std::log(kRemoteSlowdown) : 0);
+  sample.log_time = static_cast<float>(
+      LogMilliseconds(run.elapsed) - std::log(percent / kFullPercent) -
+      (run.is_remote ? std::log(kRemoteSlowdown) : 0));
   sample.error_variance =
-      Square(kPercentError / percent) +
-      Square(kTimeErrorMs / static_cast<double>(run.elapsed.InMilliseconds())) +
-      (run.is_remote ? kRemoteVariance : 0);
+      static_cast<float>(Square(kPercentError / percent) + TimeVariance(run));
   this->FoldOldSamples(machine);
   this->has_new_samples = true;
 }
@@ -278,12 +291,10 @@
     return;
   }
   sample.has_ended = true;
-  sample.log_time = LogMilliseconds(run.elapsed) -
-                    (run.is_remote ? std::log(kRemoteSlowdown) : 0);
-  sample.error_variance =
-      Square(kTimeErrorMs / static_cast<double>(std::max<std::int64_t>(
-                                run.elapsed.InMilliseconds(), 1))) +
-      (run.is_remote ? kRemoteVariance : 0);
+  sample.log_time =
+      static_cast<float>(LogMilliseconds(run.elapsed) -
+                         (run.is_remote ? std::log(kRemoteSlowdown) : 0));
+  sample.error_variance = static_cast<float>(TimeVariance(run));
   // The siblings of a job count as one sample together.
   const double siblings =
       static_cast<double>(std::max<std::size_t>(sample.group->samples, 1));
@@ -337,8 +348,8 @@
   const double bound = kGangDeviations * std::sqrt(queue.variance);
   Sample sample;
   sample.has_ended = true;
-  sample.log_time = shown;
-  sample.error_variance = queue.variance;
+  sample.log_time = static_cast<float>(shown);
+  sample.error_variance = static_cast<float>(queue.variance);
   const auto add = [this, &sample](Machine& machine) {
     machine.recent.push_back(sample);
     this->FoldOldSamples(machine);
@@ -408,6 +419,14 @@
   std::vector<FittedSample> fitted;
   fitted.reserve(machine.recent.size() + 2);
   const double variance = Square(this->noise);
+  for (const Sample& sample : machine.recent) {
+    if (sample.group && sample.IsFitted()) {
+      Group& group = *sample.group;
+      group.own_samples = group.own_machine == &machine ? group.own_samples : 0;
+      group.own_machine = &machine;
+      ++group.own_samples;
+    }
+  }
   for (const Sample& sample : machine.recent) {
     if (!sample.IsFitted()) {
       continue;
@@ -418,17 +437,13 @@
                         sample.error_variance});
       continue;
     }
-    const auto own = static_cast<std::size_t>(
-        std::count_if(machine.recent.begin(), machine.recent.end(),
-                      [&sample](const Sample& each) {
-                        return each.group == sample.group && each.IsFitted();
-                      }));
     if (sample.group->samples == 0) {
       // Its work has not been fitted yet.
       fitted.push_back({0, 0, 0});
       continue;
     }
     // The error of the work is common to all samples of the group.
+    const std::size_t own = sample.group->own_samples;
     const double common =
         this->ReferenceVariance(*sample.group, own) * static_cast<double>(own);
     fitted.push_back({sample.log_time - sample.group->work,
@@ -527,6 +542,9 @@
         continue;
       }
       Group& group = *sample.group;
+      if (group.reduced.empty()) {
+        group.reduced.reserve(group.samples + 1);
+      }
       group.reduced.push_back(
           {sample.log_time - machine.log_factor,
            Square(this->noise) / (Square(this->noise) + sample.error_variance),
@@ -540,7 +558,8 @@
   }
   for (auto& [key, group] : this->groups) {
     this->FitGroup(*group);
-    group->reduced.clear();
+    // Thousands of groups are kept, so that their buffers would add up.
+    group->reduced = {};
     group->seen_workers = 0;
     group->seen_variance = 0;
     group->last_seen = nullptr;
@@ -783,7 +802,11 @@
     return;
   }
   this->has_new_samples = false;
-  this->next_refresh = now + kRefreshInterval;
+  this->next_refresh =
+      now + std::max(kRefreshInterval,
+                     kRefreshTimePerWorker *
+                         static_cast<std::int64_t>(this->machines.size()) /
+                         kRefreshWorkers);
   for (auto& [agent, machine] : this->machines) {
     this->ForgetBeforeChange(machine);
   }
@@ -822,7 +845,12 @@
   if (found == this->machines.end() || found->second.weight <= 0) {
     return {};
   }
-  return {found->second.log_factor - this->fleet_median, found->second.weight};
+  // Fewer digits make the messages shorter.
+  constexpr double kLogFactorDigits = 1000;
+  constexpr double kWeightDigits = 10;
+  const double log_factor = found->second.log_factor - this->fleet_median;
+  return {std::round(log_factor * kLogFactorDigits) / kLogFactorDigits,
+          std::round(found->second.weight * kWeightDigits) / kWeightDigits};
 }
 
 std::vector<SpeedChange> WorkerSpeeds::TakeChanges() {
--- a/modules/batch/planner/worker_speeds.h
+++ b/modules/batch/planner/worker_speeds.h
@@ -77,6 +77,9 @@
   /// object has already seen runs of the agent. Applies at once, without
   /// `Refresh`.
   void Restore(const core::AgentId& agent, const ReportedSpeed& speed);
+  /// Returns true if the run has made no progress for so long that its pace
+  /// says nothing about the worker.
+  static bool HasStalled(const RunSample& run);
   /// An active run has made progress. Replaces the sample of the same run; runs
   /// that stall are left out from then on.
   void OnProgress(const RunSample& sample);
@@ -90,7 +93,8 @@
   void OnRunsLost(const core::AgentId& agent);
 
   /// Brings the estimates up to date with the samples. At most once in
-  /// `kRefreshInterval`; further calls do nothing.
+  /// `kRefreshInterval`, and more rarely for fleets of more than 500 workers;
+  /// further calls do nothing.
   void Refresh(core::TimePoint now);
 
   /// Returns the estimate for the agent's worker. A worker without samples gets
@@ -141,14 +145,17 @@
     int seen_workers = 0;
     double seen_variance = 0;
     const void* last_seen = nullptr;
+    /// The machine that was looked at last, and the number of its samples.
+    const void* own_machine = nullptr;
+    std::size_t own_samples = 0;
   };
   struct Sample {
     std::shared_ptr<Group> group;
-    int index = 0;
     std::int64_t run = 0;
-    double log_time = 0;
+    int index = 0;
+    float log_time = 0;
     /// Variance of `log_time` by the precision of the measurement.
-    double error_variance = 0;
+    float error_variance = 0;
     bool has_ended = false;
     /// The run has stalled and is left out.
     bool has_stalled = false;
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -143,6 +143,9 @@
       core::Duration::Milliseconds(900);
   static constexpr core::Duration kRetryDelay =
       core::Duration::Milliseconds(200);
+  /// Metrics are usually read every 10 s or more rarely.
+  static constexpr core::Duration kSpeedExportInterval =
+      core::Duration::Seconds(5);
   /// Delay before the records of ended jobs are removed again after a failure;
   /// long, since nobody waits for it.
   static constexpr core::Duration kRemovalRetryDelay =
@@ -301,6 +304,7 @@
       this->watch.reset();
     }
     this->planner.reset();
+    observe::ProcessMetrics().SetWorkerSpeeds({});
     this->jobs_read_until = store::ModRevision();
     this->unremoved_jobs.clear();
     observe::Log(observe::LogLevel::kWarn, "planning ended: " + reason, {},
@@ -528,11 +532,28 @@
       observe::Log(observe::LogLevel::kInfo, note.detail, log_context,
                    {{"event", note.event}});
     }
+    this->ExportSpeeds(*active, now);
     this->StoreMembers(*active, now);
     this->StoreProgress(*active, now, wall_ms);
     this->RemoveExpired(*active, now);
   }
 
+  /// Updates the metrics of the speeds of workers, if they are due.
+  void ExportSpeeds(const Planner& active, core::TimePoint now) {
+    if (now < this->next_speed_export) {
+      return;
+    }
+    this->next_speed_export = now + kSpeedExportInterval;
+    std::vector<observe::WorkerSpeedFigures> workers;
+    for (const auto& [agent, view] : active.Agents()) {
+      if (view.worker && !view.is_lost) {
+        const SpeedEstimate speed = active.Speeds().Of(agent);
+        workers.push_back({agent, speed.factor, speed.uncertainty, speed.runs});
+      }
+    }
+    observe::ProcessMetrics().SetWorkerSpeeds(std::move(workers));
+  }
+
   void SendOrders(AgentOrders orders) {
     const core::Expected<wire::Endpoint> endpoint =
         wire::Endpoint::Parse(orders.endpoint);
@@ -751,6 +772,7 @@
   core::TimePoint removal_retry_at;
   bool members_write_in_flight = false;
   core::TimePoint members_retry_at;
+  core::TimePoint next_speed_export;
   bool progress_write_in_flight = false;
   core::TimePoint progress_retry_at;
 };
--- a/modules/observe/metrics/metrics.cc
+++ b/modules/observe/metrics/metrics.cc
@@ -8,7 +8,9 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -25,6 +27,7 @@
 constexpr const char* kOther = "other";
 constexpr const char* kOrganisation = "organisation";
 constexpr const char* kClass = "class";
+constexpr const char* kAgent = "agent";
 
 constexpr std::array<const char*, 5> kOutcomes = {"done", "failed", "not-run",
                                                   "cancelled", "unknown"};
@@ -194,6 +197,19 @@
             "hemlockdoor_free_accelerator_fragmentation_ratio",
             "Share of free accelerators that are not in a wholly free block of "
             "adjacent ones.")};
+  GaugeFamily worker_factor{
+      Gauge(registry,
+            "hemlockdoor_worker_time_factor",
+            "Estimated time factor of a worker; 1 is the fleet's median, and "
+            "higher is slower.")};
+  GaugeFamily worker_uncertainty{
+      Gauge(registry,
+            "hemlockdoor_worker_time_factor_uncertainty",
+            "Standard deviation of the logarithm of the time factor.")};
+  GaugeFamily worker_runs{
+      Gauge(registry,
+            "hemlockdoor_worker_time_factor_runs",
+            "Runs behind the estimated time factor of a worker.")};
   CounterFamily store_calls{Counter(registry,
                                     "hemlockdoor_store_calls_total",
                                     "Calls to the store, by kind and result.")};
@@ -349,6 +365,42 @@
   this->state->fragmentation.Get({}, {}).Set(ratio);
 }
 
+void Metrics::SetWorkerSpeeds(std::vector<WorkerSpeedFigures> workers) {
+  if (workers.size() > kMaxWorkerSpeeds) {
+    const auto distance = [](const WorkerSpeedFigures& worker) {
+      return std::abs(std::log(worker.factor));
+    };
+    std::nth_element(
+        workers.begin(),
+        workers.begin() + static_cast<std::ptrdiff_t>(kMaxWorkerSpeeds),
+        workers.end(),
+        [&distance](const WorkerSpeedFigures& left,
+                    const WorkerSpeedFigures& right) {
+          return distance(left) > distance(right);
+        });
+    workers.resize(kMaxWorkerSpeeds);
+  }
+  std::set<std::string> exported;
+  for (const WorkerSpeedFigures& worker : workers) {
+    exported.insert(worker.agent.Text());
+  }
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  // Gone workers make room before new ones are added.
+  for (GaugeFamily* family :
+       {&this->state->worker_factor, &this->state->worker_uncertainty,
+        &this->state->worker_runs}) {
+    family->RemoveIf([&exported](const Labels& labels) {
+      return !exported.contains(labels.at(kAgent));
+    });
+  }
+  for (const WorkerSpeedFigures& worker : workers) {
+    const Labels labels = {{kAgent, worker.agent.Text()}};
+    this->state->worker_factor.Get(labels, {}).Set(worker.factor);
+    this->state->worker_uncertainty.Get(labels, {}).Set(worker.uncertainty);
+    this->state->worker_runs.Get(labels, {}).Set(worker.runs);
+  }
+}
+
 void Metrics::CountStoreCall(StoreCallLabel kind, StoreResultLabel result) {
   const std::lock_guard<std::mutex> lock(this->state->mutex);
   this->state->store_calls
--- a/modules/observe/metrics/metrics.h
+++ b/modules/observe/metrics/metrics.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "modules/core/core.h"
 #include "modules/wire/wire.h"
@@ -43,6 +44,17 @@
 /// Direction of control traffic.
 enum class TrafficLabel { kSent, kReceived };
 
+/// Estimated speed of one worker.
+struct WorkerSpeedFigures {
+  core::AgentId agent;
+  /// Time factor; 1.0 is the fleet's median, and higher is slower.
+  double factor = 1.0;
+  /// Standard deviation of the logarithm of `factor`.
+  double uncertainty = 0;
+  /// Number of runs behind the estimate.
+  int runs = 0;
+};
+
 /// The counters, gauges and histograms of one process. All calls are safe from
 /// any thread and cost one lock and one lookup. Organisations and classes that
 /// the catalogue does not name count as "other", so callers cannot add series.
@@ -82,6 +94,10 @@
   /// Share of free accelerators that are not in a wholly free block of adjacent
   /// ones, 0 to 1.
   void SetFragmentation(double ratio);
+  /// Speeds of the workers that this process plans for; replaces the earlier
+  /// ones. Of more than `kMaxWorkerSpeeds` workers, those are exported whose
+  /// factors differ most from 1.0.
+  void SetWorkerSpeeds(std::vector<WorkerSpeedFigures> workers);
   void CountStoreCall(StoreCallLabel kind, StoreResultLabel result);
   void AddControlBytes(TrafficLabel direction, std::uint64_t bytes);
   void CountDroppedSpans(std::uint64_t spans);
@@ -94,6 +110,8 @@
 
   /// Most series of one family; further ones count as "other".
   static constexpr std::size_t kMaxSeriesPerFamily = 4096;
+  /// Most workers whose speeds are exported, in three series each.
+  static constexpr std::size_t kMaxWorkerSpeeds = 1000;
 
  private:
   struct State;
--- a/modules/observe/metrics/metrics_test.cc
+++ b/modules/observe/metrics/metrics_test.cc
@@ -125,6 +125,37 @@
   BOOST_TEST(resident < 4096 * kMebibyte);
 }
 
+// Workers come and go; series of gone ones would be alerted on for ever, and
+// thousands of workers must not fill the process's memory.
+BOOST_AUTO_TEST_CASE(WorkerSpeedsAreReplacedAndBounded) {
+  Metrics metrics;
+  metrics.SetWorkerSpeeds({{core::AgentId("gone"), 1.0, 0.1, 4},
+                           {core::AgentId("slow"), 2.0, 0.25, 7}});
+  BOOST_TEST(Has(metrics, R"(hemlockdoor_worker_time_factor{agent="slow"} 2)"));
+  BOOST_TEST(
+      Has(metrics,
+          R"(hemlockdoor_worker_time_factor_uncertainty{agent="slow"} 0.25)"));
+  BOOST_TEST(
+      Has(metrics, R"(hemlockdoor_worker_time_factor_runs{agent="slow"} 7)"));
+  std::vector<WorkerSpeedFigures> many = {
+      {core::AgentId("slow"), 1.8, 0.25, 8}};
+  for (std::size_t i = 0; i < 2 * Metrics::kMaxWorkerSpeeds; ++i) {
+    many.push_back({core::AgentId("a" + std::to_string(i)), 1.0, 0.1, 9});
+  }
+  metrics.SetWorkerSpeeds(many);
+  BOOST_TEST(
+      Has(metrics, R"(hemlockdoor_worker_time_factor{agent="slow"} 1.8)"));
+  const std::string text = metrics.ToText();
+  BOOST_TEST(text.find("gone") == std::string::npos);
+  std::size_t series = 0;
+  const std::string prefix = "\nhemlockdoor_worker_time_factor{";
+  for (auto at = text.find(prefix); at != std::string::npos;
+       at = text.find(prefix, at + 1)) {
+    ++series;
+  }
+  BOOST_TEST(series == Metrics::kMaxWorkerSpeeds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::observe
