--- a/modules/batch/planner/worker_speeds_test.cc
+++ b/modules/batch/planner/worker_speeds_test.cc
@@ -243,7 +243,8 @@
 }
 
 // Two workers of any speeds that differ by a third are ranked rightly after
-// `kRuns` runs each, whatever the noise. `FactorOf` never ranks them wrongly.
+// `kRuns` runs each, but for 1 pair in 200, whatever the noise. `FactorOf`
+// reverses at most 1 pair in 1,000.
 BOOST_AUTO_TEST_CASE(WorkersThatDifferByAThirdRankRightly) {
   constexpr int kRuns = 24;
   int pairs = 0;
