--- a/modules/batch/planner/load_replay_test.cc
+++ b/modules/batch/planner/load_replay_test.cc
@@ -95,6 +95,18 @@
   BOOST_TEST(first.stops == second.stops);
 }
 
+// A rejection that is wrong in hindsight costs a caller its job. At one and a
+// half times the normal load all jobs may still be of value when they arrive.
+BOOST_AUTO_TEST_CASE(NoJobIsRejectedAtPeakLoad) {
+  for (const std::uint64_t seed : {1U, 2U}) {
+    const LoadPattern load = RegistryPattern(false, 1.5);
+    const ReplayResult with = LoadReplay(load, seed, true).Run();
+    BOOST_TEST(with.rejections == 0);
+    BOOST_TEST(with.EarnedShare() ==
+               LoadReplay(load, seed).Run().EarnedShare());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
