--- a/modules/batch/planner/planner_stragglers.cc
+++ b/modules/batch/planner/planner_stragglers.cc
@@ -90,12 +90,12 @@
   std::set<WorkerId> avoided = unit.avoided_workers;
   std::map<core::AgentId, Resources> own;
   for (const UnitMember& member : unit.members) {
+    avoided.insert(member.worker.id);
     if (is_gang) {
-      // It is unknown which member is slow, and the run alone may be the cause,
-      // so the capacity that the gang has may be used again.
+      // It is unknown which member is slow, so all its workers are avoided, but
+      // where there are no others they may be used again: the slowness may be
+      // that of the run.
       own[member.agent] = own[member.agent] + CountedNeed(job.StepOf(unit));
-    } else {
-      avoided.insert(member.worker.id);
     }
   }
   PlacementRequest request = this->RequestFor(job, unit, now);
