Preemption weighs the gain of the start against the loss of its victims

A stop of a task with checkpoints counted as nearly free, and the bound on what a unit may destroy was a multiple of its own work. PreemptionPolicy compares the value that a unit gains against its expected start without a stop with what the victims lose: repeated work, restore, time to stop, the expected wait for their next start and the delay of their job, which counts once for several tasks of one job. Protection grows with each stop of a unit.

A queue without a configured objective now counts as having none, instead of being late from the start.

--- a/modules/batch/planner/caller_cost.cc
+++ b/modules/batch/planner/caller_cost.cc
@@ -44,11 +44,15 @@
          job.record.objective;
 }
 
-/// Returns whether the objective counts from the acceptance of the job, which
-/// means nothing for long-running tasks and scheduled occurrences.
+/// Returns whether the job has an objective that counts from its acceptance.
+/// That means nothing for long-running tasks and scheduled occurrences, and a
+/// queue without a configured objective allows its jobs no time at all.
 bool HasObjective(const Job& job, int step) {
   const StepSpec& spec = job.record.spec.steps[static_cast<std::size_t>(step)];
-  return !spec.long_running && job.record.spec.occurrences == 0;
+  const bool is_configured =
+      job.record.slack_factor > 1.0 || job.record.objective > core::Duration();
+  return is_configured && !spec.long_running &&
+         job.record.spec.occurrences == 0;
 }
 
 int LongestChain(const Job& job) {
--- a/modules/batch/planner/caller_cost.h
+++ b/modules/batch/planner/caller_cost.h
@@ -70,7 +70,8 @@
   double WorthAt(const Job& job, core::Duration run, core::TimePoint end) const;
   /// Returns the value of the job if `step` starts at `start` and each task
   /// runs for `run`. Work without an objective that counts from its acceptance
-  /// (long-running tasks, scheduled occurrences) keeps its full value.
+  /// (long-running tasks, scheduled occurrences, queues without one) keeps its
+  /// full value.
   double WorthIfStarted(const Job& job,
                         int step,
                         core::Duration run,
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -39,8 +39,10 @@
 struct Victim {
   Job* job = nullptr;
   Unit* unit = nullptr;
-  /// Core-seconds of work that are lost if it is stopped.
+  /// Value that is lost if it is stopped, see `PreemptionPolicy`.
   double cost = 0.0;
+  /// Part of `cost` that is lost once if several units of the job are stopped.
+  double shared_cost = 0.0;
 };
 
 /// A placement that requires units to be preempted first.
@@ -48,7 +50,7 @@
   /// Agent of each task.
   std::vector<core::AgentId> agents;
   std::vector<Victim> victims;
-  /// Core-seconds of work that are lost in total.
+  /// Value that is lost in total. Shared costs of a job count once.
   double cost = 0.0;
 };
 
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1077,8 +1077,8 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
-  return unit.reserved.empty() && (this->TryReserve(job, unit, request, now) ||
-                                   this->TryPreempt(job, unit, request, now));
+  return unit.reserved.empty() &&
+         this->TryReserveOrPreempt(job, unit, request, now);
 }
 
 void Planner::SumGuaranteedNeeds() {
@@ -1117,6 +1117,11 @@
       static_cast<std::int64_t>(found->second.mean_ms));
 }
 
+WorthCurve Planner::WorthOf(const Job& job, const Unit& unit) const {
+  return this->caller_cost.CurveOf(job, unit.step,
+                                   this->ExpectedRunTime(job, unit));
+}
+
 double Planner::WorthShare(const Job& job,
                            const Unit& unit,
                            core::TimePoint start) const {
@@ -1131,6 +1136,8 @@
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
   this->ReleaseReservedCapacity(job, unit);
+  this->preemption_policy.OnStarted(job.record.priority,
+                                    now - unit.ready_since);
   if (IsUncheckpointedBackfill(job, unit)) {
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -19,6 +19,7 @@
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/placement.h"
+#include "modules/batch/planner/preemption_policy.h"
 #include "modules/batch/planner/reservation.h"
 #include "modules/core/core.h"
 
@@ -269,11 +270,12 @@
                              const Unit& unit,
                              core::TimePoint now);
   /// Keeps capacity free for the unit if it is expected to start there soon
-  /// enough when running work ends, so that nothing need be stopped for it.
-  bool TryReserve(Job& job,
-                  Unit& unit,
-                  const PlacementRequest& request,
-                  core::TimePoint now);
+  /// enough when running work ends. Otherwise has running work stopped for it
+  /// if that is justified. Returns false if it does neither.
+  bool TryReserveOrPreempt(Job& job,
+                           Unit& unit,
+                           const PlacementRequest& request,
+                           core::TimePoint now);
   /// Returns the latest time until which the unit should rather wait for
   /// running work to end than have it stopped.
   core::TimePoint LatestWorthwhileWait(const Job& job,
@@ -286,10 +288,11 @@
   /// Returns when the runs that are active are expected to end.
   const ExpectedReleases& Releases(core::TimePoint now);
   /// Stops units of less urgent jobs and reserves their capacity for the unit,
-  /// if the lost work is within bounds.
+  /// if they lose no more than `max_loss`.
   bool TryPreempt(Job& job,
                   Unit& unit,
                   const PlacementRequest& request,
+                  double max_loss,
                   core::TimePoint now);
   PlacementRequest RequestFor(const Job& job,
                               const Unit& unit,
@@ -315,20 +318,22 @@
   /// long as there are too few samples.
   core::Duration ExpectedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
+  /// Returns the expected value of the unit's job by the start of the unit.
+  WorthCurve WorthOf(const Job& job, const Unit& unit) const;
   /// Returns the value of the unit's job if the unit starts at `start`, as a
   /// share of the value if it ends within its objective.
   double WorthShare(const Job& job,
                     const Unit& unit,
                     core::TimePoint start) const;
-  /// Returns the core-seconds of other units' work that may be lost by
-  /// preemption for the unit.
-  double MaxPreemptionCost(const Job& job,
+  /// Returns the value that may be lost by preemption for the unit, which is
+  /// expected to start at `expected_start` without it.
+  double MaxPreemptionLoss(const Job& job,
                            const Unit& unit,
+                           core::TimePoint expected_start,
                            core::TimePoint now) const;
-  /// Returns the core-seconds that are lost if the unit is stopped now.
-  double PreemptionCost(const Job& job,
-                        const Unit& unit,
-                        core::TimePoint now) const;
+  RunningUnit RunningUnitOf(const Job& job,
+                            const Unit& unit,
+                            core::TimePoint now) const;
   /// Returns the running units of less urgent jobs.
   std::vector<Victim> PreemptionCandidates(const Job& job, core::TimePoint now);
   /// Returns the agent if `batch` is its open batch, or nullptr.
@@ -360,6 +365,7 @@
   /// Average run times of completed tasks, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
   CallerCost caller_cost;
+  PreemptionPolicy preemption_policy;
   BackfillLimit backfill_limit;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
