--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -104,12 +104,16 @@
     return;
   }
   this->EnterSession(answer.epoch, answer.session);
+  this->ObserveEvacuations(answer.evacuated, answer.evacuation_revision);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
   this->earlier_process_limit =
       std::min(this->earlier_process_limit,
                received + answer.earlier_leases +
                    answer.earlier_leases / kClockDriftDivisor);
+  if (answer.speed.weight > 0) {
+    this->speed = answer.speed;
+  }
   if (this->worker && answer.worker == this->worker->identity) {
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
     this->ends.erase(this->ends.begin(),
@@ -142,6 +146,14 @@
   }
 }
 
+void WorkerSupervisor::ObserveEvacuations(
+    const std::set<core::DataCentreId>& evacuated,
+    store::ModRevision revision) {
+  if (revision > this->evacuations.revision) {
+    this->evacuations = {evacuated, revision};
+  }
+}
+
 core::Expected<BatchCalls> WorkerSupervisor::OnOrders(const OrderBatch& orders,
                                                       core::TimePoint now) {
   const bool wrong_agent = orders.agent_incarnation != core::Incarnation() &&
@@ -156,6 +168,7 @@
         "addressed to another incarnation of this agent");
   }
   this->EnterSession(orders.epoch, orders.session);
+  this->ObserveEvacuations(orders.evacuated, orders.evacuation_revision);
   this->batch = orders.number;
   BatchCalls calls;
   const std::optional<std::int64_t> deadline = this->LeaseDeadline(now);
@@ -169,6 +182,9 @@
       this->Reject(start.key, RejectReason::kNoWorker);
     } else if (this->worker->state == WorkerState::kDraining) {
       this->Reject(start.key, RejectReason::kDraining);
+    } else if (this->IsEvacuated()) {
+      this->Reject(start.key, RejectReason::kEvacuated);
+      calls.refused_evacuated.push_back(start.key);
     } else {
       Run& run = this->runs[start.key];
       run.active.key = start.key;
@@ -286,11 +302,13 @@
   }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
   this->failed_polls = 0;
+  this->refused_polls = 0;
   // Answers on different connections may arrive out of order.
   if (listing.worker_clock_ms < this->last_listing_clock_ms) {
     return;
   }
   this->last_listing_clock_ms = listing.worker_clock_ms;
+  this->last_listing_at = now;
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
   this->last_listing_epoch = std::max(this->last_listing_epoch, listing.epoch);
@@ -412,8 +430,9 @@
       continue;
     }
     run.start_due = false;
-    const bool may_start =
-        this->worker && deadline && this->worker->state == WorkerState::kReady;
+    const bool may_start = this->worker && deadline &&
+                           this->worker->state == WorkerState::kReady &&
+                           !this->IsEvacuated();
     if (!may_start) {
       run.state = RunState::kStopping;
       continue;
@@ -443,6 +462,25 @@
 }
 
 void WorkerSupervisor::OnPollFailed(core::TimePoint now) {
+  this->refused_polls = 0;
+  this->RecordFailedPoll(now);
+}
+
+void WorkerSupervisor::OnPollRefused(core::TimePoint now) {
+  ++this->refused_polls;
+  this->RecordFailedPoll(now);
+  if (this->refused_polls < kRefusalsToEndRuns) {
+    return;
+  }
+  const std::size_t ended = std::erase_if(this->runs, [](const auto& entry) {
+    return !entry.second.uncertain && entry.second.active.confirmed;
+  });
+  this->unreported_change =
+      this->unreported_change || ended > 0 || !this->is_complete;
+  this->is_complete = true;
+}
+
+void WorkerSupervisor::RecordFailedPoll(core::TimePoint now) {
   this->unreported_change = this->unreported_change || this->failed_polls == 0;
   ++this->failed_polls;
   if (now < this->leases_expired_at || this->MayEarlierProcessAct(now)) {
@@ -513,6 +551,10 @@
   report.worker_reachable = this->IsWorkerReachable();
   report.is_complete = this->IsComplete(now);
   report.can_start = this->LeaseDeadline(now).has_value();
+  report.speed = this->speed;
+  if (!this->runs.empty() && this->last_listing_at != core::TimePoint()) {
+    report.progress_age = now - this->last_listing_at;
+  }
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/batch/model/evacuation_state.h"
 #include "modules/batch/model/messages.h"
 #include "modules/core/core.h"
 
@@ -53,8 +54,15 @@
 struct BatchCalls {
   std::vector<StartCall> starts;
   std::vector<StopCall> stops;
+  /// Starts that were rejected because the worker's data centre is evacuated.
+  std::vector<RunKey> refused_evacuated;
 };
 
+/// Number of refused polls in a row that show that the worker's process has
+/// ended. One refusal can fall into the moment in which a worker reopens its
+/// socket.
+inline constexpr int kRefusalsToEndRuns = 2;
+
 /// State machine of an agent. Performs no I/O and reads no clock: events carry
 /// the current time. A run that the planner ordered is reported as active until
 /// an answer or announcement of the worker proves that it is not running, or
@@ -117,6 +125,12 @@
   std::optional<std::int64_t> BeginPoll(core::TimePoint now);
   /// Handles a poll without a usable answer.
   void OnPollFailed(core::TimePoint now);
+  /// Handles a poll that was refused because no process listens at the worker's
+  /// address. After `kRefusalsToEndRuns` such polls in a row, the worker's
+  /// process has ended, and with it all runs that the worker has confirmed.
+  /// Starts without an answer stay listed, since a later process of the worker
+  /// may still receive them.
+  void OnPollRefused(core::TimePoint now);
   /// Handles the passing of time. If this process has heard of no worker by the
   /// time at which all leases of its predecessors have expired, nothing runs
   /// here, and the lists are complete.
@@ -177,7 +191,20 @@
   /// planner has counted this agent as lost, starts without an answer are
   /// stopped and not sent again, since it may have started the runs elsewhere.
   void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
+  /// Takes the evacuations of a message that is not outdated, unless those of a
+  /// later store version are known. Orders that an earlier message announced as
+  /// allowed may still be under way when the data centre is evacuated.
+  void ObserveEvacuations(const std::set<core::DataCentreId>& evacuated,
+                          store::ModRevision revision);
+  /// Returns whether the worker is in an evacuated data centre.
+  bool IsEvacuated() const {
+    return this->worker &&
+           this->evacuations.data_centres.contains(this->worker->data_centre);
+  }
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
+  /// Counts a poll without a usable answer, and drops all runs once all leases
+  /// have expired.
+  void RecordFailedPoll(core::TimePoint now);
   /// Records that a lease up to the end of the term is requested from the
   /// worker. The recorded expiry allows for the drift between the clocks.
   void RecordRequestedLease(core::TimePoint now);
@@ -230,6 +257,8 @@
   /// have expired.
   core::TimePoint earlier_process_limit;
   int failed_polls = 0;
+  /// Refused polls since the latest poll with another result.
+  int refused_polls = 0;
   std::optional<WorkerDescription> worker;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
@@ -243,11 +272,15 @@
   bool is_complete = false;
   /// Worker clock and epoch of the newest listing.
   std::int64_t last_listing_clock_ms = 0;
+  core::TimePoint last_listing_at;
   core::SchedulingEpoch last_listing_epoch;
   std::map<RunKey, Run> runs;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   std::deque<Rejection> rejections;
+  EvacuationState evacuations;
+  /// Speed of the worker, as the planner estimated it last.
+  ReportedSpeed speed;
   bool unreported_change = true;
 };
 
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -66,7 +66,8 @@
                               {RejectReason::kUnhealthy, "unhealthy"},
                               {RejectReason::kDraining, "draining"},
                               {RejectReason::kNoWorker, "no-worker"},
-                              {RejectReason::kNotListed, "no-answer"}})
+                              {RejectReason::kNotListed, "no-answer"},
+                              {RejectReason::kEvacuated, "evacuated"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(JobOutcome,
                              {{JobOutcome::kOpen, "open"},
                               {JobOutcome::kCompleted, "completed"},
@@ -122,7 +123,8 @@
                                                 labels,
                                                 capacity,
                                                 state,
-                                                remaining)
+                                                remaining,
+                                                cold_left)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunKey, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ActiveRun,
                                                 key,
@@ -136,7 +138,30 @@
                                                 key,
                                                 kind,
                                                 checkpoint)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Rejection, key, reason)
+
+/// A rejection for an evacuation is written as one by an unhealthy worker with
+/// an additional field, because earlier versions refuse a report with a reason
+/// that they do not know.
+static void to_json(nlohmann::json& json, const Rejection& rejection) {
+  const bool is_evacuated = rejection.reason == RejectReason::kEvacuated;
+  json = {
+      {"key", rejection.key},
+      {"reason", is_evacuated ? RejectReason::kUnhealthy : rejection.reason}};
+  if (is_evacuated) {
+    json["evacuated"] = true;
+  }
+}
+
+static void from_json(const nlohmann::json& json, Rejection& rejection) {
+  rejection.key = json.value("key", RunKey());
+  rejection.reason = json.value("evacuated", false)
+                         ? RejectReason::kEvacuated
+                         : json.value("reason", RejectReason::kInvalid);
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportedSpeed,
+                                                log_factor,
+                                                weight)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ReportAnswer,
                                                 epoch,
                                                 session,
@@ -144,7 +169,10 @@
                                                 earlier_leases,
                                                 worker,
                                                 acknowledged,
-                                                entries)
+                                                speed,
+                                                entries,
+                                                evacuated,
+                                                evacuation_revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StartOrder,
                                                 key,
                                                 payload,
@@ -159,7 +187,9 @@
                                                 worker,
                                                 starts,
                                                 stops,
-                                                revoked_starts)
+                                                revoked_starts,
+                                                evacuated,
+                                                evacuation_revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(FailedRuns, task, runs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(SavedCheckpoint,
                                                 task,
@@ -187,6 +217,12 @@
           {"active", report.active},
           {"ends", report.ends},
           {"rejections", report.rejections}};
+  if (report.speed.weight > 0) {
+    json["speed"] = report.speed;
+  }
+  if (report.progress_age > core::Duration()) {
+    json["progress_age"] = report.progress_age;
+  }
   if (report.worker) {
     json["worker"] = *report.worker;
   }
@@ -202,6 +238,8 @@
   json.at("worker_reachable").get_to(report.worker_reachable);
   json.at("is_complete").get_to(report.is_complete);
   report.can_start = json.value("can_start", true);
+  report.speed = json.value("speed", ReportedSpeed());
+  report.progress_age = json.value("progress_age", core::Duration());
   json.at("active").get_to(report.active);
   json.at("ends").get_to(report.ends);
   json.at("rejections").get_to(report.rejections);
@@ -291,10 +329,26 @@
   return ValidateEndpoint(member.endpoint, "endpoint");
 }
 
+core::Expected<void> Validate(const ReportedSpeed& speed) {
+  constexpr double kMaxLogFactor = 10;
+  constexpr double kMaxWeight = 1e6;
+  if (std::abs(speed.log_factor) > kMaxLogFactor || speed.weight < 0 ||
+      speed.weight > kMaxWeight) {
+    return Invalid("factor or weight out of range", "speed");
+  }
+  return {};
+}
+
 core::Expected<void> Validate(const AgentReport& report) {
   if (report.agent.IsEmpty()) {
     return Invalid("expected an id", "agent");
   }
+  if (report.progress_age < core::Duration()) {
+    return Invalid("expected a positive length of time", "progress_age");
+  }
+  if (const core::Expected<void> valid = Validate(report.speed); !valid) {
+    return valid;
+  }
   const bool runs_valid = std::all_of(
       report.active.begin(), report.active.end(), [](const ActiveRun& run) {
         return run.key.run >= 0 && run.still >= core::Duration();
@@ -312,7 +366,7 @@
   if (answer.earlier_leases < core::Duration()) {
     return Invalid("expected a positive length of time", "earlier_leases");
   }
-  return {};
+  return Validate(answer.speed);
 }
 
 core::Expected<void> Validate(const OrderBatch& /*batch*/) {
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "modules/batch/model/ids.h"
 #include "modules/batch/model/job_spec.h"
 #include "modules/core/core.h"
+#include "modules/store/store.h"
 
 namespace hemlockdoor::batch {
 
@@ -26,6 +28,8 @@
   WorkerState state = WorkerState::kReady;
   /// Minimum time until a draining worker leaves.
   core::Duration remaining;
+  /// Time for which the worker is still slow after its start.
+  core::Duration cold_left;
 };
 
 /// A run that occupies capacity on a worker.
@@ -75,6 +79,7 @@
   kNoWorker,   ///< No such worker, no lease for it, or it is unreachable.
   kNotListed,  ///< The worker lists neither the run nor its end.
   kInvalid,    ///< The worker refuses the order as invalid.
+  kEvacuated,  ///< The worker's data centre is evacuated.
 };
 
 /// A start that was not carried out and will not be.
@@ -83,6 +88,15 @@
   RejectReason reason = RejectReason::kInvalid;
 };
 
+/// A planner's estimate of the speed of an agent's worker. Agents repeat it, so
+/// that it survives a change of the planner.
+struct ReportedSpeed {
+  /// Natural logarithm of the time factor; 0 is the fleet's median.
+  double log_factor = 0;
+  /// Number of runs that the estimate is worth; 0 if there is none.
+  double weight = 0;
+};
+
 /// Snapshot of what an agent knows about its worker.
 struct AgentReport {
   core::AgentId agent;
@@ -109,6 +123,10 @@
   /// worker's clock. Without both it cannot set the lease of a run, and refuses
   /// starts.
   bool can_start = true;
+  /// Estimate from the latest answer of a planner.
+  ReportedSpeed speed;
+  /// Time since the worker stated the progress of the active runs.
+  core::Duration progress_age;
   std::vector<ActiveRun> active;
   std::vector<RunEnd> ends;
   std::vector<Rejection> rejections;
@@ -136,8 +154,14 @@
   /// Ends up to this number are recorded, so that agent and worker may drop
   /// them.
   std::uint64_t acknowledged = 0;
+  /// Estimate of the speed of the agent's worker, which the agent repeats.
+  ReportedSpeed speed;
   /// Internal endpoints of all entries.
   std::vector<std::string> entries;
+  /// Evacuated data centres as of the store version `evacuation_revision`. 0
+  /// stands for a planner that does not know of evacuations.
+  std::set<core::DataCentreId> evacuated;
+  store::ModRevision evacuation_revision;
 };
 
 /// Order to start a run.
@@ -170,6 +194,9 @@
   /// the worker may still carry it out. The agent stops each of them, and lists
   /// it as active until the worker can no longer start it.
   std::vector<RunKey> revoked_starts;
+  /// As in `ReportAnswer`.
+  std::set<core::DataCentreId> evacuated;
+  store::ModRevision evacuation_revision;
 };
 
 enum class JobOutcome { kOpen, kCompleted, kFailed, kCancelled };
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -104,6 +104,7 @@
   this->epoch = new_epoch;
   this->fleet.clear();
   this->jobs.clear();
+  this->speeds = WorkerSpeeds();
   const core::Duration longest = MaxLeaseDuration(this->options.term);
   this->recovery_deadline = now + longest;
   for (const MemberRecord& member : members) {
@@ -254,6 +255,7 @@
   AgentView& view = this->UpdateView(report, now);
   view.leases_expire_at = std::max(view.leases_expire_at,
                                    now + MaxLeaseDuration(this->options.term));
+  this->speeds.Restore(report.agent, report.speed);
   const bool is_current =
       report.epoch == this->epoch && report.sequence > view.sequence;
   if (is_current) {
@@ -274,12 +276,15 @@
   answer.epoch = this->epoch;
   answer.session = view.session;
   answer.term = this->options.term;
+  answer.speed = this->speeds.ReportedOf(report.agent);
   answer.earlier_leases =
       std::max(view.earlier_leases_expire_at - now, core::Duration());
   if (view.worker) {
     answer.worker = view.worker->identity;
     answer.acknowledged = view.HighestAcknowledgeableEnd();
   }
+  answer.evacuated = this->evacuations.State().data_centres;
+  answer.evacuation_revision = this->evacuations.State().revision;
   return answer;
 }
 
@@ -314,6 +319,15 @@
   if (is_new_drain_notice) {
     view.leaves_at = now + report.worker->remaining;
   }
+  const bool has_new_warm_up =
+      report.worker &&
+      (!same_incarnation || view.worker->cold_left != report.worker->cold_left);
+  if (has_new_warm_up) {
+    view.cold_until = now + report.worker->cold_left;
+  }
+  if (report.worker) {
+    this->speeds.OnWorker(report.agent, *report.worker);
+  }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
   view.is_complete = report.is_complete;
@@ -384,6 +398,9 @@
       unit.members.begin(), unit.members.end(), [&end](const UnitMember& each) {
         return each.run == end.key.run && each.index == end.key.task.index;
       });
+  if (member != unit.members.end()) {
+    this->RecordSpeed(job, unit, *member, end, now);
+  }
   const bool is_sample = end.kind == RunEndKind::kDone &&
                          member != unit.members.end() && !member->adopted &&
                          member->started_from.empty();
@@ -391,7 +408,9 @@
     return;
   }
   RunTimeAverage& times = this->run_times[job.record.queue];
-  const auto took = static_cast<double>((now - member->since).InMilliseconds());
+  const double took =
+      static_cast<double>((now - member->since).InMilliseconds()) /
+      unit.time_factor;
   ++times.samples;
   const double weight = std::max(kRunTimeAverageWeight, 1.0 / times.samples);
   times.mean_ms += weight * (took - times.mean_ms);
@@ -527,6 +546,8 @@
                             " run=" + Text(active.key.run) +
                             " agent=" + view.agent.Text());
       unit->members.push_back(found_member);
+      unit->time_factor =
+          std::max(unit->time_factor, this->speeds.FactorOf(view.agent));
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
@@ -539,6 +560,7 @@
       member->percent_at = now;
     }
     member->still = active.still;
+    this->RecordPace(job, *unit, *member, report, now);
     this->ApplyCheckpoint(job, *unit, active, now);
   }
   for (const auto& [key, resources] : orphan_runs) {
@@ -599,8 +621,12 @@
                 (was_rejected ? NameOf(rejection->reason) : "lost"));
         if (was_rejected) {
           unit.start_not_before = now + kRejectionBackoff;
-          unit.avoided_workers.insert(member->worker.id);
+          // An evacuation says nothing about the worker itself.
+          if (rejection->reason != RejectReason::kEvacuated) {
+            unit.avoided_workers.insert(member->worker.id);
+          }
         }
+        this->speeds.OnRunDiscarded(view.agent, key);
         member = unit.members.erase(member);
         removed = true;
       }
@@ -834,7 +860,9 @@
                                          std::int64_t wall_ms) {
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
+  this->UpdateSpeeds(now);
   this->UpdatePhases(now, wall_ms);
+  this->ApplyEvacuations(now);
   this->RecountUsage();
   this->SumGuaranteedNeeds();
   if (!this->IsRecovering(now)) {
@@ -842,7 +870,12 @@
   }
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
-  this->Schedule(now);
+  this->MigrateLongRunningUnits(now);
+  if (!this->starts_withheld) {
+    this->Schedule(now);
+  }
+  this->CountEvacuatedLoad(now);
+  this->LogUnitsWithoutDataCentre();
   return this->CollectOrders(now);
 }
 
@@ -863,6 +896,7 @@
 }
 
 void Planner::RemoveMembers(const AgentView& view, core::TimePoint now) {
+  this->speeds.OnRunsLost(view.agent);
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
       const std::size_t removed =
@@ -1023,22 +1057,28 @@
   }
 }
 
+core::ServiceName Planner::ServiceOf(const Job& job) const {
+  const QueueConfig* queue = this->configuration->FindQueue(job.record.queue);
+  return queue == nullptr ? job.record.service : queue->service;
+}
+
 PlacementRequest Planner::RequestFor(const Job& job,
                                      const Unit& unit,
                                      core::TimePoint now) const {
   PlacementRequest request;
   const StepSpec& step = job.StepOf(unit);
   request.step = &step;
-  request.service = job.record.service;
-  const QueueConfig* queue = this->configuration->FindQueue(job.record.queue);
-  if (queue != nullptr) {
-    request.service = queue->service;
-  }
+  request.service = this->ServiceOf(job);
   request.size = unit.size;
   request.priority = job.record.priority;
   request.avoided_workers = &unit.avoided_workers;
   request.own_reservation = &unit.reserved;
   request.now = now;
+  request.speeds = &this->speeds;
+  if (!step.long_running && job.record.spec.occurrences == 0) {
+    request.run_time = this->ExpectedRunTime(job, unit);
+    request.slack = LatestStartInTime(job, unit.step, request.run_time) - now;
+  }
   const bool is_bound_to_racks =
       !step.preferred_rack.empty() || (step.same_rack && unit.size > 1);
   request.allow_remote =
@@ -1073,6 +1113,9 @@
   PlacementRequest request = this->RequestFor(job, unit, now);
   request.use_suspended = NeedsSuspendedWorkers(this->fleet, request);
   const auto placed = FindPlacement(this->fleet, request);
+  if (placed && this->ReserveFaster(job, unit, request, *placed, now)) {
+    return true;
+  }
   if (placed) {
     this->Assign(job, unit, *placed, now);
     return true;
@@ -1142,6 +1185,7 @@
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
   ++unit.highest_run;
+  unit.time_factor = this->SlowestFactor(agents);
   std::string worker_list;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     AgentView& view = this->fleet[agents[i]];
@@ -1160,7 +1204,9 @@
       "unit_placed", job.record.spec.id,
       "task=" + job.NameOf(unit, unit.first).ToText() +
           " run=" + Text(unit.highest_run) + " workers=" + worker_list +
-          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()));
+          " waited_ms=" + Text((now - unit.ready_since).InMilliseconds()) +
+          " expected_end_in_ms=" +
+          Text(this->PlacedRunTime(job, unit).InMilliseconds()));
 }
 
 std::vector<AgentOrders> Planner::CollectOrders(core::TimePoint now) {
@@ -1189,7 +1235,8 @@
           // the revocation, since the batch with it may have been lost.
           const bool revocation_due = member->in_doubt && view.is_complete &&
                                       (may_repeat || view.needs_probe);
-          const bool start_due = !member->sent && !view.needs_probe;
+          const bool start_due =
+              !member->sent && !view.needs_probe && !this->starts_withheld;
           const bool stop_due = member->sent && !member->in_doubt &&
                                 member->stop_requested && may_repeat;
           if (revocation_due) {
@@ -1239,6 +1286,8 @@
     batch.planner = this->options.endpoint;
     batch.agent_incarnation = view.incarnation;
     batch.worker = view.worker ? view.worker->identity : WorkerIdentity();
+    batch.evacuated = this->evacuations.State().data_centres;
+    batch.evacuation_revision = this->evacuations.State().revision;
     view.batch_open = true;
     view.batch_sent_at = now;
     if (!view.orphan_runs.empty()) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -16,11 +16,13 @@
 #include "modules/batch/model/messages.h"
 #include "modules/batch/planner/backfill_limit.h"
 #include "modules/batch/planner/caller_cost.h"
+#include "modules/batch/planner/evacuation.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/placement.h"
 #include "modules/batch/planner/preemption_policy.h"
 #include "modules/batch/planner/reservation.h"
+#include "modules/batch/planner/worker_speeds.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -103,6 +105,15 @@
   /// ended.
   void CancelJob(const core::JobId& job, core::TimePoint now);
   void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+  /// Takes the evacuated data centres, unless a state of a later store version
+  /// is known. From then on no task is started there.
+  void SetEvacuations(const EvacuationState& state, core::TimePoint now);
+  /// While starts are withheld, nothing is placed, reserved, preempted or sent;
+  /// running work is not affected. The owner withholds them while it does not
+  /// know whether the evacuations are up to date.
+  void WithholdStarts(bool withheld) { this->starts_withheld = withheld; }
+  /// Returns the work in all evacuated data centres as of the last decision.
+  EvacuationLoad EvacuatedLoad() const;
 
   /// Applies a report, which the agent sent on its own or in answer to orders.
   ReportAnswer OnReport(const AgentReport& report, core::TimePoint now);
@@ -154,6 +165,7 @@
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
+  const WorkerSpeeds& Speeds() const { return this->speeds; }
 
  private:
   /// Sort key for the order of starts: priority level after penalties for
@@ -207,6 +219,32 @@
                      const Unit& unit,
                      const RunEnd& end,
                      core::TimePoint now);
+  /// Returns true if the run shows the speed of its worker: it began from the
+  /// beginning, in this planner's term, and its step has a certain amount of
+  /// work and its own share of the processor.
+  bool ShowsSpeed(const Job& job,
+                  const Unit& unit,
+                  const UnitMember& member) const;
+  /// Returns true if the runs of the unit are slowed down by their distance
+  /// from the input data or from each other.
+  bool IsRemote(const Job& job, const Unit& unit) const;
+  /// Passes the pace of an active run on to the estimates of worker speeds.
+  void RecordPace(const Job& job,
+                  const Unit& unit,
+                  const UnitMember& member,
+                  const AgentReport& report,
+                  core::TimePoint now);
+  /// Passes the end of a run on to the estimates of worker speeds.
+  void RecordSpeed(const Job& job,
+                   const Unit& unit,
+                   const UnitMember& member,
+                   const RunEnd& end,
+                   core::TimePoint now);
+  /// Brings the estimates of worker speeds up to date and logs workers that
+  /// have become slow or normal.
+  void UpdateSpeeds(core::TimePoint now);
+  /// Returns the largest factor (`WorkerSpeeds::FactorOf`) of the workers.
+  double SlowestFactor(const std::vector<core::AgentId>& agents) const;
   void OnDone(Job& job, Unit& unit, core::TimePoint now);
   void OnFailedRun(Job& job,
                    Unit& unit,
@@ -242,6 +280,25 @@
                       const Unit& unit,
                       core::TimePoint leaves_at,
                       core::TimePoint now) const;
+  /// Marks the workers in evacuated data centres, withdraws starts there that
+  /// have not been sent, and releases capacity that is reserved there.
+  void ApplyEvacuations(core::TimePoint now);
+  /// Removes the unit from its workers if one of them is in an evacuated data
+  /// centre and its start has not been sent.
+  void WithdrawUnsentStarts(const Job& job, Unit& unit);
+  bool IsInEvacuatedDataCentre(const core::AgentId& agent) const;
+  /// Counts the units in evacuated data centres and logs those that have become
+  /// empty.
+  void CountEvacuatedLoad(core::TimePoint now);
+  /// Stops long-running units in evacuated data centres that fit elsewhere, at
+  /// most one of a step at a time. Other units end where they are.
+  void MigrateLongRunningUnits(core::TimePoint now);
+  /// Logs each job once that waits because all its workers are in evacuated
+  /// data centres.
+  void LogUnitsWithoutDataCentre();
+  /// Returns whether all workers that offer the service and have the label are
+  /// in evacuated data centres, and there is at least one.
+  bool OnlyEvacuatedWorkersFit(const PlacementRequest& request) const;
   /// Returns true if the run has made no progress for an unusually long time.
   bool IsStalled(const Job& job,
                  const Unit& unit,
@@ -276,6 +333,15 @@
                            Unit& unit,
                            const PlacementRequest& request,
                            core::TimePoint now);
+  /// Keeps faster workers for a unit that could start now, if its job would
+  /// become late on these workers and the unit is expected to end sooner on the
+  /// faster ones although it starts there later. Returns false if it should
+  /// start now.
+  bool ReserveFaster(Job& job,
+                     Unit& unit,
+                     const PlacementRequest& request,
+                     const std::vector<core::AgentId>& workers,
+                     core::TimePoint now);
   /// Returns the latest time until which the unit should rather wait for
   /// running work to end than have it stopped.
   core::TimePoint LatestWorthwhileWait(const Job& job,
@@ -297,6 +363,9 @@
   PlacementRequest RequestFor(const Job& job,
                               const Unit& unit,
                               core::TimePoint now) const;
+  /// Returns the service whose workers run the job: that of its queue now, or
+  /// when it was accepted if the queue no longer exists.
+  core::ServiceName ServiceOf(const Job& job) const;
   /// Creates a run on the given agent for each task of the unit.
   void Assign(Job& job,
               Unit& unit,
@@ -314,9 +383,11 @@
   /// Returns true if the job is of priority 0 and all open jobs of priority 0
   /// of its organisation together fit in the guaranteed accelerators.
   bool IsWithinGuarantee(const Job& job) const;
-  /// Returns the average run time of the queue, or the declared estimate as
-  /// long as there are too few samples.
+  /// Returns the average run time of the queue on a worker of factor 1.0, or
+  /// the declared estimate as long as there are too few samples.
   core::Duration ExpectedRunTime(const Job& job, const Unit& unit) const;
+  /// Returns the expected run time on the workers on which the unit has runs.
+  core::Duration PlacedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
   /// Returns the expected value of the unit's job by the start of the unit.
   WorthCurve WorthOf(const Job& job, const Unit& unit) const;
@@ -362,11 +433,16 @@
       std::make_shared<const Configuration>();
   Fleet fleet;
   std::map<core::JobId, Job> jobs;
-  /// Average run times of completed tasks, by queue.
+  /// Average run times of completed tasks on a worker of factor 1.0, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
   CallerCost caller_cost;
   PreemptionPolicy preemption_policy;
+  WorkerSpeeds speeds;
   BackfillLimit backfill_limit;
+  Evacuations evacuations;
+  bool starts_withheld = false;
+  /// Jobs whose wait for evacuated data centres has been logged.
+  std::set<core::JobId> jobs_logged_as_waiting;
   /// See `SumGuaranteedNeeds`.
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
   /// Kept for the length of one decision.
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -51,7 +51,8 @@
 };
 
 /// Calls to the worker. Callbacks run asynchronously on the calling thread. A
-/// poll fails with kStale when the worker has seen a newer epoch.
+/// poll fails with kStale when the worker has seen a newer epoch, and with
+/// kNotFound when no process listens at the worker's address.
 template <typename T>
 concept WorkerPort =
     requires(T worker,
@@ -162,6 +163,7 @@
     if (this->supervisor.Epoch() != before) {
       this->OnNewEpoch();
     }
+    this->ReportRefusals(*calls);
     this->SendCalls(*calls);
     this->pending_orders.push_back(
         {responder, core::Clock::Now() + kOrdersAnswerTimeout});
@@ -234,6 +236,20 @@
     this->Report();
   }
 
+  void ReportRefusals(const BatchCalls& calls) {
+    for (const RunKey& key : calls.refused_evacuated) {
+      observe::ProcessMetrics().CountStartRefusedEvacuated();
+      observe::LogContext log_context;
+      log_context.job = key.task.job;
+      observe::Log(observe::LogLevel::kWarn,
+                   "start refused: the worker's data centre is evacuated",
+                   log_context,
+                   {{"event", "start_refused_evacuated"},
+                    {"task", key.task.ToText()},
+                    {"run", std::to_string(key.run)}});
+    }
+  }
+
   void SendCalls(const BatchCalls& calls) {
     for (const StopCall& stop : calls.stops) {
       this->SendStop(stop);
@@ -355,7 +371,11 @@
     // over and sends its orders soon.
     if (error.code != core::ErrorCode::kStale) {
       this->LogPollFailure(error);
-      this->supervisor.OnPollFailed(now);
+      if (error.code == core::ErrorCode::kNotFound) {
+        this->supervisor.OnPollRefused(now);
+      } else {
+        this->supervisor.OnPollFailed(now);
+      }
     }
   }
 
