Preemption: the gain counts the speed of the workers that are taken

The gain of a stop was computed as if the unit then ran on a worker of factor 1.0, and the alternative as its start rather than its end. Both now are ends. Homogeneous fleets are decided as before.

--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -354,11 +354,11 @@
   /// Returns when the runs that are active are expected to end.
   const ExpectedReleases& Releases(core::TimePoint now);
   /// Stops units of less urgent jobs and reserves their capacity for the unit,
-  /// if they lose no more than `max_loss`.
+  /// if they lose no more than it gains against a start at `expected_start`.
   bool TryPreempt(Job& job,
                   Unit& unit,
                   const PlacementRequest& request,
-                  double max_loss,
+                  core::TimePoint expected_start,
                   core::TimePoint now);
   PlacementRequest RequestFor(const Job& job,
                               const Unit& unit,
@@ -397,10 +397,12 @@
                     const Unit& unit,
                     core::TimePoint start) const;
   /// Returns the value that may be lost by preemption for the unit, which is
-  /// expected to start at `expected_start` without it.
+  /// expected to start at `expected_start` without it, on workers with this
+  /// time factor.
   double MaxPreemptionLoss(const Job& job,
                            const Unit& unit,
                            core::TimePoint expected_start,
+                           double time_factor,
                            core::TimePoint now) const;
   RunningUnit RunningUnitOf(const Job& job,
                             const Unit& unit,
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -95,15 +95,14 @@
   const core::TimePoint horizon = now + kReservationHorizon;
   const std::optional<Reservation> reservation =
       FindReservation(this->fleet, request, this->Releases(now), horizon);
-  const core::TimePoint start = reservation ? reservation->start : horizon;
-  const bool is_soon = start <= this->LatestWorthwhileWait(job, unit, now);
-  if (!is_soon &&
-      this->TryPreempt(job, unit, request,
-                       this->MaxPreemptionLoss(job, unit, start, now), now)) {
-    return true;
-  }
-  if (!reservation || !is_soon) {
-    return false;
+  const bool is_soon =
+      reservation &&
+      reservation->start <= this->LatestWorthwhileWait(job, unit, now);
+  if (!is_soon) {
+    const core::TimePoint start =
+        reservation ? reservation->end - this->ExpectedRunTime(job, unit)
+                    : horizon;
+    return this->TryPreempt(job, unit, request, start, now);
   }
   this->Reserve(job, unit, reservation->agents);
   return true;
@@ -135,12 +134,16 @@
 double Planner::MaxPreemptionLoss(const Job& job,
                                   const Unit& unit,
                                   core::TimePoint expected_start,
+                                  double time_factor,
                                   core::TimePoint now) const {
   if (this->IsWithinGuarantee(job)) {
     return std::numeric_limits<double>::infinity();
   }
+  const core::Duration run = this->ExpectedRunTime(job, unit);
+  const auto slowdown = core::Duration::Milliseconds(static_cast<std::int64_t>(
+      (time_factor - 1.0) * static_cast<double>(run.InMilliseconds())));
   return this->preemption_policy.GainOf(this->WorthOf(job, unit),
-                                        expected_start, now);
+                                        expected_start, slowdown, now);
 }
 
 RunningUnit Planner::RunningUnitOf(const Job& job,
@@ -195,14 +198,19 @@
 bool Planner::TryPreempt(Job& job,
                          Unit& unit,
                          const PlacementRequest& request,
-                         double max_loss,
+                         core::TimePoint expected_start,
                          core::TimePoint now) {
-  if (max_loss <= kMinWorthwhileGain) {
+  if (this->MaxPreemptionLoss(job, unit, expected_start, 1.0, now) <=
+      kMinWorthwhileGain) {
     return false;
   }
   const auto placement = FindPreemptingPlacement(
       this->fleet, request, this->PreemptionCandidates(job, now));
-  if (!placement || placement->cost > max_loss) {
+  if (!placement ||
+      placement->cost > this->MaxPreemptionLoss(
+                            job, unit, expected_start,
+                            HighestTimeFactor(this->speeds, placement->agents),
+                            now)) {
     return false;
   }
   this->Reserve(job, unit, placement->agents);
--- a/modules/batch/planner/preemption_policy.cc
+++ b/modules/batch/planner/preemption_policy.cc
@@ -71,8 +71,9 @@
 
 double PreemptionPolicy::GainOf(const WorthCurve& worth,
                                 core::TimePoint expected_start,
+                                core::Duration slowdown,
                                 core::TimePoint now) const {
-  const core::TimePoint start = now + kExpectedStopTime;
+  const core::TimePoint start = now + kExpectedStopTime + slowdown;
   return worth.DelayCost(start,
                          std::max(expected_start - start, core::Duration()));
 }
--- a/modules/batch/planner/preemption_policy.h
+++ b/modules/batch/planner/preemption_policy.h
@@ -59,9 +59,11 @@
   /// of the unit.
   PreemptionLoss LossOf(const RunningUnit& running, core::TimePoint now) const;
   /// Returns the value gained by a unit with `worth` if it starts after stops
-  /// now, instead of at `expected_start`.
+  /// now, instead of at `expected_start`. `slowdown` is by how much longer it
+  /// runs on the workers where runs are stopped than on one of factor 1.0.
   double GainOf(const WorthCurve& worth,
                 core::TimePoint expected_start,
+                core::Duration slowdown,
                 core::TimePoint now) const;
 
  private:
--- a/modules/batch/planner/preemption_policy_test.cc
+++ b/modules/batch/planner/preemption_policy_test.cc
@@ -88,9 +88,9 @@
 BOOST_AUTO_TEST_CASE(NothingIsGainedByAStopThatIsNoSoonerThanTheEndOfARun) {
   const PreemptionPolicy policy;
   const WorthCurve worth = CallerCost().CurveOf(MakeRunningJob(false), 0, kRun);
-  BOOST_TEST(policy.GainOf(worth, At(500), At(0)) == 0.0);
-  BOOST_TEST(policy.GainOf(worth, At(20'000), At(0)) >
-             policy.GainOf(worth, At(10'000), At(0)));
+  BOOST_TEST(policy.GainOf(worth, At(500), {}, At(0)) == 0.0);
+  BOOST_TEST(policy.GainOf(worth, At(20'000), {}, At(0)) >
+             policy.GainOf(worth, At(10'000), {}, At(0)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
