--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -68,11 +68,6 @@
   /// A run has ended with this checkpoint. A run that is stopped saves all its
   /// progress, so its checkpoint is newer than all others of the same run.
   void OnEnd(const RunEnd& end);
-  /// Returns the progress, from 0 to 100, of the checkpoint if the run reported
-  /// it, otherwise 0.
-  int PercentOf(std::int64_t reporting_run) const {
-    return reporting_run == this->run ? this->percent : 0;
-  }
 
  private:
   std::string text;
@@ -123,13 +118,6 @@
   double time_factor = 1.0;
   /// Number of times it was preempted.
   int preemptions = 0;
-  /// `time_factor` when its latest runs were placed.
-  double placed_time_factor = 1.0;
-  /// Number of times it was moved because it was far too slow.
-  int moves = 0;
-  /// Run time of its completed run on a worker of factor 1.0; zero if there is
-  /// none that began from the beginning.
-  core::Duration run_time;
 
   /// Returns true if some of its runs are to be stopped.
   bool IsStopping() const {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -394,7 +394,7 @@
 }
 
 void Planner::RecordRunTime(const Job& job,
-                            Unit& unit,
+                            const Unit& unit,
                             const RunEnd& end,
                             core::TimePoint now) {
   const auto member = std::find_if(
@@ -417,11 +417,6 @@
   ++times.samples;
   const double weight = std::max(kRunTimeAverageWeight, 1.0 / times.samples);
   times.mean_ms += weight * (took - times.mean_ms);
-  if (static_cast<int>(unit.members.size()) == unit.size) {
-    unit.run_time =
-        core::Duration::Milliseconds(static_cast<std::int64_t>(took));
-    this->queue_run_times.Add(job.record.queue, unit.run_time);
-  }
 }
 
 void Planner::OnDone(Job& job, Unit& unit, core::TimePoint now) {
@@ -878,7 +873,6 @@
   }
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
-  this->MoveStragglers(now);
   this->MigrateLongRunningUnits(now);
   if (!this->starts_withheld) {
     this->Schedule(now);
@@ -1215,7 +1209,6 @@
   }
   ++unit.highest_run;
   unit.time_factor = this->SlowestFactor(agents);
-  unit.placed_time_factor = unit.time_factor;
   std::string worker_list;
   for (std::size_t i = 0; i < agents.size(); ++i) {
     AgentView& view = this->fleet[agents[i]];
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -23,7 +23,6 @@
 #include "modules/batch/planner/preemption_policy.h"
 #include "modules/batch/planner/reservation.h"
 #include "modules/batch/planner/room_summary.h"
-#include "modules/batch/planner/stragglers.h"
 #include "modules/batch/planner/worker_speeds.h"
 #include "modules/core/core.h"
 
@@ -222,7 +221,7 @@
   void ApplyEnd(AgentView& view, const RunEnd& end, core::TimePoint now);
   /// Adds the run time of a task to the average of its queue.
   void RecordRunTime(const Job& job,
-                     Unit& unit,
+                     const Unit& unit,
                      const RunEnd& end,
                      core::TimePoint now);
   /// Returns true if the run shows the speed of its worker: it began from the
@@ -318,26 +317,6 @@
   /// Suspends workers with stalled runs, and stops stalled units that can be
   /// placed elsewhere and are cheap to restart.
   void MoveStalledUnits(core::TimePoint now);
-  /// Returns the progress of the unit's runs, or nullopt if it does not show
-  /// their pace.
-  std::optional<ObservedRun> ObservedRunOf(const Job& job,
-                                           const Unit& unit,
-                                           core::TimePoint now) const;
-  /// Returns the typical run time of the tasks of a step: that of siblings, or
-  /// that of the queue if there are too few or the step is a gang.
-  TypicalRunTime TypicalRunTimeOf(const Job& job,
-                                  int occurrence,
-                                  int step,
-                                  core::TimePoint now) const;
-  /// Moves units that progress far too slowly, a few at a time.
-  void MoveStragglers(core::TimePoint now);
-  void MoveStragglersOf(Job& job, int running, core::TimePoint now);
-  /// Stops the unit and keeps workers free for a new run, if that is worth it.
-  bool TryMove(Job& job,
-               Unit& unit,
-               const ObservedRun& run,
-               const TypicalRunTime& typical,
-               core::TimePoint now);
   /// Returns the expected time until the last run of the unit ends.
   core::Duration RemainingRunTime(const Job& job,
                                   const Unit& unit,
@@ -464,9 +443,6 @@
   /// Average run times of completed tasks on a worker of factor 1.0, by queue.
   std::map<QueueName, RunTimeAverage> run_times;
   WorkerSpeeds speeds;
-  QueueRunTimes queue_run_times;
-  MoveLimit move_limit;
-  core::TimePoint next_straggler_search;
   CallerCost caller_cost;
   PreemptionPolicy preemption_policy;
   BackfillLimit backfill_limit;
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -210,8 +210,7 @@
   if (!placement ||
       placement->cost > this->MaxPreemptionLoss(
                             job, unit, expected_start,
-                            HighestTimeFactor(this->speeds, placement->agents),
-                            now)) {
+                            this->SlowestFactor(placement->agents), now)) {
     return false;
   }
   this->Reserve(job, unit, placement->agents);
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -505,14 +505,6 @@
     return away || split ? speed / this->pattern.remote_slowdown : speed;
   }
 
-  /// Returns the work of the run that its last checkpoint contains.
-  double SavedWork(const SimRun& run) const {
-    const auto interval = static_cast<double>(this->pattern.checkpoint_ms);
-    return this->StepOf(run).checkpoints
-               ? std::floor(run.done_ms / interval) * interval
-               : 0.0;
-  }
-
   void EndRun(SimRun& run, RunEndKind kind) {
     AgentReport& report = this->reports.at(run.agent);
     RunEnd end;
@@ -520,11 +512,12 @@
     end.key = run.key;
     end.kind = kind;
     const StepSpec& step = this->StepOf(run);
+    const auto step_ms = static_cast<double>(this->pattern.checkpoint_ms);
     double saved = run.restored_ms;
     if (step.checkpoints) {
       saved = kind == RunEndKind::kStopped && this->pattern.saves_on_stop
                   ? run.done_ms
-                  : this->SavedWork(run);
+                  : std::floor(run.done_ms / step_ms) * step_ms;
       end.checkpoint = std::to_string(static_cast<std::int64_t>(saved));
     }
     if (kind != RunEndKind::kDone) {
@@ -581,11 +574,6 @@
           constexpr double kPercent = 100;
           active.percent =
               static_cast<int>(run.done_ms / run.job->work_ms * kPercent);
-          const double saved = this->SavedWork(run);
-          if (!this->pattern.saves_on_stop && saved > 0) {
-            active.checkpoint =
-                std::to_string(static_cast<std::int64_t>(saved));
-          }
         }
       }
     }
