--- a/modules/batch/planner/caller_cost.cc
+++ b/modules/batch/planner/caller_cost.cc
@@ -44,15 +44,11 @@
          job.record.objective;
 }
 
-/// Returns whether the job has an objective that counts from its acceptance.
-/// That means nothing for long-running tasks and scheduled occurrences, and a
-/// queue without a configured objective allows its jobs no time at all.
+/// Returns whether the objective counts from the acceptance of the job, which
+/// means nothing for long-running tasks and scheduled occurrences.
 bool HasObjective(const Job& job, int step) {
   const StepSpec& spec = job.record.spec.steps[static_cast<std::size_t>(step)];
-  const bool is_configured =
-      job.record.slack_factor > 1.0 || job.record.objective > core::Duration();
-  return is_configured && !spec.long_running &&
-         job.record.spec.occurrences == 0;
+  return !spec.long_running && job.record.spec.occurrences == 0;
 }
 
 int LongestChain(const Job& job) {
@@ -61,18 +57,6 @@
   return longest == job.chain_lengths.end() ? 0 : *longest;
 }
 
-/// Returns the probability that a run takes at least `ms`. Run times are taken
-/// as log-logistic with shape 4, which is close to a log-normal distribution
-/// with a standard deviation of the logarithm of 0.45.
-double ProbabilityOfRun(double ms, double run_ms) {
-  if (ms <= 0) {
-    return 1.0;
-  }
-  const double ratio = ms / run_ms;
-  const double square = ratio * ratio;
-  return 1.0 / (1.0 + square * square);
-}
-
 }  // namespace
 
 core::Duration CriticalPathFrom(const Job& job, int step, core::Duration run) {
@@ -98,25 +82,6 @@
   return total;
 }
 
-double WorthCurve::At(core::TimePoint start) const {
-  const auto waited =
-      static_cast<double>((start - this->accepted).InMilliseconds());
-  if (this->is_linear) {
-    return this->full * (1.0 - waited / (static_cast<double>(kLateFactor) *
-                                         (this->run_ms + this->objective_ms)));
-  }
-  const auto share = [this](double wait_ms, double runs) {
-    if (runs <= 0) {
-      return wait_ms <= 0 ? 1.0 : 0.0;
-    }
-    return ProbabilityOfRun(wait_ms / runs, this->run_ms);
-  };
-  return this->late * share(waited - this->objective_ms * kLateFactor,
-                            this->late_limit_runs) +
-         (this->full - this->late) *
-             share(waited - this->objective_ms, this->objective_runs);
-}
-
 void CallerCost::AddJob(const Job& job) {
   MeanShape& mean = this->shapes[job.record.queue];
   ++mean.jobs;
@@ -162,23 +127,4 @@
              : this->FullWorth(job);
 }
 
-WorthCurve CallerCost::CurveOf(const Job& job,
-                               int step,
-                               core::Duration run) const {
-  const PriorityWorth& worth = WorthOfPriority(job.record.priority);
-  const double chain = job.record.slack_factor * LongestChain(job);
-  const double rest = job.chain_lengths[static_cast<std::size_t>(step)];
-  WorthCurve curve;
-  curve.full = this->FullWorth(job);
-  curve.late = curve.full * worth.late / worth.full;
-  curve.run_ms = std::max(1.0, static_cast<double>(run.InMilliseconds()));
-  curve.accepted = job.accepted - kStartAndRecordOverhead;
-  curve.objective_runs = chain - rest;
-  curve.late_limit_runs = static_cast<double>(kLateFactor) * chain - rest;
-  curve.objective_ms =
-      static_cast<double>(job.record.objective.InMilliseconds());
-  curve.is_linear = !HasObjective(job, step);
-  return curve;
-}
-
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/caller_cost.h
+++ b/modules/batch/planner/caller_cost.h
@@ -1,4 +1,4 @@
-// What the end of a job is worth to its caller, and what a delay costs.
+// What the end of a job is worth to its caller.
 #pragma once
 
 #include <map>
@@ -21,40 +21,8 @@
 /// Returns the resources of all tasks of the job, in core-equivalents.
 double TotalCoreEquivalents(const JobSpec& spec);
 
-/// Expected value of a job as a function of the start of one of its steps. The
-/// run time is uncertain, so the value falls gradually around the objective.
-class WorthCurve {
- public:
-  /// Returns the expected value if the step starts at `start`.
-  double At(core::TimePoint start) const;
-  /// Returns the expected value that is lost if the start moves from `start` by
-  /// `delay`.
-  double DelayCost(core::TimePoint start, core::Duration delay) const {
-    return this->At(start) - this->At(start + delay);
-  }
-  /// Returns the value of the job if it ends within its objective.
-  double Full() const { return this->full; }
-
- private:
-  friend class CallerCost;
-
-  double full = 0.0;
-  double late = 0.0;
-  /// Expected run time of a task in milliseconds.
-  double run_ms = 1.0;
-  core::TimePoint accepted;
-  /// The objective is this many run times longer than the rest of the job, plus
-  /// `objective_ms`. The same for three times the objective.
-  double objective_runs = 0.0;
-  double late_limit_runs = 0.0;
-  double objective_ms = 0.0;
-  /// The job has no objective that counts from its acceptance: its value falls
-  /// linearly with the start, without a lower bound.
-  bool is_linear = false;
-};
-
-/// The value of jobs to their callers. It is the only measure by which work is
-/// ordered, delayed, preempted or rejected.
+/// The value of jobs to their callers, by which the order of starts counts late
+/// jobs and admission finds those without value.
 class CallerCost {
  public:
   /// Includes a job in the mean work of its queue.
@@ -70,24 +38,11 @@
   double WorthAt(const Job& job, core::Duration run, core::TimePoint end) const;
   /// Returns the value of the job if `step` starts at `start` and each task
   /// runs for `run`. Work without an objective that counts from its acceptance
-  /// (long-running tasks, scheduled occurrences, queues without one) keeps its
-  /// full value.
+  /// (long-running tasks, scheduled occurrences) keeps its full value.
   double WorthIfStarted(const Job& job,
                         int step,
                         core::Duration run,
                         core::TimePoint start) const;
-  /// Returns the expected value of the job by the start of `step`, if each task
-  /// is expected to run for `run`.
-  WorthCurve CurveOf(const Job& job, int step, core::Duration run) const;
-  /// Returns the expected value that is lost if the start of `step` moves from
-  /// `start` by `delay`.
-  double DelayCost(const Job& job,
-                   int step,
-                   core::Duration run,
-                   core::TimePoint start,
-                   core::Duration delay) const {
-    return this->CurveOf(job, step, run).DelayCost(start, delay);
-  }
 
  private:
   /// Mean of the core-equivalents of the jobs of a queue.
--- a/modules/batch/planner/placement.cc
+++ b/modules/batch/planner/placement.cc
@@ -230,22 +230,6 @@
   return selection;
 }
 
-/// Returns the total cost of the victims. Of the shared costs of each job, the
-/// highest counts.
-double TotalCost(const std::vector<Victim>& victims) {
-  std::map<const Job*, double> shared_costs;
-  double total = 0.0;
-  for (const Victim& victim : victims) {
-    total += victim.cost - victim.shared_cost;
-    double& shared_cost = shared_costs[victim.job];
-    shared_cost = std::max(shared_cost, victim.shared_cost);
-  }
-  for (const auto& [job, shared_cost] : shared_costs) {
-    total += shared_cost;
-  }
-  return total;
-}
-
 /// Places one task after the other on the candidate where the least work is
 /// lost.
 std::optional<PreemptingPlacement> PlaceWithVictims(
@@ -282,11 +266,11 @@
             candidate.free + FreedOn(*victim, candidate.view->agent);
       }
     }
+    placement.cost += best_selection->cost;
     best->free = best->free - CountedNeed(*request.step);
     ++best->placed_tasks;
     placement.agents.push_back(best->view->agent);
   }
-  placement.cost = TotalCost(placement.victims);
   return placement;
 }
 
--- a/modules/batch/planner/placement.h
+++ b/modules/batch/planner/placement.h
@@ -47,10 +47,8 @@
 struct Victim {
   Job* job = nullptr;
   Unit* unit = nullptr;
-  /// Value that is lost if it is stopped, see `PreemptionPolicy`.
+  /// Core-seconds of work that are lost if it is stopped.
   double cost = 0.0;
-  /// Part of `cost` that is lost once if several units of the job are stopped.
-  double shared_cost = 0.0;
 };
 
 /// A placement that requires units to be preempted first.
@@ -58,7 +56,7 @@
   /// Agent of each task.
   std::vector<core::AgentId> agents;
   std::vector<Victim> victims;
-  /// Value that is lost in total. Shared costs of a job count once.
+  /// Core-seconds of work that are lost in total.
   double cost = 0.0;
 };
 
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1123,8 +1123,8 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
-  return unit.reserved.empty() &&
-         this->TryReserveOrPreempt(job, unit, request, now);
+  return unit.reserved.empty() && (this->TryReserve(job, unit, request, now) ||
+                                   this->TryPreempt(job, unit, request, now));
 }
 
 void Planner::SumGuaranteedNeeds() {
@@ -1183,11 +1183,6 @@
       static_cast<std::int64_t>(found->second.mean_ms));
 }
 
-WorthCurve Planner::WorthOf(const Job& job, const Unit& unit) const {
-  return this->caller_cost.CurveOf(job, unit.step,
-                                   this->ExpectedRunTime(job, unit));
-}
-
 double Planner::WorthShare(const Job& job,
                            const Unit& unit,
                            core::TimePoint start) const {
@@ -1202,8 +1197,6 @@
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
   this->ReleaseReservedCapacity(job, unit);
-  this->preemption_policy.OnStarted(job.record.priority,
-                                    now - unit.ready_since);
   if (IsUncheckpointedBackfill(job, unit)) {
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -20,7 +20,6 @@
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/placement.h"
-#include "modules/batch/planner/preemption_policy.h"
 #include "modules/batch/planner/reservation.h"
 #include "modules/batch/planner/room_summary.h"
 #include "modules/batch/planner/worker_speeds.h"
@@ -332,12 +331,11 @@
                              const Unit& unit,
                              core::TimePoint now);
   /// Keeps capacity free for the unit if it is expected to start there soon
-  /// enough when running work ends. Otherwise has running work stopped for it
-  /// if that is justified. Returns false if it does neither.
-  bool TryReserveOrPreempt(Job& job,
-                           Unit& unit,
-                           const PlacementRequest& request,
-                           core::TimePoint now);
+  /// enough when running work ends, so that nothing need be stopped for it.
+  bool TryReserve(Job& job,
+                  Unit& unit,
+                  const PlacementRequest& request,
+                  core::TimePoint now);
   /// Keeps faster workers for a unit that could start now, if its job would
   /// become late on these workers and the unit is expected to end sooner on the
   /// faster ones although it starts there later. Returns false if it should
@@ -359,11 +357,10 @@
   /// Returns when the runs that are active are expected to end.
   const ExpectedReleases& Releases(core::TimePoint now);
   /// Stops units of less urgent jobs and reserves their capacity for the unit,
-  /// if they lose no more than it gains against a start at `expected_start`.
+  /// if the lost work is within bounds.
   bool TryPreempt(Job& job,
                   Unit& unit,
                   const PlacementRequest& request,
-                  core::TimePoint expected_start,
                   core::TimePoint now);
   PlacementRequest RequestFor(const Job& job,
                               const Unit& unit,
@@ -394,24 +391,20 @@
   /// Returns the expected run time on the workers on which the unit has runs.
   core::Duration PlacedRunTime(const Job& job, const Unit& unit) const;
   Rank RankOf(const Job& job, const Unit& unit, core::TimePoint now) const;
-  /// Returns the expected value of the unit's job by the start of the unit.
-  WorthCurve WorthOf(const Job& job, const Unit& unit) const;
   /// Returns the value of the unit's job if the unit starts at `start`, as a
   /// share of the value if it ends within its objective.
   double WorthShare(const Job& job,
                     const Unit& unit,
                     core::TimePoint start) const;
-  /// Returns the value that may be lost by preemption for the unit, which is
-  /// expected to start at `expected_start` without it, on workers with this
-  /// time factor.
-  double MaxPreemptionLoss(const Job& job,
+  /// Returns the core-seconds of other units' work that may be lost by
+  /// preemption for the unit.
+  double MaxPreemptionCost(const Job& job,
                            const Unit& unit,
-                           core::TimePoint expected_start,
-                           double time_factor,
                            core::TimePoint now) const;
-  RunningUnit RunningUnitOf(const Job& job,
-                            const Unit& unit,
-                            core::TimePoint now) const;
+  /// Returns the core-seconds that are lost if the unit is stopped now.
+  double PreemptionCost(const Job& job,
+                        const Unit& unit,
+                        core::TimePoint now) const;
   /// Returns the running units of less urgent jobs.
   std::vector<Victim> PreemptionCandidates(const Job& job, core::TimePoint now);
   /// Returns the agent if `batch` is its open batch, or nullptr.
@@ -444,7 +437,6 @@
   std::map<QueueName, RunTimeAverage> run_times;
   WorkerSpeeds speeds;
   CallerCost caller_cost;
-  PreemptionPolicy preemption_policy;
   BackfillLimit backfill_limit;
   Evacuations evacuations;
   bool starts_withheld = false;
--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -11,6 +11,23 @@
 /// How long capacity stays reserved for a unit while preempted runs stop.
 constexpr core::Duration kReservationTimeout =
     core::Duration::Milliseconds(2500);
+/// Upper bound on the work that a unit may destroy by preemption, as a multiple
+/// of its own work, depending on its priority and on whether its job is
+/// expected to end within its objective. According to the users' rules a
+/// core-second of urgent work is worth about seven times as much as one of
+/// other work, and about five times as much as the price of a core-second that
+/// is lost.
+constexpr double kUrgentLossFactor = 3;
+constexpr double kUrgentLateLossFactor = 0.3;
+constexpr double kOrdinaryLossFactor = 0.05;
+constexpr double kOrdinaryLateLossFactor = 0.02;
+/// Fixed cost of a preemption, for the restart, in seconds of the unit's run
+/// time. Incurred even if the unit has just started.
+constexpr double kRestartSeconds = 0.3;
+/// Time from a preemption until the capacity is free; workers take up to 900 ms
+/// to stop a task. Work that is expected to end within this time is not
+/// stopped.
+constexpr core::Duration kExpectedStopTime = core::Duration::Milliseconds(600);
 /// Run times have a heavy tail: a run that should have ended is expected to
 /// last for its time so far divided by this.
 constexpr std::int64_t kOverdueDivisor = 4;
@@ -23,11 +40,11 @@
 constexpr core::Duration kMinGainOfWait = core::Duration::Milliseconds(300);
 /// Longest expected wait for which capacity is kept free for another job.
 constexpr core::Duration kMaxOrdinaryWait = core::Duration::Milliseconds(1500);
-/// Time within which a start without a stop is looked for. A unit that finds
-/// none is expected to start at its end.
-constexpr core::Duration kReservationHorizon = core::Duration::Seconds(6);
-/// No stop is weighed for a smaller gain. Jobs are worth about 1 to 4.
-constexpr double kMinWorthwhileGain = 0.001;
+
+double Seconds(core::Duration duration) {
+  constexpr double kMsPerSecond = 1000.0;
+  return static_cast<double>(duration.InMilliseconds()) / kMsPerSecond;
+}
 
 }  // namespace
 
@@ -85,24 +102,18 @@
   return std::max(after_stops, std::min(in_time, longest));
 }
 
-bool Planner::TryReserveOrPreempt(Job& job,
-                                  Unit& unit,
-                                  const PlacementRequest& request,
-                                  core::TimePoint now) {
+bool Planner::TryReserve(Job& job,
+                         Unit& unit,
+                         const PlacementRequest& request,
+                         core::TimePoint now) {
   if (job.record.priority >= kBackfillPriority) {
     return false;
   }
-  const core::TimePoint horizon = now + kReservationHorizon;
   const std::optional<Reservation> reservation =
-      FindReservation(this->fleet, request, this->Releases(now), horizon);
-  const bool is_soon =
-      reservation &&
-      reservation->start <= this->LatestWorthwhileWait(job, unit, now);
-  if (!is_soon) {
-    const core::TimePoint start =
-        reservation ? reservation->end - this->ExpectedRunTime(job, unit)
-                    : horizon;
-    return this->TryPreempt(job, unit, request, start, now);
+      FindReservation(this->fleet, request, this->Releases(now),
+                      this->LatestWorthwhileWait(job, unit, now));
+  if (!reservation) {
+    return false;
   }
   this->Reserve(job, unit, reservation->agents);
   return true;
@@ -132,31 +143,33 @@
   return true;
 }
 
-double Planner::MaxPreemptionLoss(const Job& job,
+double Planner::MaxPreemptionCost(const Job& job,
                                   const Unit& unit,
-                                  core::TimePoint expected_start,
-                                  double time_factor,
                                   core::TimePoint now) const {
   if (this->IsWithinGuarantee(job)) {
     return std::numeric_limits<double>::infinity();
   }
-  const core::Duration run = this->ExpectedRunTime(job, unit);
-  const auto slowdown = core::Duration::Milliseconds(static_cast<std::int64_t>(
-      (time_factor - 1.0) * static_cast<double>(run.InMilliseconds())));
-  return this->preemption_policy.GainOf(this->WorthOf(job, unit),
-                                        expected_start, slowdown, now);
+  const double own_work = CoreEquivalents(job.StepOf(unit).need) *
+                          static_cast<double>(unit.size) *
+                          Seconds(this->ExpectedRunTime(job, unit));
+  const bool in_time = this->WorthShare(job, unit, now) >= 1.0;
+  if (job.record.priority == 0) {
+    return own_work * (in_time ? kUrgentLossFactor : kUrgentLateLossFactor);
+  }
+  return own_work * (in_time ? kOrdinaryLossFactor : kOrdinaryLateLossFactor);
 }
 
-RunningUnit Planner::RunningUnitOf(const Job& job,
-                                   const Unit& unit,
-                                   core::TimePoint now) const {
-  RunningUnit running;
-  running.job = &job;
-  running.unit = &unit;
-  running.worth = this->WorthOf(job, unit);
-  running.run = this->ExpectedRunTime(job, unit);
-  running.remaining = this->ExpectedWait(job, unit, now);
-  return running;
+double Planner::PreemptionCost(const Job& job,
+                               const Unit& unit,
+                               core::TimePoint now) const {
+  const StepSpec& step = job.StepOf(unit);
+  // A task with checkpoints saves its progress when it is stopped.
+  const double lost =
+      step.checkpoints ? 0.0 : Seconds(now - unit.members.front().since);
+  // Each further preemption of a unit costs more, so that no unit is stopped
+  // again and again.
+  return (lost + kRestartSeconds * (1 + unit.preemptions)) *
+         CoreEquivalents(step.need) * static_cast<double>(unit.size);
 }
 
 std::vector<Victim> Planner::PreemptionCandidates(const Job& job,
@@ -168,9 +181,8 @@
     }
     for (Unit& unit : other.units) {
       if (!unit.members.empty() && !unit.IsStopping()) {
-        const PreemptionLoss loss = this->preemption_policy.LossOf(
-            this->RunningUnitOf(other, unit, now), now);
-        victims.push_back({&other, &unit, loss.Total(), loss.delay});
+        victims.push_back(
+            {&other, &unit, this->PreemptionCost(other, unit, now)});
       }
     }
   }
@@ -199,18 +211,10 @@
 bool Planner::TryPreempt(Job& job,
                          Unit& unit,
                          const PlacementRequest& request,
-                         core::TimePoint expected_start,
                          core::TimePoint now) {
-  if (this->MaxPreemptionLoss(job, unit, expected_start, 1.0, now) <=
-      kMinWorthwhileGain) {
-    return false;
-  }
   const auto placement = FindPreemptingPlacement(
       this->fleet, request, this->PreemptionCandidates(job, now));
-  if (!placement ||
-      placement->cost > this->MaxPreemptionLoss(
-                            job, unit, expected_start,
-                            this->SlowestFactor(placement->agents), now)) {
+  if (!placement || placement->cost > this->MaxPreemptionCost(job, unit, now)) {
     return false;
   }
   this->Reserve(job, unit, placement->agents);
@@ -222,9 +226,10 @@
     if (IsUncheckpointedBackfill(*victim.job, *victim.unit)) {
       this->backfill_limit.OnPreempted(now);
     }
-    this->LogDecision("unit_preempted", victim.job->record.spec.id,
-                      "for=" + job.record.spec.id.Text() +
-                          " loss=" + std::to_string(victim.cost));
+    this->LogDecision(
+        "unit_preempted", victim.job->record.spec.id,
+        "for=" + job.record.spec.id.Text() +
+            " cost=" + std::to_string(static_cast<std::int64_t>(victim.cost)));
   }
   return true;
 }
--- a/modules/batch/planner/planner_relocation.cc
+++ b/modules/batch/planner/planner_relocation.cc
@@ -20,6 +20,9 @@
 /// more run time than this.
 constexpr core::Duration kExpectedRemainingStall =
     core::Duration::Milliseconds(2500);
+/// Maximum time that a worker takes to stop a task and save its progress. The
+/// deployments set limits of up to 900 ms.
+constexpr core::Duration kMaxStopTime = core::Duration::Milliseconds(1000);
 /// Time from the end of a run until the agent has read and reported it.
 constexpr core::Duration kEndReportMargin = core::Duration::Milliseconds(150);
 
--- a/modules/batch/process/internal_api.h
+++ b/modules/batch/process/internal_api.h
@@ -18,7 +18,7 @@
 
 /// Request header of calls about submissions and states: the planner adds a
 /// `RoomSummary` to its answer, since that of the entry is no longer recent.
-inline constexpr const char* kWantsRoomHeader = "X-Hemlockdoor-Wants-Room";
+inline constexpr const char* kWantsRoomHeader = "Wants-Room-Summary";
 
 /// HTTP status of an entry that is not the planner. The body is the planner's
 /// endpoint, or empty while it is unknown.
