Worker speeds: narrow work with slack measures workers of unknown speed

Best fit packs narrow work on few workers, work with slack goes to workers that are already known to be slow, and a gang shows only its slowest member, so most workers were never measured and urgent gangs met slow ones. Workers whose runs were preempted were forgotten again, since a run that did not complete was discarded.

Change: once some workers are so slow that urgent jobs become late on them, single tasks with slack go first to workers that lack runs, as many as are missing. In such a fleet a worker of unknown speed has the mean factor of the known ones, so that urgent work prefers workers known to be fast, and two runs suffice. Runs that the planner stops keep their sample.

--- a/modules/batch/planner/candidates.cc
+++ b/modules/batch/planner/candidates.cc
@@ -41,15 +41,25 @@
          static_cast<double>(request.run_time.InMilliseconds());
 }
 
+/// Returns whether the unit may run on workers of unknown speed in order to
+/// measure them: a single task that does not become late on the slowest ones.
+/// Best fit alone would leave most workers of a nearly empty fleet unmeasured.
+bool MayMeasure(const PlacementRequest& request) {
+  return request.speeds != nullptr && request.size == 1 &&
+         HasTimeToSpare(request, request.speeds->HighestFactor());
+}
+
 }  // namespace
 
 bool CandidateRank::operator<(const CandidateRank& other) const {
   return std::tie(this->is_late, this->is_remote, this->is_suspended,
                   this->is_avoided, this->failing_jobs, this->is_cold,
-                  this->speed, this->free_share, *this->agent) <
-         std::tie(other.is_late, other.is_remote, other.is_suspended,
-                  other.is_avoided, other.failing_jobs, other.is_cold,
-                  other.speed, other.free_share, *other.agent);
+                  this->is_measured, this->speed, this->free_share,
+                  *this->agent) < std::tie(other.is_late, other.is_remote,
+                                           other.is_suspended, other.is_avoided,
+                                           other.failing_jobs, other.is_cold,
+                                           other.is_measured, other.speed,
+                                           other.free_share, *other.agent);
 }
 
 bool IsEligible(const AgentView& view, const PlacementRequest& request) {
@@ -60,6 +70,7 @@
 std::vector<Candidate> UsableCandidates(const Fleet& fleet,
                                         const PlacementRequest& request) {
   std::vector<Candidate> candidates;
+  const bool may_measure = MayMeasure(request);
   for (const auto& [agent, view] : fleet) {
     const bool may_start =
         view.IsUsable(request.now) &&
@@ -79,6 +90,9 @@
         placed == request.placed_tasks.end() ? 0 : placed->second;
     if (request.speeds != nullptr) {
       candidate.time_factor = request.speeds->FactorOf(agent);
+      candidate.needs_measurement =
+          may_measure &&
+          request.speeds->MissingRuns(agent) > view.measuring_runs;
     }
     candidates.push_back(candidate);
   }
@@ -134,6 +148,7 @@
                     request.avoided_workers->contains(worker.identity.id);
   rank.failing_jobs = candidate.view->failing_jobs.size();
   rank.is_cold = candidate.view->ranks_as_cold;
+  rank.is_measured = !candidate.needs_measurement;
   // A gang runs at the pace of its slowest member, so the search limits the
   // time factor of the whole gang, and within the limit prefers slow workers.
   const bool is_gang = request.size > 1;
--- a/modules/batch/planner/candidates.h
+++ b/modules/batch/planner/candidates.h
@@ -15,6 +15,8 @@
   int placed_tasks = 0;
   /// Time factor of the worker; see WorkerSpeeds::FactorOf.
   double time_factor = 1.0;
+  /// The unit should run here so that the speed of the worker becomes known.
+  bool needs_measurement = false;
 };
 
 /// Sort key of a candidate; the lowest is the best. Ties are broken by the
@@ -27,6 +29,8 @@
   bool is_avoided = false;
   std::size_t failing_jobs = 0;
   bool is_cold = false;
+  /// The unit is not needed to measure the worker's speed.
+  bool is_measured = true;
   /// Time factor, negative if the unit should use slow workers.
   double speed = 0;
   double free_share = 0;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -89,6 +89,8 @@
   core::TimePoint next_batch_at;
   /// Resources of the runs of known units that are, or may be, on the worker.
   Resources used;
+  /// Active or ordered runs whose pace will show the speed of the worker.
+  int measuring_runs = 0;
   /// Resources reserved for units that wait here for preempted runs to stop, by
   /// the priority of the unit.
   std::map<int, Resources> reserved;
--- a/modules/batch/planner/placement_speeds_test.cc
+++ b/modules/batch/planner/placement_speeds_test.cc
@@ -1,6 +1,7 @@
 // Placement on workers of different speeds.
 #include <boost/test/unit_test.hpp>
 #include <cmath>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,6 +25,8 @@
   std::string id;
   double time_factor = 1;
   int used_accelerators = 0;
+  /// The planner has an estimate of the time factor.
+  bool is_known = true;
 };
 
 /// Workers of 8 accelerators each in one rack, and their speeds.
@@ -41,11 +44,17 @@
       view.used = {0, 0, machine.used_accelerators};
       this->fleet[view.agent] = view;
       constexpr double kManyRuns = 50;
-      this->speeds.Restore(view.agent,
-                           {std::log(machine.time_factor), kManyRuns});
+      this->speeds.OnWorker(view.agent, *view.worker);
+      if (machine.is_known) {
+        this->speeds.Restore(view.agent,
+                             {std::log(machine.time_factor), kManyRuns});
+      }
     }
   }
 
+  /// Lets the planner find out whether the workers differ.
+  void CompareWorkers() { this->speeds.Refresh(At(0)); }
+
   PlacementRequest RequestFor(const StepSpec& step,
                               int priority,
                               std::int64_t slack_ms) const {
@@ -75,10 +84,43 @@
     return workers;
   }
 
+  /// Starts single tasks one after the other and returns how many each worker
+  /// got.
+  std::map<std::string, int> StartSingly(int tasks,
+                                         int priority,
+                                         std::int64_t slack_ms) {
+    constexpr Resources kNarrow{100, 100, 1};
+    const StepSpec step = MakeStep(1, kNarrow);
+    std::map<std::string, int> counts;
+    for (int task = 0; task < tasks; ++task) {
+      const core::AgentId agent =
+          FindPlacement(this->fleet, this->RequestFor(step, priority, slack_ms))
+              .value()
+              .front();
+      AgentView& view = this->fleet[agent];
+      view.used = view.used + kNarrow;
+      ++view.measuring_runs;
+      ++counts[agent.Text()];
+    }
+    return counts;
+  }
+
   Fleet fleet;
   WorkerSpeeds speeds;
 };
 
+/// Seven known workers, of which `slow` are slow, and three unknown ones.
+std::vector<Machine> PartlyKnownMachines(int slow) {
+  std::vector<Machine> machines;
+  for (int i = 0; i < 7; ++i) {
+    machines.push_back({"known" + std::to_string(i), i < slow ? kSlow : 1.0});
+  }
+  for (int i = 0; i < 3; ++i) {
+    machines.push_back({"unknown" + std::to_string(i), 1.0, 0, false});
+  }
+  return machines;
+}
+
 using Workers = std::vector<std::string>;
 
 constexpr std::int64_t kLittleSlack = 800;
@@ -115,6 +157,50 @@
              (Workers{"c-slow", "c-slow", "d", "a", "a", "b", "b"}));
 }
 
+// Work with time to spare that is packed on workers known to be slow measures
+// nothing, so that urgent gangs keep meeting slow workers.
+BOOST_AUTO_TEST_CASE(WorkWithTimeToSpareMeasuresUnknownWorkers) {
+  UnevenFleet fleet(PartlyKnownMachines(3));
+  fleet.CompareWorkers();
+  const std::map<std::string, int> batch = fleet.StartSingly(8, 2, kMuchSlack);
+  BOOST_TEST(batch.at("unknown0") == 2);
+  BOOST_TEST(batch.at("unknown1") == 2);
+  BOOST_TEST(batch.at("unknown2") == 2);
+  BOOST_TEST(batch.at("known0") == 2);
+}
+
+// A job that would become late on a slow worker must not be the one to find it.
+BOOST_AUTO_TEST_CASE(UrgentWorkDoesNotMeasureWorkers) {
+  for (const int priority : {0, 2}) {
+    UnevenFleet fleet(PartlyKnownMachines(3));
+    fleet.CompareWorkers();
+    BOOST_TEST(fleet.StartSingly(1, priority, kLittleSlack).contains("known3"));
+  }
+}
+
+// One unknown worker in three is slow, so a gang of five that treats them like
+// those known to be fast has a slow member nearly nine times in ten.
+BOOST_AUTO_TEST_CASE(UrgentGangPrefersWorkersKnownToBeFast) {
+  UnevenFleet fleet(PartlyKnownMachines(3));
+  fleet.CompareWorkers();
+  for (const std::string& worker : fleet.Place(8, 0, kLittleSlack)) {
+    BOOST_TEST(worker.starts_with("known"));
+    BOOST_TEST(worker > "known2");
+  }
+}
+
+// Workers that are not slow enough to make urgent jobs late are not measured,
+// since that takes whole workers away from wide gangs.
+BOOST_AUTO_TEST_CASE(EvenWorkersAreNotMeasured) {
+  UnevenFleet fleet(PartlyKnownMachines(0));
+  fleet.CompareWorkers();
+  BOOST_TEST(fleet.StartSingly(8, 2, kMuchSlack).size() == 1);
+  UnevenFleet with_odd_worker(PartlyKnownMachines(1));
+  with_odd_worker.CompareWorkers();
+  BOOST_TEST(
+      !with_odd_worker.StartSingly(8, 2, kMuchSlack).contains("unknown0"));
+}
+
 // Starting at once on a slow worker ends after 3,600 ms, waiting for a fast one
 // after 2,300 ms.
 BOOST_AUTO_TEST_CASE(ReservationPrefersTheEarlierEnd) {
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -955,6 +955,7 @@
 void Planner::RecountUsage() {
   for (auto& [agent, view] : this->fleet) {
     view.used = Resources();
+    view.measuring_runs = 0;
     view.reserved.clear();
     for (const auto& [key, held] : view.orphan_runs) {
       view.used = view.used + held;
@@ -972,6 +973,8 @@
         const auto found = this->fleet.find(member.agent);
         if (found != this->fleet.end()) {
           found->second.used = found->second.used + need;
+          found->second.measuring_runs +=
+              unit.size == 1 && this->ShowsSpeed(job, unit, member) ? 1 : 0;
         }
       }
       for (const auto& [agent, amount] : unit.reserved) {
@@ -1214,6 +1217,8 @@
     member.since = now;
     member.started_from = unit.checkpoint.Text();
     unit.members.push_back(member);
+    view.measuring_runs +=
+        unit.size == 1 && this->ShowsSpeed(job, unit, member) ? 1 : 0;
     worker_list += (i == 0 ? "" : ",") + view.worker->identity.id.Text();
   }
   this->LogDecision(
--- a/modules/batch/planner/planner_speeds.cc
+++ b/modules/batch/planner/planner_speeds.cc
@@ -80,6 +80,10 @@
                           const UnitMember& member,
                           const RunEnd& end,
                           core::TimePoint now) {
+  if (end.kind == RunEndKind::kStopped) {
+    this->speeds.OnRunStopped(member.agent, end.key);
+    return;
+  }
   if (end.kind != RunEndKind::kDone || !this->ShowsSpeed(job, unit, member)) {
     this->speeds.OnRunDiscarded(member.agent, end.key);
     return;
--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -79,6 +79,12 @@
 /// the fleet is uneven, so that a few odd workers do not decide it.
 constexpr double kMaxSquaredDeviation = 9;
 constexpr double kEnterUneven = 5;
+/// Urgent jobs have objectives of at least this many times their work, so a
+/// worker of a smaller factor does not make them late. Workers are measured if
+/// at least so many known ones, and this share of them, are as slow as this.
+constexpr double kHarmfulFactor = 1.5;
+constexpr std::size_t kMinSlowWorkers = 2;
+constexpr std::size_t kKnownWorkersPerSlowOne = 8;
 constexpr double kLeaveUneven = 2.5;
 /// Standard deviations from 1.0 that are needed in a fleet whose workers are
 /// known to differ, and in any other. Thousands of workers are examined again
@@ -87,8 +93,10 @@
 constexpr double kEvenConfidence = 4.5;
 /// Deviation at which a factor returns to 1.0.
 constexpr double kLeaveConfidence = 1.0;
-/// A single slow run must not decide, nor two.
+/// A single slow run must not decide, nor two, unless the workers of the fleet
+/// are known to differ.
 constexpr int kMinRuns = 3;
+constexpr int kMinRunsInUnevenFleet = 2;
 /// Logarithm of the ratio between two steps of the factor for decisions; a
 /// smaller difference does not matter for placement.
 constexpr double kLogStep = 0.15;
@@ -308,6 +316,21 @@
   this->has_new_samples = true;
 }
 
+void WorkerSpeeds::OnRunStopped(const core::AgentId& agent, const RunKey& key) {
+  const auto found = this->machines.find(agent);
+  Sample* sample = found == this->machines.end()
+                       ? nullptr
+                       : this->FindSample(found->second, key);
+  if (sample == nullptr) {
+    return;
+  }
+  if (sample->has_stalled || sample->is_retired) {
+    this->OnRunDiscarded(agent, key);
+    return;
+  }
+  sample->has_ended = true;
+}
+
 void WorkerSpeeds::OnRunDiscarded(const core::AgentId& agent,
                                   const RunKey& key) {
   const auto found = this->machines.find(agent);
@@ -735,6 +758,10 @@
   return this->is_uneven ? kUnevenConfidence : kEvenConfidence;
 }
 
+int WorkerSpeeds::RequiredRuns() const {
+  return this->is_uneven ? kMinRunsInUnevenFleet : kMinRuns;
+}
+
 SpeedEstimate WorkerSpeeds::EstimateOf(const Machine& machine) const {
   if (machine.weight <= 0) {
     return this->PriorOf(machine);
@@ -748,22 +775,42 @@
 void WorkerSpeeds::UpdateSteps() {
   double sum = 0;
   std::size_t known = 0;
+  std::size_t slow = 0;
   for (const auto& [agent, machine] : this->machines) {
     if (machine.weight >= kKnownWeight) {
       ++known;
+      const double value = machine.log_factor - this->fleet_median;
+      slow +=
+          value >= std::log(kHarmfulFactor) &&
+                  value >= kUnevenConfidence * std::sqrt(machine.variance +
+                                                         this->median_variance)
+              ? 1
+              : 0;
       sum += std::min(Square(machine.log_factor - this->fleet_median) /
                           (machine.variance + this->median_variance),
                       kMaxSquaredDeviation);
     }
   }
+  const auto count = static_cast<double>(known);
   if (known >= kMinKnownWorkers) {
     const double bound = this->is_uneven ? kLeaveUneven : kEnterUneven;
-    const auto count = static_cast<double>(known);
     this->is_uneven = sum / count > 1 + bound * std::sqrt(2 / count);
   }
+  this->has_slow_workers =
+      slow >= kMinSlowWorkers && slow * kKnownWorkersPerSlowOne >= known;
+  int highest = 0;
+  int steps = 0;
   for (auto& [agent, machine] : this->machines) {
     this->UpdateStep(agent, machine);
+    highest = std::max(highest, machine.step);
+    steps += machine.step;
   }
+  this->highest_factor = std::exp(highest * kLogStep);
+  const double mean_step = known == 0 ? 0 : std::max(steps / count, 0.0);
+  this->unknown_factor =
+      this->is_uneven && this->has_slow_workers
+          ? std::exp(static_cast<double>(std::lround(mean_step)) * kLogStep)
+          : 1.0;
 }
 
 void WorkerSpeeds::UpdateStep(const core::AgentId& agent, Machine& machine) {
@@ -771,7 +818,8 @@
   const double value = std::log(estimate.factor);
   const double deviations = std::abs(value) / estimate.uncertainty;
   // Estimates from an earlier planner or from the rack have no runs.
-  const bool has_enough_runs = machine.runs == 0 || machine.runs >= kMinRuns;
+  const bool has_enough_runs =
+      machine.runs == 0 || machine.runs >= this->RequiredRuns();
   int step = machine.step;
   const int nearest = static_cast<int>(std::lround(value / kLogStep));
   if (step == 0) {
@@ -835,9 +883,34 @@
 
 double WorkerSpeeds::FactorOf(const core::AgentId& agent) const {
   const auto found = this->machines.find(agent);
-  return found == this->machines.end() || found->second.step == 0
-             ? 1.0
-             : std::exp(found->second.step * kLogStep);
+  if (found == this->machines.end()) {
+    return this->unknown_factor;
+  }
+  const Machine& machine = found->second;
+  if (machine.step == 0) {
+    return machine.weight < kKnownWeight ? this->unknown_factor : 1.0;
+  }
+  return std::exp(machine.step * kLogStep);
+}
+
+int WorkerSpeeds::MissingRuns(const core::AgentId& agent) const {
+  if (!this->has_slow_workers) {
+    return 0;
+  }
+  const auto found = this->machines.find(agent);
+  if (found == this->machines.end()) {
+    return this->RequiredRuns();
+  }
+  const Machine& machine = found->second;
+  // Active runs may end without a result, so their samples do not count yet.
+  const auto completed =
+      machine.older_runs +
+      std::count_if(machine.recent.begin(), machine.recent.end(),
+                    [](const Sample& each) { return each.has_ended; });
+  const bool is_known = machine.step != 0 ||
+                        completed >= this->RequiredRuns() ||
+                        machine.history_weight >= kKnownWeight;
+  return is_known ? 0 : this->RequiredRuns() - static_cast<int>(completed);
 }
 
 ReportedSpeed WorkerSpeeds::ReportedOf(const core::AgentId& agent) const {
--- a/modules/batch/planner/worker_speeds.h
+++ b/modules/batch/planner/worker_speeds.h
@@ -85,6 +85,8 @@
   void OnProgress(const RunSample& sample);
   /// A run has completed.
   void OnRunEnded(const RunSample& sample);
+  /// The planner had a run stopped. Its pace until then still counts.
+  void OnRunStopped(const core::AgentId& agent, const RunKey& key);
   /// A run ended in another way, so it says nothing about the worker.
   void OnRunDiscarded(const core::AgentId& agent, const RunKey& key);
   /// A gang has completed.
@@ -104,6 +106,13 @@
   /// from 1.0 with confidence, and rounded to steps, so that noise does not
   /// reorder workers.
   double FactorOf(const core::AgentId& agent) const;
+  /// Returns the number of runs that the worker of the agent should complete
+  /// before its speed is known, including those that are active. Always 0
+  /// unless some workers of the fleet are so slow that urgent jobs become late
+  /// on them.
+  int MissingRuns(const core::AgentId& agent) const;
+  /// Returns the largest factor for decisions of all workers.
+  double HighestFactor() const { return this->highest_factor; }
   /// Returns the estimate in the form that agents repeat to the next planner;
   /// its weight is 0 if there is none.
   ReportedSpeed ReportedOf(const core::AgentId& agent) const;
@@ -224,6 +233,8 @@
   /// Returns the number of standard deviations from 1.0 that make a difference
   /// certain enough.
   double RequiredConfidence() const;
+  /// Returns the number of runs without which a factor stays 1.0.
+  int RequiredRuns() const;
   SpeedEstimate EstimateOf(const Machine& machine) const;
   SpeedEstimate PriorOf(const Machine& machine) const;
 
@@ -239,6 +250,13 @@
   double median_variance = 0;
   /// The workers differ by more than noise explains.
   bool is_uneven = false;
+  /// Some are so slow that urgent jobs become late on them, so that the others
+  /// should be measured.
+  bool has_slow_workers = false;
+  /// Factor of workers whose speed is not known: the mean of those that are.
+  double unknown_factor = 1.0;
+  /// See `HighestFactor`.
+  double highest_factor = 1.0;
   bool has_new_samples = false;
   core::TimePoint next_refresh;
 };
--- a/modules/batch/planner/worker_speeds_test.cc
+++ b/modules/batch/planner/worker_speeds_test.cc
@@ -325,6 +325,27 @@
   }
 }
 
+// A worker whose runs are preempted would otherwise be forgotten and count as
+// normal again.
+BOOST_AUTO_TEST_CASE(TheRunsThatThePlannerStopsStillCount) {
+  for (const bool are_stopped : {true, false}) {
+    SampledWorkers workers;
+    for (int index = 0; index < 40; ++index) {
+      RunSample run = workers.Sample(index % 10, index, 4000);
+      run.percent = index % 10 == 0 ? 32 : 80;
+      workers.speeds.OnProgress(run);
+      if (are_stopped) {
+        workers.speeds.OnRunStopped(run.agent, run.key);
+      } else {
+        workers.speeds.OnRunDiscarded(run.agent, run.key);
+      }
+    }
+    workers.Refresh();
+    BOOST_TEST(workers.speeds.Of(AgentOf(0)).runs == (are_stopped ? 4 : 0));
+    BOOST_TEST((workers.FactorOf(0) > 1.5) == are_stopped);
+  }
+}
+
 // A stalled run says nothing about the speed at which its worker makes
 // progress, and work that runs far from its data is slower on every worker.
 BOOST_AUTO_TEST_CASE(StalledAndRemoteRunsDoNotMakeAWorkerSlow) {
