Planner: explanation of what a decision would do with a job

Cause: an operator who asks why a job waits has to compare log lines of other jobs; where a job would be placed cannot be asked without submitting it.

Change: Planner::Explain makes the decision on a copy of the planner and collects, by step, the workers, the reasons and the expected times, whose work is preempted, the jobs ahead with the rule, and the admission decision. Decide and Schedule are split (PrepareStarts, ReadyInOrder, StartInOrder) so that the copy runs the same code and decisions do not change.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -861,6 +861,16 @@
 
 std::vector<AgentOrders> Planner::Decide(core::TimePoint now,
                                          std::int64_t wall_ms) {
+  this->PrepareStarts(now, wall_ms);
+  if (!this->starts_withheld) {
+    this->Schedule(now);
+  }
+  this->CountEvacuatedLoad(now);
+  this->LogUnitsWithoutDataCentre();
+  return this->CollectOrders(now);
+}
+
+void Planner::PrepareStarts(core::TimePoint now, std::int64_t wall_ms) {
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
   this->UpdateSpeeds(now);
@@ -874,12 +884,6 @@
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
   this->MigrateLongRunningUnits(now);
-  if (!this->starts_withheld) {
-    this->Schedule(now);
-  }
-  this->CountEvacuatedLoad(now);
-  this->LogUnitsWithoutDataCentre();
-  return this->CollectOrders(now);
 }
 
 void Planner::DropLostAgents(core::TimePoint now) {
@@ -1020,6 +1024,13 @@
 }
 
 void Planner::Schedule(core::TimePoint now) {
+  this->StartInOrder(this->ReadyInOrder(now),
+                     [this, now](const ReadyUnit& ready) {
+                       return this->TryStart(*ready.job, *ready.unit, now);
+                     });
+}
+
+std::vector<Planner::ReadyUnit> Planner::ReadyInOrder(core::TimePoint now) {
   this->releases.reset();
   const bool recovering = this->IsRecovering(now);
   std::vector<ReadyUnit> ready;
@@ -1045,17 +1056,22 @@
                    [](const ReadyUnit& left, const ReadyUnit& right) {
                      return left.rank < right.rank;
                    });
+  return ready;
+}
+
+void Planner::StartInOrder(const std::vector<ReadyUnit>& ready,
+                           const StartAttempt& attempt) {
   const Job* failed_job = nullptr;
   int failed_step = -1;
-  for (const auto& [job, unit, rank] : ready) {
+  for (const ReadyUnit& each : ready) {
     // All tasks of a step need the same resources: if one does not fit, none
     // does.
-    if (job == failed_job && unit->step == failed_step) {
+    if (each.job == failed_job && each.unit->step == failed_step) {
       continue;
     }
-    if (!this->TryStart(*job, *unit, now)) {
-      failed_job = job;
-      failed_step = unit->step;
+    if (!attempt(each)) {
+      failed_job = each.job;
+      failed_step = each.unit->step;
     }
   }
 }
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "modules/batch/planner/backfill_limit.h"
 #include "modules/batch/planner/caller_cost.h"
 #include "modules/batch/planner/evacuation.h"
+#include "modules/batch/planner/explanation.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/placement.h"
@@ -166,6 +168,16 @@
   /// `kRoomInterval` old, or nullptr while the planner is still waiting for
   /// agents of the stored member list.
   const RoomSummary* Room(core::TimePoint now);
+  /// Returns what `Decide` would do now with an accepted job or with a job that
+  /// is described, and why, without any effect on this planner. The decision is
+  /// made on a copy, so a call takes the time of a copy and of a decision.
+  /// Fails with kNotFound if the job is unknown or has ended or if the queue or
+  /// the organisation is unknown, with kInvalidArgument if the described job
+  /// has invalid values, and with kUnavailable until all agents of the stored
+  /// member list have reported.
+  core::Expected<Explanation> Explain(const ExplainRequest& request,
+                                      core::TimePoint now,
+                                      std::int64_t wall_ms) const;
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
@@ -181,6 +193,9 @@
     Unit* unit = nullptr;
     Rank rank;
   };
+  using StartAttempt = std::function<bool(const ReadyUnit&)>;
+  /// A copy of the planner that decides for `Explain`.
+  class Trial;
 
   /// Returns the view of the reporting agent, with its address, incarnation and
   /// time of contact brought up to date. Creates it for a new agent.
@@ -320,8 +335,17 @@
   core::Duration RemainingRunTime(const Job& job,
                                   const Unit& unit,
                                   core::TimePoint now) const;
+  /// Does the part of a decision that precedes the starts.
+  void PrepareStarts(core::TimePoint now, std::int64_t wall_ms);
   /// Starts ready units in the order of their rank, with preemption if needed.
   void Schedule(core::TimePoint now);
+  /// Releases outdated reservations and returns the units that may be started,
+  /// in the order of their rank.
+  std::vector<ReadyUnit> ReadyInOrder(core::TimePoint now);
+  /// Calls `attempt` for each unit, except for the further units of a step
+  /// after it has returned false for one of them.
+  static void StartInOrder(const std::vector<ReadyUnit>& ready,
+                           const StartAttempt& attempt);
   /// Places the unit, or preempts others for it. Returns false if it can do
   /// neither.
   bool TryStart(Job& job, Unit& unit, core::TimePoint now);
