Entry: internal call for explanations, forwarded to the planner

Cause: an operator reaches any entry, but only the planner can explain.

Waiting units of a step are examined once, since a step may have 20,000 of them.

--- a/modules/batch/planner/planner_explain.cc
+++ b/modules/batch/planner/planner_explain.cc
@@ -538,29 +538,32 @@
   }
 
   void RecordWait(const Unit& unit) {
+    // All units of a step need the same resources, so the first one is examined
+    // for all of them.
+    if (const auto known = this->waiting.find(unit.step);
+        known != this->waiting.end()) {
+      this->AddReserved(this->AddToGroup(unit, known->second), unit);
+      return;
+    }
     const PlacementRequest request = this->RequestFor(unit);
     const EligibleWorkers workers =
         EligibleWorkers::Count(this->planner.fleet, request);
     const std::string missing =
         MissingRequirement(workers, this->planner.fleet, request);
-    Group& group = this->AddToGroup(
-        unit, missing.empty() ? StepOutcome::kWaits : StepOutcome::kNever);
+    const StepOutcome outcome =
+        missing.empty() ? StepOutcome::kWaits : StepOutcome::kNever;
+    this->waiting[unit.step] = outcome;
+    Group& group = this->AddToGroup(unit, outcome);
     StepExplanation& step = group.explanation;
     this->AddReserved(group, unit);
-    if (!step.reasons.empty()) {
-      // All tasks of a step need the same resources.
-      return;
-    }
     if (!missing.empty()) {
       AddReason(step, missing);
-      return;
-    }
-    if (unit.phase == UnitPhase::kBlocked) {
+    } else if (unit.phase == UnitPhase::kBlocked) {
       this->ExplainBlocked(step, unit);
-      return;
+    } else {
+      this->Forecast(step, unit);
+      this->ExplainReady(step, unit, request, workers);
     }
-    this->Forecast(step, unit);
-    this->ExplainReady(step, unit, request, workers);
   }
 
   void ExplainBlocked(StepExplanation& step, const Unit& unit) const {
@@ -646,10 +649,13 @@
 
   /// Sets the expected start and end, if running work ends as expected.
   void Forecast(StepExplanation& step, const Unit& unit) {
+    if (step.expected_start) {
+      return;
+    }
     const std::optional<Reservation> found = FindReservation(
         this->planner.fleet, this->RequestFor(unit),
         this->planner.Releases(this->now), this->now + kMaxForecast);
-    if (!found || step.expected_start) {
+    if (!found) {
       return;
     }
     step.expected_start = found->start - this->now;
@@ -715,6 +721,8 @@
   bool knows_stopping = false;
   std::map<const Unit*, std::vector<PreemptedWork>> preempted;
   std::map<std::pair<int, StepOutcome>, Group> groups;
+  /// Outcome of the waiting units, by step.
+  std::map<int, StepOutcome> waiting;
 };
 
 core::Expected<Explanation> Planner::Explain(const ExplainRequest& request,
--- a/modules/batch/process/entry_service.h
+++ b/modules/batch/process/entry_service.h
@@ -212,6 +212,9 @@
             return std::to_string(
                 planner.CountWaitingJobs(QueueName(request.query)));
           });
+    } else if (request.path == internal_api::kExplain) {
+      this->AnswerExplain(request, responder);
+      return true;
     } else {
       return false;
     }
@@ -242,6 +245,9 @@
   /// Timeout of calls to the planner, which answers from memory.
   static constexpr core::Duration kPlannerTimeout =
       core::Duration::Milliseconds(400);
+  /// Timeout of a forwarded call for an explanation, which takes the planner
+  /// about as long as a decision.
+  static constexpr core::Duration kExplainTimeout = core::Duration::Seconds(2);
   /// Shortest time between two requests for a summary.
   static constexpr core::Duration kRoomRequestInterval =
       core::Duration::Seconds(1);
@@ -699,6 +705,99 @@
         });
   }
 
+  /// Explains a job at the planner, here or on another entry.
+  void AnswerExplain(const wire::HttpRequest& request,
+                     const wire::HttpResponder& responder) {
+    if (request.method != wire::HttpMethod::kPost) {
+      wire::HttpResponse response;
+      response.status = wire::http_status::kMethodNotAllowed;
+      responder.Respond(std::move(response));
+      return;
+    }
+    const core::Expected<ExplainRequest> query =
+        ExplainRequestFromText(request.body);
+    if (!query) {
+      responder.Respond(ExplainRefusal(query.error()));
+      return;
+    }
+    if (Planner* active = this->planning.Active()) {
+      const core::Expected<Explanation> explained =
+          this->planning.Explain(*active, *query);
+      wire::HttpResponse response;
+      if (explained) {
+        response.body = ToText(*explained);
+      } else {
+        response = ExplainRefusal(explained.error());
+      }
+      responder.Respond(std::move(response));
+      return;
+    }
+    const std::string planner = this->planning.PlannerEndpoint();
+    const core::Expected<wire::Endpoint> endpoint =
+        wire::Endpoint::Parse(planner);
+    if (!endpoint || this->planning.IsSelf(planner) ||
+        request.headers.Find(internal_api::kForwardedHeader)) {
+      responder.Respond(ExplainRefusal(
+          {core::ErrorCode::kUnavailable, "there is no planner now", {}}));
+      return;
+    }
+    this->ForwardExplain(*endpoint, request.body, responder);
+  }
+
+  void ForwardExplain(const wire::Endpoint& planner,
+                      const std::string& body,
+                      const wire::HttpResponder& responder) {
+    wire::HttpCall call;
+    call.endpoint = planner;
+    call.method = wire::HttpMethod::kPost;
+    call.target = internal_api::kExplain;
+    call.body = body;
+    call.timeout = kExplainTimeout;
+    call.headers.Add(internal_api::kForwardedHeader, "1");
+    this->client.Send(
+        call, [responder](const core::Expected<wire::HttpResponse>& end) {
+          if (!end) {
+            responder.Respond(ExplainRefusal(
+                {core::ErrorCode::kUnavailable,
+                 "the planner does not answer: " + end.error().message,
+                 {}}));
+            return;
+          }
+          wire::HttpResponse response;
+          response.status = end->status;
+          response.body = end->body;
+          if (const auto after = end->headers.Find("Retry-After")) {
+            response.headers.Add("Retry-After", *after);
+          }
+          responder.Respond(std::move(response));
+        });
+  }
+
+  static wire::HttpResponse ExplainRefusal(const core::Error& error) {
+    wire::HttpResponse response;
+    switch (error.code) {
+      case core::ErrorCode::kNotFound:
+        response.status = wire::http_status::kNotFound;
+        break;
+      case core::ErrorCode::kUnavailable:
+        response.status = wire::http_status::kUnavailable;
+        break;
+      case core::ErrorCode::kResourceExhausted:
+        response.status = wire::http_status::kTooManyRequests;
+        response.headers.Add("Retry-After", "1");
+        break;
+      default:
+        response.status = wire::http_status::kBadRequest;
+        break;
+    }
+    nlohmann::json document = {{"detail", error.message}};
+    if (!error.path.empty()) {
+      document["path"] = error.path;
+    }
+    response.body = model::DumpJson(document);
+    return response;
+  }
+
   wire::HttpResponse AnswerFromPlanner(const Query& query) {
     Planner* active = this->planning.Active();
     if (active == nullptr) {
--- a/modules/batch/process/entry_service_test.cc
+++ b/modules/batch/process/entry_service_test.cc
@@ -279,6 +279,112 @@
   }
 }
 
+/// An entry that serves its internal calls.
+struct ServingEntry {
+  ServingEntry(store::MemoryStore& store, const std::string& name) {
+    auto listening = wire::HttpServer::Listen(
+        "127.0.0.1", 0, wire::HttpServerLimits(),
+        [this](const wire::HttpRequest& request,
+               const wire::HttpResponder& responder) {
+          BOOST_TEST(this->service->HandleInternal(request, responder));
+        });
+    BOOST_REQUIRE(listening.has_value());
+    this->server = std::move(*listening);
+    PlannerServiceOptions options = Options();
+    options.entry = core::EntryId(name);
+    options.endpoint = "127.0.0.1:" + std::to_string(this->server->Port());
+    this->service =
+        std::make_unique<EntryService<store::MemoryStore>>(options, store);
+  }
+
+  wire::HttpResponse Call(const std::string& body,
+                          wire::HttpMethod method = wire::HttpMethod::kPost) {
+    wire::HttpClient client;
+    wire::HttpCall call;
+    call.endpoint = {"127.0.0.1", this->server->Port()};
+    call.method = method;
+    call.target = internal_api::kExplain;
+    call.body = body;
+    std::optional<core::Expected<wire::HttpResponse>> answer;
+    client.Send(call, [&answer](core::Expected<wire::HttpResponse> received) {
+      answer = std::move(received);
+    });
+    BOOST_REQUIRE(WaitFor([&answer] { return answer.has_value(); }));
+    BOOST_REQUIRE(answer->has_value());
+    return **answer;
+  }
+
+  std::unique_ptr<EntryService<store::MemoryStore>> service;
+  std::unique_ptr<wire::HttpServer> server;
+};
+
+// Guards against entries that answer an operator differently by whether they
+// are the planner, and against statuses that do not tell a wrong request from a
+// missing planner.
+BOOST_AUTO_TEST_CASE(EachEntryExplainsAJob) {
+  store::MemoryStore store;
+  store.DriveByTimer();
+  ServingEntry planner(store, "planner");
+  BOOST_REQUIRE(
+      WaitFor([&] { return planner.service->Planning().Active() != nullptr; }));
+  ServingEntry other(store, "other");
+  BOOST_REQUIRE(WaitFor(
+      [&] { return !other.service->Planning().PlannerEndpoint().empty(); }));
+  planner.service->Planning().Active()->AddJob(
+      MakeJob("j", {MakeStep(1, {1000, 1000, 1})}), core::Clock::Now());
+  for (ServingEntry* entry : {&planner, &other}) {
+    const wire::HttpResponse found = entry->Call(R"({"job":"j"})");
+    BOOST_TEST(found.status == 200, found.body);
+    BOOST_TEST(found.body.find("no worker offers service") !=
+               std::string::npos);
+    BOOST_TEST(entry->Call(R"({"job":"none"})").status == 404);
+    const wire::HttpResponse invalid =
+        entry->Call(R"({"queue":"q","steps":[{"cuont":1}]})");
+    BOOST_TEST(invalid.status == 400);
+    BOOST_TEST(invalid.body.find("$.steps[0].cuont") != std::string::npos);
+    BOOST_TEST(entry->Call("", wire::HttpMethod::kGet).status == 405);
+  }
+  planner.service->Planning().Resign();
+  other.service->Planning().Resign();
+  BOOST_TEST(planner.Call(R"({"job":"j"})").status == 503);
+}
+
+// Guards against a planner that spends its time on explanations instead of
+// decisions, and against a refusal that does not say when to ask again.
+BOOST_AUTO_TEST_CASE(ExplanationsAreLimited) {
+  store::MemoryStore store;
+  store.DriveByTimer();
+  ServingEntry planner(store, "planner");
+  BOOST_REQUIRE(
+      WaitFor([&] { return planner.service->Planning().Active() != nullptr; }));
+  ServingEntry other(store, "other");
+  BOOST_REQUIRE(WaitFor(
+      [&] { return !other.service->Planning().PlannerEndpoint().empty(); }));
+  const core::TimePoint begin = core::Clock::Now();
+  int refused = 0;
+  constexpr int kCalls = 8;
+  constexpr int kAllowed = 5;
+  for (int i = 0; i < kCalls; ++i) {
+    const wire::HttpResponse answer =
+        (i % 2 == 0 ? planner : other).Call(R"({"job":"none"})");
+    if (answer.status == 429) {
+      ++refused;
+      BOOST_TEST(answer.headers.Find("Retry-After").value_or("") == "1");
+    }
+  }
+  // On a machine so slow that the calls took a second, more are allowed.
+  if (core::Clock::Now() < begin + core::Duration::Seconds(1)) {
+    BOOST_TEST(refused == kCalls - kAllowed);
+  }
+  CallLimit limit(2, core::Duration::Seconds(1));
+  const core::TimePoint start = core::TimePoint::FromMilliseconds(1000);
+  BOOST_TEST(limit.Allow(start));
+  BOOST_TEST(limit.Allow(start + core::Duration::Milliseconds(900)));
+  BOOST_TEST(!limit.Allow(start + core::Duration::Milliseconds(999)));
+  BOOST_TEST(limit.Allow(start + core::Duration::Milliseconds(1000)));
+  BOOST_TEST(!limit.Allow(start + core::Duration::Milliseconds(1000)));
+}
+
 // Whatever happens to the refusal's write, the caller is told that the job was
 // not accepted only if it is not stored.
 BOOST_AUTO_TEST_CASE(ARefusalThatCannotBeStoredIsNotGiven) {
--- a/modules/batch/process/internal_api.h
+++ b/modules/batch/process/internal_api.h
@@ -16,6 +16,15 @@
 /// Entry to planner: queries the number of waiting jobs in the queue `?NAME`.
 inline constexpr const char* kWaiting = "/internal/v1/batch/waiting";
 
+/// Operator to entry, and entry to planner: an `ExplainRequest`, answered by an
+/// `Explanation`. A refusal has a body with "detail" and, if a field of the
+/// request is the cause, "path".
+inline constexpr const char* kExplain = "/internal/v1/batch/explain";
+
+/// Request header of a call that an entry has forwarded to the planner. It is
+/// not forwarded again.
+inline constexpr const char* kForwardedHeader = "Forwarded-To-Planner";
+
 /// Request header of calls about submissions and states: the planner adds a
 /// `RoomSummary` to its answer, since that of the entry is no longer recent.
 inline constexpr const char* kWantsRoomHeader = "Wants-Room-Summary";
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "modules/batch/planner/planner.h"
+#include "modules/batch/process/call_limit.h"
 #include "modules/batch/process/internal_api.h"
 #include "modules/batch/process/stable_wall_clock.h"
 #include "modules/batch/process/store_keys.h"
@@ -139,6 +140,20 @@
     return answer;
   }
 
+  /// Explains what `active`, the planner of this entry, would do with a job
+  /// now, at most `kExplanationsPerSecond` times a second.
+  core::Expected<Explanation> Explain(const Planner& active,
+                                      const ExplainRequest& request) {
+    const core::TimePoint now = core::Clock::Now();
+    if (!this->explain_limit.Allow(now)) {
+      return core::MakeError(core::ErrorCode::kResourceExhausted,
+                             "too many calls; the planner explains at most " +
+                                 std::to_string(kExplanationsPerSecond) +
+                                 " jobs a second");
+    }
+    return active.Explain(request, now, this->wall.WallMilliseconds(now));
+  }
+
   using StateDone = std::function<void(std::optional<OwnedState>)>;
 
   /// Looks up the state of the job. When the job may end soon, `done` is called
@@ -188,6 +203,8 @@
   /// Two reads of the owner key by the other entries.
   static constexpr core::Duration kRelayedClaimDelay =
       core::Duration::Milliseconds(1500);
+  /// Each explanation takes about as long as a decision.
+  static constexpr std::size_t kExplanationsPerSecond = 5;
   /// Longest delay of the answer about a job that may end soon. Covers the time
   /// from the end of its last task until the job's end is stored: a worker's
   /// answer, a report and a store write, each of a few milliseconds, with room
@@ -817,6 +834,7 @@
   wire::HttpClient client;
   QObject context;
   std::vector<PendingStateQuery> pending_state_queries;
+  CallLimit explain_limit{kExplanationsPerSecond, core::Duration::Seconds(1)};
   QTimer timer;
   QTimer decide_timer;
   bool term_running = false;
