CLI: command explain

Cause: the explanation of the planner is reachable by HTTP only.

Exit codes: 0 answered, 1 refused or unreachable, 2 wrong usage, which includes a file that cannot be read.

--- a/modules/cli/program/command_line.cc
+++ b/modules/cli/program/command_line.cc
@@ -35,6 +35,7 @@
   CancelCommand cancel;
   CatalogueCommand catalogue;
   std::string worker;
+  ExplainCommand explain;
 };
 
 void AddSettingsOption(CLI::App& command, std::string& file) {
@@ -235,6 +236,31 @@
                    values);
 }
 
+void AddExplain(CLI::App& app, Values& values) {
+  CLI::App* explain = app.add_subcommand(
+      "explain",
+      "Show where a hosted deployment would place a job now, and why");
+  explain
+      ->add_option("--entry", values.explain.entry,
+                   "Internal endpoint of an entry")
+      ->required()
+      ->type_name("ADDRESS:PORT");
+  CLI::Option_group* subject = explain->add_option_group("Job");
+  subject
+      ->add_option("--file", values.explain.file,
+                   "Job to explain without submitting it (JSON with comments)")
+      ->type_name("FILE");
+  subject->add_option("--job", values.explain.job, "Accepted job to explain")
+      ->type_name("ID");
+  subject->require_option(1);
+  explain
+      ->add_option("--timeout", values.timeout_seconds,
+                   "Longest time the call may take")
+      ->check(CLI::Range(std::int64_t{1}, kMaxTimeoutSeconds))
+      ->type_name("SECONDS");
+  explain->add_flag("--json", values.explain.json, "Print the answer as JSON");
+}
+
 core::Expected<Command> ToSubmit(Values& values) {
   SubmitCommand& submit = values.submit;
   model::JobDescription& job = submit.description;
@@ -296,6 +322,10 @@
   if (app.got_subcommand("catalogue")) {
     return values.catalogue;
   }
+  if (app.got_subcommand("explain")) {
+    values.explain.timeout = values.client.timeout;
+    return values.explain;
+  }
   DrainCommand drain;
   drain.client = values.client;
   if (!values.worker.empty()) {
@@ -349,6 +379,7 @@
   AddStatusAndCancel(app, values);
   AddCatalogue(app, values);
   AddDrain(app, values);
+  AddExplain(app, values);
   if (core::Expected<void> named = CheckCommandName(app, arguments); !named) {
     return tl::unexpected<core::Error>(named.error());
   }
--- a/modules/cli/program/command_line_test.cc
+++ b/modules/cli/program/command_line_test.cc
@@ -113,6 +113,15 @@
       "w");
   BOOST_TEST(!std::get<DrainCommand>(parse({"drain", "entry"}, true))
                   .worker.has_value());
+  const auto explain = std::get<ExplainCommand>(
+      parse({"explain", "--file", "f", "--json", "--timeout", "3"}, true));
+  BOOST_TEST(explain.entry == "127.0.0.1:1");
+  BOOST_TEST(explain.file == "f");
+  BOOST_TEST(explain.json);
+  BOOST_TEST(explain.timeout.InMilliseconds() == 3000);
+  BOOST_TEST(
+      std::get<ExplainCommand>(parse({"explain", "--job", "j"}, true)).job ==
+      "j");
 }
 
 // Guards against wrong usage that is accepted, or told without help.
@@ -135,6 +144,10 @@
       {{"status"}, "--entry"},
       {{"catalogue"}, "subcommand"},
       {{"plan", "--workers", "w"}, "--catalogue"},
+      {{"explain", "--job", "j"}, "--entry"},
+      {{"explain", "--entry", "a"}, "Exactly 1 option"},
+      {{"explain", "--entry", "a", "--job", "j", "--file", "f"},
+       "Exactly 1 option"},
   };
   for (const WrongUsage& wrong : cases) {
     const auto command = ParseCommandLine(wrong.words);
--- a/modules/cli/program/commands.h
+++ b/modules/cli/program/commands.h
@@ -109,6 +109,17 @@
   std::optional<std::string> worker;
 };
 
+/// `explain --file JOB` or `explain --job ID`.
+struct ExplainCommand {
+  /// Internal endpoint of an entry, "ADDRESS:PORT".
+  std::string entry;
+  /// Description of a job; empty if `job` is set.
+  std::string file;
+  std::string job;
+  core::Duration timeout = core::Duration::Seconds(10);
+  bool json = false;
+};
+
 /// `--help` and `--version`: print and end.
 struct ShowTextCommand {
   std::string text;
@@ -126,6 +137,7 @@
                              CancelCommand,
                              CatalogueCommand,
                              DrainCommand,
+                             ExplainCommand,
                              ShowTextCommand>;
 
 }  // namespace hemlockdoor::cli
--- a/modules/cli/program/program.cc
+++ b/modules/cli/program/program.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "modules/cli/commands/catalogue_commands.h"
+#include "modules/cli/commands/explain_command.h"
 #include "modules/cli/commands/job_commands.h"
 #include "modules/cli/commands/offline_commands.h"
 #include "modules/cli/output/console.h"
@@ -80,6 +81,9 @@
   ExitCode operator()(const DrainCommand& command) const {
     return RunDrain(this->console, command);
   }
+  ExitCode operator()(const ExplainCommand& command) const {
+    return RunExplain(this->console, command);
+  }
   ExitCode operator()(const ShowTextCommand& command) const {
     this->console.out << command.text << std::flush;
     return ExitCode::kDone;
--- a/tests/hosted_entry_test.cc
+++ b/tests/hosted_entry_test.cc
@@ -46,6 +46,32 @@
   return *status;
 }
 
+/// Ports of an entry that runs as a separate process.
+struct EntryPorts {
+  std::uint16_t callers = FreePort();
+  std::uint16_t readiness = FreePort();
+  std::uint16_t internal = FreePort();
+};
+
+/// Writes the settings of an entry.
+void WriteSettings(const std::string& file,
+                   const std::string& node,
+                   const EntryPorts& ports,
+                   const StoreStandIn& store) {
+  const auto address = [](std::uint16_t port) {
+    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+  };
+  test_support::WriteFile(
+      file, "{\"node\":\"" + node +
+                R"(","data_centre":"d","address":"127.0.0.1",
+        "entries":[],"min_store_lease_ms":1000,"max_worker_lease_ms":6000,
+        "stop_grace_s":6,"caller_endpoint":)" +
+                address(ports.callers) +
+                ",\"readiness_endpoint\":" + address(ports.readiness) +
+                ",\"internal_endpoint\":" + address(ports.internal) +
+                ",\"store_endpoint\":" + address(store.Endpoint().port) + "}");
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(HostedEntryTest)
@@ -62,29 +88,18 @@
   }
   store.Put("hd/members", R"([7,{"agent":"a","endpoint":"127.0.0.1:99999"}])");
   store.PutConfiguration(1, "first.example");
-  const std::uint16_t callers = FreePort();
-  const std::uint16_t readiness = FreePort();
+  const EntryPorts ports;
   const QTemporaryDir folder;
   const std::string settings = folder.filePath("entry.jsonc").toStdString();
-  const auto address = [](std::uint16_t port) {
-    return "\"127.0.0.1:" + std::to_string(port) + "\"";
-  };
-  test_support::WriteFile(
-      settings,
-      R"({"node":"n","data_centre":"d","address":"127.0.0.1",
-        "entries":[],"min_store_lease_ms":1000,"max_worker_lease_ms":6000,
-        "stop_grace_s":6,"caller_endpoint":)" +
-          address(callers) + ",\"readiness_endpoint\":" + address(readiness) +
-          ",\"internal_endpoint\":" + address(FreePort()) +
-          ",\"store_endpoint\":" + address(store.Endpoint().port) + "}");
+  WriteSettings(settings, "n", ports, store);
   ChildProcess entry("hemlockdoor", {"hosted-entry", "--settings", settings},
                      folder.filePath("entry.log").toStdString());
-  const auto finds_queue = [callers](const std::string& host) {
+  const auto finds_queue = [&ports](const std::string& host) {
     constexpr int kUnknownKey = 401;
-    return StatusOf(callers, "/q/", host) == kUnknownKey;
+    return StatusOf(ports.callers, "/q/", host) == kUnknownKey;
   };
   BOOST_TEST(WaitUntil([&] { return finds_queue("first.example"); }, kLimit));
-  BOOST_TEST(StatusOf(readiness, "/-/ready", "n") == 200);
+  BOOST_TEST(StatusOf(ports.readiness, "/-/ready", "n") == 200);
   BOOST_TEST(WaitUntil([&store] { return store.Contains("owner"); }, kLimit));
   for (const std::string& odd : model::testing::OddValues()) {
     store.PutConfigurationText(odd);
@@ -97,6 +112,48 @@
   BOOST_TEST((entry.WaitForExit(kLimit) == std::optional<int>(0)));
 }
 
+// Guards against an internal endpoint that does not serve `explain`, and an
+// entry that is not the planner and does not forward it.
+BOOST_AUTO_TEST_CASE(EachEntryAnswersTheExplainCommand) {
+  StoreStandIn store;
+  store.PutConfiguration(1, "first.example");
+  const QTemporaryDir folder;
+  const auto path = [&folder](const char* name) {
+    return folder.filePath(name).toStdString();
+  };
+  const EntryPorts first_ports;
+  const EntryPorts second_ports;
+  WriteSettings(path("first.jsonc"), "first", first_ports, store);
+  WriteSettings(path("second.jsonc"), "second", second_ports, store);
+  const ChildProcess first("hemlockdoor",
+                           {"hosted-entry", "--settings", path("first.jsonc")},
+                           path("first.log"));
+  const ChildProcess second(
+      "hemlockdoor", {"hosted-entry", "--settings", path("second.jsonc")},
+      path("second.log"));
+  test_support::WriteFile(path("job.jsonc"),
+                          R"({"queue":"q","organisation":"t","steps":[{}]})");
+  const auto explain = [&path](const EntryPorts& ports,
+                               const std::string& option,
+                               const std::string& value) {
+    ChildProcess command(
+        "hemlockdoor",
+        {"explain", "--entry", "127.0.0.1:" + std::to_string(ports.internal),
+         option, value},
+        path("explain.log"));
+    return command.WaitForExit(kLimit).value_or(-1);
+  };
+  for (const EntryPorts* ports : {&first_ports, &second_ports}) {
+    BOOST_TEST(WaitUntil(
+        [&] { return explain(*ports, "--file", path("job.jsonc")) == 0; },
+        kLimit));
+    BOOST_TEST(explain(*ports, "--job", "none") == 1);
+    BOOST_TEST(test_support::ReadFile(path("explain.log"))
+                   .find("does not know the job") != std::string::npos);
+  }
+  BOOST_TEST(explain(first_ports, "--file", path("missing.jsonc")) == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor
