Tests: the example of explain is valid

Cause: docs/examples/explain-job.jsonc was read by no test, so a renamed field would go unnoticed.

Change: the process test sends it and expects only its queue to be unknown.

--- a/tests/hosted_entry_test.cc
+++ b/tests/hosted_entry_test.cc
@@ -1,5 +1,6 @@
 // An entry on a hosting platform, as a separate process, with odd entries in
 // the platform's store.
+#include <QDir>
 #include <QTemporaryDir>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -152,6 +153,16 @@
                    .find("does not know the job") != std::string::npos);
   }
   BOOST_TEST(explain(first_ports, "--file", path("missing.jsonc")) == 2);
+  // The example of the documentation is valid, but for a queue that is not
+  // configured here.
+  const std::string example =
+      QDir(qEnvironmentVariable("HEMLOCKDOOR_BIN"))
+          .filePath("../docs/examples/explain-job.jsonc")
+          .toStdString();
+  BOOST_TEST(explain(first_ports, "--file", example) == 1);
+  BOOST_TEST(
+      test_support::ReadFile(path("explain.log")).find("unknown queue") !=
+      std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
