Explain: no shared state with the planner, and a bound on its size

Cause: the copy of the planner shares the samples of worker speeds, which a refresh of the copy would change; the copy takes 24 MB for 30,000 tasks. Change: explanations do not refresh the estimates; above 30,000 units a planner answers that it is unavailable. A worker that is chosen to be measured has its own reason. Two runs suffice for an estimate only in fleets with slow workers.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -861,6 +861,9 @@
 
 std::vector<AgentOrders> Planner::Decide(core::TimePoint now,
                                          std::int64_t wall_ms) {
+  this->CloseOverdueBatches(now);
+  this->DropLostAgents(now);
+  this->UpdateSpeeds(now);
   this->PrepareStarts(now, wall_ms);
   if (!this->starts_withheld) {
     this->Schedule(now);
@@ -871,9 +874,6 @@
 }
 
 void Planner::PrepareStarts(core::TimePoint now, std::int64_t wall_ms) {
-  this->CloseOverdueBatches(now);
-  this->DropLostAgents(now);
-  this->UpdateSpeeds(now);
   this->UpdatePhases(now, wall_ms);
   this->ApplyEvacuations(now);
   this->RecountUsage();
--- a/modules/batch/planner/planner_explain.cc
+++ b/modules/batch/planner/planner_explain.cc
@@ -19,6 +19,10 @@
 /// Longest wait for which an expected start is computed.
 constexpr core::Duration kMaxForecast = core::Duration::Seconds(24 * 60 * 60);
 
+/// An explanation is made on a copy of the planner, which takes 24 MB for
+/// 30,000 tasks; an entry has 64 MB.
+constexpr std::size_t kMaxCopiedUnits = 30'000;
+
 std::string Text(std::int64_t number) {
   return std::to_string(number);
 }
@@ -156,6 +160,10 @@
   if (first.is_cold != other.is_cold) {
     return other_name + " is slow because it has started recently";
   }
+  if (first.is_measured != other.is_measured) {
+    return "the speed of the worker is not known yet, unlike that of " +
+           other_name;
+  }
   if (first.speed != other.speed) {
     return first.speed < 0 ? "the task has time to spare, and " + other_name +
                                  " is faster or would make it late"
@@ -181,6 +189,9 @@
     }
     this->explanation.epoch = this->planner.epoch;
     this->MeasureReportAge();
+    // The estimates of worker speeds share their samples with those of the
+    // source, so they are not brought up to date.
+    this->planner.DropLostAgents(this->now);
     this->planner.PrepareStarts(this->now, this->wall_ms);
     for (const Unit& unit : this->job->units) {
       if (!unit.members.empty()) {
@@ -732,6 +743,15 @@
     return core::MakeError(core::ErrorCode::kUnavailable,
                            "the planner has not heard from all agents yet");
   }
+  std::size_t units = 0;
+  for (const auto& [id, job] : this->jobs) {
+    units += job.units.size();
+  }
+  if (units > kMaxCopiedUnits) {
+    return core::MakeError(core::ErrorCode::kUnavailable,
+                           "the planner has too many tasks to explain a "
+                           "decision within its memory");
+  }
   return Trial(*this, now, wall_ms).Run(request);
 }
 
--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -93,10 +93,10 @@
 constexpr double kEvenConfidence = 4.5;
 /// Deviation at which a factor returns to 1.0.
 constexpr double kLeaveConfidence = 1.0;
-/// A single slow run must not decide, nor two, unless the workers of the fleet
-/// are known to differ.
+/// A single slow run must not decide, nor two, unless the fleet is known to have
+/// slow workers.
 constexpr int kMinRuns = 3;
-constexpr int kMinRunsInUnevenFleet = 2;
+constexpr int kMinRunsWithSlowWorkers = 2;
 /// Logarithm of the ratio between two steps of the factor for decisions; a
 /// smaller difference does not matter for placement.
 constexpr double kLogStep = 0.15;
@@ -759,7 +759,8 @@
 }
 
 int WorkerSpeeds::RequiredRuns() const {
-  return this->is_uneven ? kMinRunsInUnevenFleet : kMinRuns;
+  return this->is_uneven && this->has_slow_workers ? kMinRunsWithSlowWorkers
+                                                   : kMinRuns;
 }
 
 SpeedEstimate WorkerSpeeds::EstimateOf(const Machine& machine) const {
