Settings overload_policy, restore_ms and stop_ms of a hosted entry

The policy and the cost of a preemption depend on the deployment. An unknown policy is refused, so that a misspelt one does not fall back unnoticed. The new settings tests had failed before, as unknown fields are refused.

--- a/modules/batch/process/hosted_settings.cc
+++ b/modules/batch/process/hosted_settings.cc
@@ -48,6 +48,24 @@
   return RequiredLength(reader, name, kMsPerSecond);
 }
 
+std::optional<core::Duration> OptionalMilliseconds(model::JsonReader& reader,
+                                                   const std::string& name) {
+  if (reader.Raw(name) == nullptr) {
+    return std::nullopt;
+  }
+  return RequiredMilliseconds(reader, name);
+}
+
+OverloadPolicy ReadOverloadPolicy(model::JsonReader& reader) {
+  const std::string name = reader.OptionalString("overload_policy", "priority");
+  if (name != "priority" && name != "caller_cost") {
+    reader.Fail("overload_policy",
+                "expected priority or caller_cost, got \"" + name + "\"");
+  }
+  return name == "caller_cost" ? OverloadPolicy::kCallerCost
+                               : OverloadPolicy::kPriority;
+}
+
 void ReadCommon(model::JsonReader& reader, HostedCommonSettings& common) {
   common.node = reader.RequiredString("node");
   common.data_centre = core::DataCentreId(reader.RequiredString("data_centre"));
@@ -116,6 +134,9 @@
       loaded.evacuation_bound =
           RequiredMilliseconds(reader, "evacuation_bound_ms");
     }
+    loaded.overload_policy = ReadOverloadPolicy(reader);
+    loaded.restore_time = OptionalMilliseconds(reader, "restore_ms");
+    loaded.stop_time = OptionalMilliseconds(reader, "stop_ms");
   });
 }
 
--- a/modules/batch/process/hosted_settings.h
+++ b/modules/batch/process/hosted_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "modules/batch/planner/overload_policy.h"
 #include "modules/core/core.h"
 
 namespace hemlockdoor::batch {
@@ -46,6 +47,12 @@
   /// started there any more. Without it, evacuations are not supported and
   /// their keys are not read.
   std::optional<core::Duration> evacuation_bound;
+  /// Which work waits or is preempted when capacity is insufficient.
+  OverloadPolicy overload_policy = OverloadPolicy::kPriority;
+  /// Time that a task needs to resume from a checkpoint, and longest time that
+  /// a stop takes. Without them `PlannerOptions` has assumptions.
+  std::optional<core::Duration> restore_time;
+  std::optional<core::Duration> stop_time;
 };
 
 /// Settings of `hemlockdoor hosted-agent`.
--- a/modules/batch/process/hosted_settings_test.cc
+++ b/modules/batch/process/hosted_settings_test.cc
@@ -58,6 +58,29 @@
   BOOST_TEST(with->evacuation_bound->InMilliseconds() == 5000);
 }
 
+// Deployments without the setting keep their decisions under overload.
+BOOST_AUTO_TEST_CASE(TheOverloadPolicyIsByPriorityUnlessSet) {
+  const auto without = Load(EntrySettings("2", "6000"));
+  BOOST_REQUIRE(without.has_value());
+  BOOST_TEST((without->overload_policy == OverloadPolicy::kPriority));
+  BOOST_TEST(!without->restore_time.has_value());
+  BOOST_TEST(!without->stop_time.has_value());
+  const auto with = Load(EntrySettings(
+      "2, \"overload_policy\": \"caller_cost\", \"restore_ms\": 600, "
+      "\"stop_ms\": 900",
+      "6000"));
+  BOOST_REQUIRE(with.has_value());
+  BOOST_TEST((with->overload_policy == OverloadPolicy::kCallerCost));
+  BOOST_TEST(with->restore_time.value().InMilliseconds() == 600);
+  BOOST_TEST(with->stop_time.value().InMilliseconds() == 900);
+}
+
+// A misspelt policy must not fall back to the default unnoticed.
+BOOST_AUTO_TEST_CASE(AnUnknownOverloadPolicyIsRefused) {
+  BOOST_TEST(!Load(EntrySettings("2, \"overload_policy\": \"cost\"", "6000"))
+                  .has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -35,6 +35,10 @@
   core::Duration retention = PlannerOptions().retention;
   /// Internal endpoints of entries, sent to agents.
   std::vector<std::string> entries;
+  /// See `PlannerOptions`.
+  OverloadPolicy overload_policy = OverloadPolicy::kPriority;
+  core::Duration restore_time = PlannerOptions().restore_time;
+  core::Duration stop_time = PlannerOptions().stop_time;
 };
 
 /// Where a planner service learns whether the evacuations that it was given are
@@ -400,6 +404,9 @@
       planner_options.term = this->options.term;
       planner_options.endpoint = this->options.endpoint;
       planner_options.retention = this->options.retention;
+      planner_options.overload_policy = this->options.overload_policy;
+      planner_options.restore_time = this->options.restore_time;
+      planner_options.stop_time = this->options.stop_time;
       this->planner = std::make_unique<Planner>(planner_options);
       this->planner->SetConfiguration(this->configuration);
       this->planner->SetEvacuations(this->evacuations, now);
