--- a/modules/batch/planner/overload_policy.h
+++ b/modules/batch/planner/overload_policy.h
@@ -1,13 +1,14 @@
-// Choice of the rule by which work waits when capacity is insufficient.
+// Choice of the rule by which running work is stopped for other work.
 #pragma once
 
 namespace hemlockdoor::batch {
 
-/// Which work waits or is preempted when capacity is insufficient.
+/// Which work may be preempted when capacity is insufficient.
 enum class OverloadPolicy {
-  /// The work of the lower priority.
+  /// Work of a lower priority, up to a multiple of the work that starts.
   kPriority,
-  /// The work whose delay costs callers least, see `CallerCost`.
+  /// Work of a lower priority whose callers lose less value than those of the
+  /// work that starts gain, see `PreemptionChoice`.
   kCallerCost,
 };
 
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -861,6 +861,16 @@
 
 std::vector<AgentOrders> Planner::Decide(core::TimePoint now,
                                          std::int64_t wall_ms) {
+  this->PrepareStarts(now, wall_ms);
+  if (!this->starts_withheld) {
+    this->Schedule(now);
+  }
+  this->CountEvacuatedLoad(now);
+  this->LogUnitsWithoutDataCentre();
+  return this->CollectOrders(now);
+}
+
+void Planner::PrepareStarts(core::TimePoint now, std::int64_t wall_ms) {
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
   this->UpdateSpeeds(now);
@@ -874,12 +884,6 @@
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
   this->MigrateLongRunningUnits(now);
-  if (!this->starts_withheld) {
-    this->Schedule(now);
-  }
-  this->CountEvacuatedLoad(now);
-  this->LogUnitsWithoutDataCentre();
-  return this->CollectOrders(now);
 }
 
 void Planner::DropLostAgents(core::TimePoint now) {
@@ -1022,9 +1026,20 @@
   return {level, job.record.priority, job.accepted};
 }
 
-std::vector<WaitingUnit> Planner::TakeReadyUnits(core::TimePoint now) {
+void Planner::Schedule(core::TimePoint now) {
+  const std::vector<ReadyUnit> ready = this->ReadyInOrder(now);
+  if (this->options.overload_policy == OverloadPolicy::kCallerCost) {
+    this->waiting_worth = this->WorthOfWaitingWork(ready, now);
+  }
+  StartInOrder(ready, [this, now](const ReadyUnit& each) {
+    return this->TryStart(*each.job, *each.unit, now);
+  });
+}
+
+std::vector<Planner::ReadyUnit> Planner::ReadyInOrder(core::TimePoint now) {
+  this->releases.reset();
   const bool recovering = this->IsRecovering(now);
-  std::vector<WaitingUnit> ready;
+  std::vector<ReadyUnit> ready;
   for (auto& [id, job] : this->jobs) {
     if (!job.IsOpen() || (recovering && job.from_earlier_term)) {
       continue;
@@ -1039,40 +1054,30 @@
                              unit.members.empty() &&
                              now >= unit.start_not_before;
       if (may_start) {
-        ready.push_back({&job, &unit, this->ExpectedRunTime(job, unit),
-                         this->IsWithinGuarantee(job)});
+        ready.push_back({&job, &unit, this->RankOf(job, unit, now)});
       }
     }
   }
-  return ready;
-}
-
-void Planner::Schedule(core::TimePoint now) {
-  this->releases.reset();
-  if (this->options.overload_policy == OverloadPolicy::kCallerCost) {
-    this->ScheduleByCallerCost(now);
-    return;
-  }
-  std::vector<ReadyUnit> ready;
-  for (const WaitingUnit& each : this->TakeReadyUnits(now)) {
-    ready.push_back(
-        {each.job, each.unit, this->RankOf(*each.job, *each.unit, now)});
-  }
   std::stable_sort(ready.begin(), ready.end(),
                    [](const ReadyUnit& left, const ReadyUnit& right) {
                      return left.rank < right.rank;
                    });
+  return ready;
+}
+
+void Planner::StartInOrder(const std::vector<ReadyUnit>& ready,
+                           const StartAttempt& attempt) {
   const Job* failed_job = nullptr;
   int failed_step = -1;
-  for (const auto& [job, unit, rank] : ready) {
+  for (const ReadyUnit& each : ready) {
     // All tasks of a step need the same resources: if one does not fit, none
     // does.
-    if (job == failed_job && unit->step == failed_step) {
+    if (each.job == failed_job && each.unit->step == failed_step) {
       continue;
     }
-    if (!this->TryStart(*job, *unit, now)) {
-      failed_job = job;
-      failed_step = unit->step;
+    if (!attempt(each)) {
+      failed_job = each.job;
+      failed_step = each.unit->step;
     }
   }
 }
@@ -1218,10 +1223,10 @@
                      core::TimePoint now) {
   const Resources need = CountedNeed(job.StepOf(unit));
   this->ReleaseReservedCapacity(job, unit);
-  this->CountWait(job, unit, now);
   if (IsUncheckpointedBackfill(job, unit)) {
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
+  this->CountWait(job, unit, now);
   ++unit.highest_run;
   unit.time_factor = this->SlowestFactor(agents);
   std::string worker_list;
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include "modules/batch/planner/backfill_limit.h"
 #include "modules/batch/planner/caller_cost.h"
 #include "modules/batch/planner/evacuation.h"
+#include "modules/batch/planner/explanation.h"
 #include "modules/batch/planner/fleet.h"
 #include "modules/batch/planner/job_state.h"
 #include "modules/batch/planner/overload_policy.h"
@@ -24,7 +26,6 @@
 #include "modules/batch/planner/preemption_choice.h"
 #include "modules/batch/planner/reservation.h"
 #include "modules/batch/planner/room_summary.h"
-#include "modules/batch/planner/start_order.h"
 #include "modules/batch/planner/worker_speeds.h"
 #include "modules/core/core.h"
 
@@ -174,6 +175,16 @@
   /// `kRoomInterval` old, or nullptr while the planner is still waiting for
   /// agents of the stored member list.
   const RoomSummary* Room(core::TimePoint now);
+  /// Returns what `Decide` would do now with an accepted job or with a job that
+  /// is described, and why, without any effect on this planner. The decision is
+  /// made on a copy, so a call takes the time of a copy and of a decision.
+  /// Fails with kNotFound if the job is unknown or has ended or if the queue or
+  /// the organisation is unknown, with kInvalidArgument if the described job
+  /// has invalid values, and with kUnavailable until all agents of the stored
+  /// member list have reported.
+  core::Expected<Explanation> Explain(const ExplainRequest& request,
+                                      core::TimePoint now,
+                                      std::int64_t wall_ms) const;
   core::SchedulingEpoch Epoch() const { return this->epoch; }
   const Fleet& Agents() const { return this->fleet; }
   const std::map<core::JobId, Job>& Jobs() const { return this->jobs; }
@@ -189,6 +200,9 @@
     Unit* unit = nullptr;
     Rank rank;
   };
+  using StartAttempt = std::function<bool(const ReadyUnit&)>;
+  /// A copy of the planner that decides for `Explain`.
+  class Trial;
 
   /// Returns the view of the reporting agent, with its address, incarnation and
   /// time of contact brought up to date. Creates it for a new agent.
@@ -328,14 +342,21 @@
   core::Duration RemainingRunTime(const Job& job,
                                   const Unit& unit,
                                   core::TimePoint now) const;
+  /// Does the part of a decision that precedes the starts.
+  void PrepareStarts(core::TimePoint now, std::int64_t wall_ms);
   /// Starts ready units in the order of their rank, with preemption if needed.
   void Schedule(core::TimePoint now);
-  /// The same, in the order of `StartRanking`.
-  void ScheduleByCallerCost(core::TimePoint now);
-  /// Returns the ready units, after the release of outdated reservations.
-  std::vector<WaitingUnit> TakeReadyUnits(core::TimePoint now);
-  /// Returns the order of starts, given the running work.
-  StartRanking MakeStartRanking() const;
+  /// Releases outdated reservations and returns the units that may be started,
+  /// in the order of their rank.
+  std::vector<ReadyUnit> ReadyInOrder(core::TimePoint now);
+  /// Calls `attempt` for each unit, except for the further units of a step
+  /// after it has returned false for one of them.
+  static void StartInOrder(const std::vector<ReadyUnit>& ready,
+                           const StartAttempt& attempt);
+  /// Returns the value of a core-second of the ready units that still have
+  /// value.
+  double WorthOfWaitingWork(const std::vector<ReadyUnit>& ready,
+                            core::TimePoint now) const;
   /// Keeps capacity free for the unit if it is expected to start there soon.
   /// Otherwise preempts others if it gains more than they lose. Returns false
   /// if it does neither.
@@ -490,14 +511,14 @@
   std::map<core::OrganisationId, std::int64_t> guaranteed_needs;
   /// Kept for the length of one decision.
   std::optional<ExpectedReleases> releases;
-  /// Value of a core-second of the waiting work in this decision.
-  double waiting_worth = 0.0;
-  /// Moving average of the waits of started units by priority, in milliseconds.
-  std::map<int, double> waits_ms;
   /// Earliest time of the next write of checkpoints of running tasks.
   core::TimePoint next_checkpoint_write;
   std::vector<DecisionLogEntry> decision_log;
   RoomMeter room;
+  /// Value of a core-second of the waiting work in this decision.
+  double waiting_worth = 0.0;
+  /// Moving average of the waits of started units by priority, in milliseconds.
+  std::map<int, double> waits_ms;
 };
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/planner_overload.cc
+++ b/modules/batch/planner/planner_overload.cc
@@ -1,4 +1,4 @@
-// Planner: starts and preemptions with the overload policy `kCallerCost`.
+// Planner: preemptions with the overload policy `kCallerCost`.
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -22,27 +22,6 @@
   return static_cast<double>(duration.InMilliseconds()) / kMsPerSecond;
 }
 
-/// Returns the value of a core-second of the waiting work that still has value.
-double WorthOfWaitingWork(const CallerCost& cost,
-                          const std::vector<WaitingUnit>& waiting,
-                          core::TimePoint now) {
-  double worth = 0.0;
-  double work = 0.0;
-  std::set<const Job*> counted;
-  for (const WaitingUnit& each : waiting) {
-    if (!counted.insert(each.job).second) {
-      continue;
-    }
-    const double value =
-        cost.WorthIfStarted(*each.job, each.unit->step, each.run, now);
-    if (value > 0.0) {
-      worth += value;
-      work += TotalCoreEquivalents(each.job->record.spec) * Seconds(each.run);
-    }
-  }
-  return work > 0.0 ? worth / work : 0.0;
-}
-
 }  // namespace
 
 void Planner::CountWait(const Job& job, const Unit& unit, core::TimePoint now) {
@@ -53,41 +32,24 @@
   average += kWaitAverageWeight * (wait - average);
 }
 
-StartRanking Planner::MakeStartRanking() const {
-  Resources capacity;
-  for (const auto& [agent, view] : this->fleet) {
-    if (view.worker && !view.is_lost) {
-      capacity = capacity + view.worker->capacity;
-    }
-  }
-  StartRanking order(this->caller_cost, capacity);
-  for (const auto& [id, job] : this->jobs) {
-    for (const Unit& unit : job.units) {
-      const Resources need = CountedNeed(job.StepOf(unit));
-      for (std::size_t run = 0; run < unit.members.size(); ++run) {
-        order.AddRunning(job.record.organisation, need);
-      }
+double Planner::WorthOfWaitingWork(const std::vector<ReadyUnit>& ready,
+                                   core::TimePoint now) const {
+  double worth = 0.0;
+  double work = 0.0;
+  std::set<const Job*> counted;
+  for (const ReadyUnit& each : ready) {
+    if (!counted.insert(each.job).second) {
+      continue;
     }
-  }
-  return order;
-}
-
-void Planner::ScheduleByCallerCost(core::TimePoint now) {
-  std::vector<WaitingUnit> ready = this->TakeReadyUnits(now);
-  if (ready.empty()) {
-    return;
-  }
-  this->waiting_worth = WorthOfWaitingWork(this->caller_cost, ready, now);
-  // All tasks of a step need the same resources: if one does not fit, none
-  // does.
-  std::set<std::pair<const Job*, int>> failed;
-  for (const WaitingUnit& each :
-       this->MakeStartRanking().Sorted(std::move(ready), now)) {
-    const std::pair<const Job*, int> step(each.job, each.unit->step);
-    if (!failed.contains(step) && !this->TryStart(*each.job, *each.unit, now)) {
-      failed.insert(step);
+    const core::Duration run = this->ExpectedRunTime(*each.job, *each.unit);
+    const double value =
+        this->caller_cost.WorthIfStarted(*each.job, each.unit->step, run, now);
+    if (value > 0.0) {
+      worth += value;
+      work += TotalCoreEquivalents(each.job->record.spec) * Seconds(run);
     }
   }
+  return work > 0.0 ? worth / work : 0.0;
 }
 
 std::vector<Victim> Planner::VictimsByLoss(const Job& job,
--- a/modules/batch/process/hosted_settings.h
+++ b/modules/batch/process/hosted_settings.h
@@ -47,7 +47,7 @@
   /// started there any more. Without it, evacuations are not supported and
   /// their keys are not read.
   std::optional<core::Duration> evacuation_bound;
-  /// Which work waits or is preempted when capacity is insufficient.
+  /// Which work may be preempted when capacity is insufficient.
   OverloadPolicy overload_policy = OverloadPolicy::kPriority;
   /// Time that a task needs to resume from a checkpoint, and longest time that
   /// a stop takes. Without them `PlannerOptions` has assumptions.
