--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -1027,10 +1027,13 @@
 }
 
 void Planner::Schedule(core::TimePoint now) {
-  this->StartInOrder(this->ReadyInOrder(now),
-                     [this, now](const ReadyUnit& ready) {
-                       return this->TryStart(*ready.job, *ready.unit, now);
-                     });
+  const std::vector<ReadyUnit> ready = this->ReadyInOrder(now);
+  if (this->options.overload_policy == OverloadPolicy::kCallerCost) {
+    this->waiting_worth = this->WorthOfWaitingWork(ready, now);
+  }
+  StartInOrder(ready, [this, now](const ReadyUnit& each) {
+    return this->TryStart(*each.job, *each.unit, now);
+  });
 }
 
 std::vector<Planner::ReadyUnit> Planner::ReadyInOrder(core::TimePoint now) {
@@ -1142,6 +1145,10 @@
     this->Assign(job, unit, *placed, now);
     return true;
   }
+  if (this->options.overload_policy == OverloadPolicy::kCallerCost) {
+    return unit.reserved.empty() &&
+           this->TryReserveOrPreempt(job, unit, request, now);
+  }
   return unit.reserved.empty() && (this->TryReserve(job, unit, request, now) ||
                                    this->TryPreempt(job, unit, request, now));
 }
@@ -1219,6 +1226,7 @@
   if (IsUncheckpointedBackfill(job, unit)) {
     this->backfill_limit.OnStarted(need.accelerators * unit.size);
   }
+  this->CountWait(job, unit, now);
   ++unit.highest_run;
   unit.time_factor = this->SlowestFactor(agents);
   std::string worker_list;
--- a/modules/batch/planner/planner_explain.cc
+++ b/modules/batch/planner/planner_explain.cc
@@ -520,7 +520,10 @@
     this->Forecast(step, unit);
     const double bound =
         this->planner.MaxPreemptionCost(*this->job, unit, this->now);
-    if (std::isfinite(bound)) {
+    // With the other policy the loss is bounded by the gain in value.
+    const bool has_bound =
+        this->planner.options.overload_policy == OverloadPolicy::kPriority;
+    if (has_bound && std::isfinite(bound)) {
       step.loss_bound = bound;
     }
     const auto found = this->preempted.find(&unit);
