--- a/modules/batch/planner/worker_speeds.cc
+++ b/modules/batch/planner/worker_speeds.cc
@@ -93,8 +93,8 @@
 constexpr double kEvenConfidence = 4.5;
 /// Deviation at which a factor returns to 1.0.
 constexpr double kLeaveConfidence = 1.0;
-/// A single slow run must not decide, nor two, unless the fleet is known to have
-/// slow workers.
+/// A single slow run must not decide, nor two, unless the fleet is known to
+/// have slow workers.
 constexpr int kMinRuns = 3;
 constexpr int kMinRunsWithSlowWorkers = 2;
 /// Logarithm of the ratio between two steps of the factor for decisions; a
