--- a/bench/batch_load_bench.cc
+++ b/bench/batch_load_bench.cc
@@ -1,8 +1,11 @@
 // Prints what callers get when described loads are replayed on the planner.
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "modules/batch/testing/load_replay.h"
 
@@ -11,11 +14,14 @@
 using hemlockdoor::batch::testing::BookkeeperPattern;
 using hemlockdoor::batch::testing::ClassResult;
 using hemlockdoor::batch::testing::DrivePattern;
+using hemlockdoor::batch::testing::JobSize;
 using hemlockdoor::batch::testing::LoadPattern;
 using hemlockdoor::batch::testing::LoadReplay;
+using hemlockdoor::batch::testing::Percentile;
 using hemlockdoor::batch::testing::PrintBureauPattern;
 using hemlockdoor::batch::testing::RegistryPattern;
 using hemlockdoor::batch::testing::ReplayResult;
+using hemlockdoor::batch::testing::ValueShare;
 
 LoadPattern PatternOf(const std::string& fleet, double load) {
   if (fleet == "print") {
@@ -34,12 +40,70 @@
                           : RegistryPattern(fleet == "grown", load);
 }
 
+/// What is replayed.
+struct Arguments {
+  std::string fleet;
+  double load = 1;
+  int seeds = 1;
+  int first_seed = 1;
+  bool with_admission = false;
+};
+
+/// Returns nullopt if the arguments are not understood.
+std::optional<Arguments> Parse(const std::vector<std::string>& words) {
+  constexpr std::size_t kRequired = 3;
+  const std::string first_seed = "first-seed=";
+  if (words.size() < kRequired) {
+    return std::nullopt;
+  }
+  Arguments arguments{words[0], std::atof(words[1].c_str()),
+                      std::atoi(words[2].c_str())};
+  for (std::size_t i = kRequired; i < words.size(); ++i) {
+    if (words[i] == "admission") {
+      arguments.with_admission = true;
+    } else if (words[i].starts_with(first_seed)) {
+      arguments.first_seed =
+          std::atoi(words[i].substr(first_seed.size()).c_str());
+    } else {
+      return std::nullopt;
+    }
+  }
+  return arguments;
+}
+
+void Append(std::vector<double>& values, const std::vector<double>& more) {
+  values.insert(values.end(), more.begin(), more.end());
+}
+
+std::string Percentiles(const std::vector<double>& values) {
+  std::string text;
+  for (const int percent : {50, 95, 99}) {
+    text += (text.empty() ? "" : "/") +
+            std::to_string(std::lround(Percentile(values, percent)));
+  }
+  return text;
+}
+
+std::string NameOf(JobSize size) {
+  switch (size) {
+    case JobSize::kLargestTenth:
+      return "largest tenth";
+    case JobSize::kNextFifth:
+      return "next fifth";
+    case JobSize::kRest:
+      return "rest";
+  }
+  return "";
+}
+
 /// `with_admission` tells whether jobs may be rejected. Rejected jobs that the
 /// same load served without rejections are counted as wrongly rejected.
-void Print(const std::string& fleet,
-           double load,
-           int seeds,
-           bool with_admission) {
+void Print(const Arguments& arguments) {
+  const auto& [fleet, load, seeds, first_seed, with_admission] = arguments;
+  std::map<hemlockdoor::core::OrganisationId, ValueShare> organisations;
+  std::map<JobSize, ValueShare> sizes;
+  int placed_units = 0;
+  int preempted_units = 0;
   std::map<std::string, ClassResult> sums;
   double wasted = 0;
   int stops = 0;
@@ -49,7 +113,7 @@
   int wrongly_rejected = 0;
   double total_owed = 0;
   double total_earned = 0;
-  for (int seed = 1; seed <= seeds; ++seed) {
+  for (int seed = first_seed; seed < first_seed + seeds; ++seed) {
     const ReplayResult result =
         LoadReplay(PatternOf(fleet, load), static_cast<std::uint64_t>(seed),
                    with_admission)
@@ -69,6 +133,14 @@
     wasted += result.lost_core_seconds;
     stops += result.stops;
     starts += result.starts;
+    placed_units += result.placed_units;
+    preempted_units += result.preempted_units;
+    for (const auto& [organisation, value] : result.organisations) {
+      organisations[organisation].Add(value);
+    }
+    for (const auto& [size, value] : result.sizes) {
+      sizes[size].Add(value);
+    }
     for (const auto& [name, each] : result.classes) {
       ClassResult& sum = sums[name];
       sum.possible_credit += each.possible_credit;
@@ -78,6 +150,8 @@
       sum.late += each.late;
       sum.unserved += each.unserved;
       sum.wait_ms += each.wait_ms;
+      Append(sum.waits_ms, each.waits_ms);
+      Append(sum.runs_ms, each.runs_ms);
       total_owed += each.possible_credit;
       total_earned += each.earned_credit;
     }
@@ -106,21 +180,35 @@
               << " unserved " << sum.unserved << " wait_ms "
               << sum.wait_ms / sum.jobs << "\n";
   }
+  std::cout << "  preempted units " << preempted_units << " of placed "
+            << placed_units << " ("
+            << static_cast<double>(preempted_units) / std::max(placed_units, 1)
+            << " a placement)\n";
+  for (const auto& [name, sum] : sums) {
+    std::cout << "  " << name << ": wait_ms p50/p95/p99 "
+              << Percentiles(sum.waits_ms) << " run_ms "
+              << Percentiles(sum.runs_ms) << "\n";
+  }
+  for (const auto& [size, value] : sizes) {
+    std::cout << "  " << NameOf(size) << ": earned " << value.Share()
+              << " jobs " << value.jobs << "\n";
+  }
+  for (const auto& [organisation, value] : organisations) {
+    std::cout << "  organisation " << organisation.Text() << ": earned "
+              << value.Share() << " jobs " << value.jobs << "\n";
+  }
 }
 
 }  // namespace
 
 int main(int argument_count, char** arguments) {
   constexpr int kUsageError = 2;
-  constexpr int kMinArguments = 4;
-  const bool with_admission = argument_count == kMinArguments + 1 &&
-                              std::string(arguments[4]) == "admission";
-  if (argument_count != kMinArguments && !with_admission) {
+  const auto parsed = Parse({arguments + 1, arguments + argument_count});
+  if (!parsed) {
     std::cerr << "usage: batch_load_bench small|grown|large|print|books LOAD "
-                 "SEEDS [admission]\n";
+                 "SEEDS [admission] [first-seed=SEED]\n";
     return kUsageError;
   }
-  Print(arguments[1], std::atof(arguments[2]), std::atoi(arguments[3]),
-        with_admission);
+  Print(*parsed);
   return 0;
 }
--- a/modules/batch/planner/load_replay_test.cc
+++ b/modules/batch/planner/load_replay_test.cc
@@ -9,10 +9,13 @@
 
 using testing::ClassResult;
 using testing::DrivePattern;
+using testing::JobSize;
 using testing::LoadPattern;
 using testing::LoadReplay;
+using testing::Percentile;
 using testing::RegistryPattern;
 using testing::ReplayResult;
+using testing::ValueShare;
 
 /// Minimum share of the possible value that the planner must earn on the
 /// registry loads; the users' target.
@@ -95,6 +98,41 @@
   BOOST_TEST(first.stops == second.stops);
 }
 
+// Guards against percentiles that are off by one rank, also of few values.
+BOOST_AUTO_TEST_CASE(PercentileIsTheSmallestValueThatCoversTheShare) {
+  BOOST_TEST(Percentile({}, 50) == 0);
+  BOOST_TEST(Percentile({7}, 99) == 7);
+  BOOST_TEST(Percentile({4, 1, 3, 2}, 50) == 2);
+  BOOST_TEST(Percentile({4, 1, 3, 2}, 95) == 4);
+}
+
+// Guards against groups of jobs that leave out or count twice some jobs, so
+// that gains and losses of callers would not add up.
+BOOST_AUTO_TEST_CASE(GroupsOfJobsAddUpToAllJobs) {
+  const ReplayResult result = LoadReplay(RegistryPattern(false, 1.0), 1).Run();
+  ValueShare by_organisation;
+  ValueShare by_size;
+  ValueShare by_class;
+  for (const auto& [organisation, value] : result.organisations) {
+    by_organisation.Add(value);
+  }
+  for (const auto& [size, value] : result.sizes) {
+    by_size.Add(value);
+  }
+  for (const auto& [name, each] : result.classes) {
+    by_class.Add({each.possible_credit, each.earned_credit, each.jobs});
+    BOOST_TEST(each.waits_ms.size() >= each.runs_ms.size());
+  }
+  BOOST_TEST(by_organisation.jobs == by_class.jobs);
+  BOOST_TEST(by_size.jobs == by_class.jobs);
+  constexpr double kTolerance = 1e-9;
+  BOOST_TEST(std::abs(by_organisation.Share() - by_class.Share()) < kTolerance);
+  BOOST_TEST(std::abs(by_size.Share() - by_class.Share()) < kTolerance);
+  const int tenth = (by_class.jobs + 9) / 10;
+  BOOST_TEST(result.sizes.at(JobSize::kLargestTenth).jobs == tenth);
+  BOOST_TEST(result.placed_units > result.preempted_units);
+}
+
 // A rejection that is wrong in hindsight costs a caller its job. At one and a
 // half times the normal load all jobs may still be of value when they arrive.
 BOOST_AUTO_TEST_CASE(NoJobIsRejectedAtPeakLoad) {
--- a/modules/batch/testing/load_replay.h
+++ b/modules/batch/testing/load_replay.h
@@ -127,17 +127,65 @@
   int unserved = 0;
   /// Sum of the times from arrival to the first start.
   double wait_ms = 0;
+  /// Times from arrival to the first start, of the jobs that started, and from
+  /// there to the end, of those that completed.
+  std::vector<double> waits_ms;
+  std::vector<double> runs_ms;
 };
 
+/// Value of a group of jobs.
+struct ValueShare {
+  double possible_credit = 0;
+  double earned_credit = 0;
+  int jobs = 0;
+
+  void Add(const ValueShare& other) {
+    this->possible_credit += other.possible_credit;
+    this->earned_credit += other.earned_credit;
+    this->jobs += other.jobs;
+  }
+  /// Returns the earned credit as a share of the possible credit, in [0, 1].
+  double Share() const {
+    return this->possible_credit == 0
+               ? 0
+               : this->earned_credit / this->possible_credit;
+  }
+};
+
+/// Groups of the jobs of all classes by their work: tasks times
+/// core-equivalents times run time.
+enum class JobSize { kLargestTenth, kNextFifth, kRest };
+
+/// Returns the smallest value that is not exceeded by `percent` of the values,
+/// or 0 if there are none.
+inline double Percentile(std::vector<double> values, int percent) {
+  if (values.empty()) {
+    return 0;
+  }
+  constexpr std::size_t kPercent = 100;
+  const std::size_t rank =
+      (values.size() * static_cast<std::size_t>(percent) + kPercent - 1) /
+      kPercent;
+  const auto at = values.begin() + static_cast<std::ptrdiff_t>(
+                                       std::max<std::size_t>(rank, 1) - 1);
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
 /// Result of a replay.
 struct ReplayResult {
   std::map<std::string, ClassResult> classes;
+  std::map<core::OrganisationId, ValueShare> organisations;
+  std::map<JobSize, ValueShare> sizes;
   /// Core-seconds of work lost by stopped, failed and broken runs, that is work
   /// done since their last checkpoint.
   double lost_core_seconds = 0;
   /// Numbers of runs that the planner started and stopped.
   int starts = 0;
   int stops = 0;
+  /// Numbers of units (single tasks or gangs) that were placed and preempted.
+  int placed_units = 0;
+  int preempted_units = 0;
   /// Number of decisions and workers for which the worker had another time
   /// factor than 1.0.
   int uneven_factors = 0;
@@ -611,7 +659,10 @@
   void Decide() {
     const auto orders =
         this->planner.Decide(this->now, this->now.InMilliseconds());
-    this->planner.TakeDecisionLog();
+    for (const DecisionLogEntry& entry : this->planner.TakeDecisionLog()) {
+      this->result.placed_units += entry.event == "unit_placed" ? 1 : 0;
+      this->result.preempted_units += entry.event == "unit_preempted" ? 1 : 0;
+    }
     for (const auto& [agent, report] : this->reports) {
       const bool is_even = this->planner.Speeds().FactorOf(agent) == 1.0;
       this->result.uneven_factors += is_even ? 0 : 1;
@@ -675,7 +726,37 @@
     this->runs.push_back(run);
   }
 
+  static double TotalWork(const SimJob& job) {
+    const StepSpec& step = job.record.spec.steps.front();
+    return job.work_ms * CoreEquivalents(step.need) * step.count;
+  }
+
+  /// Groups the jobs by size, without those whose runs always fail.
+  std::map<core::JobId, JobSize> JobSizes() const {
+    constexpr std::size_t kTenth = 10;
+    std::vector<const SimJob*> by_work;
+    for (const SimJob& job : this->jobs) {
+      if (!job.poison) {
+        by_work.push_back(&job);
+      }
+    }
+    std::stable_sort(by_work.begin(), by_work.end(),
+                     [](const SimJob* left, const SimJob* right) {
+                       return TotalWork(*left) > TotalWork(*right);
+                     });
+    std::map<core::JobId, JobSize> sizes;
+    for (std::size_t i = 0; i < by_work.size(); ++i) {
+      const bool is_largest = i * kTenth < by_work.size();
+      const bool is_next = i * kTenth < by_work.size() * 3;
+      sizes[by_work[i]->record.spec.id] = is_largest ? JobSize::kLargestTenth
+                                          : is_next  ? JobSize::kNextFifth
+                                                     : JobSize::kRest;
+    }
+    return sizes;
+  }
+
   ReplayResult Score(core::TimePoint start) {
+    const std::map<core::JobId, JobSize> sizes = this->JobSizes();
     for (const SimJob& job : this->jobs) {
       if (job.poison) {
         continue;
@@ -711,18 +792,29 @@
       if (took <= kLateFactor * objective) {
         this->result.served.insert(job.record.spec.id);
       }
+      ValueShare value{credit, 0, 1};
       if (took <= objective) {
         ++sum.in_objective;
-        sum.earned_credit += credit;
+        value.earned_credit = credit;
       } else if (took <= kLateFactor * objective) {
         ++sum.late;
-        sum.earned_credit += credit * job.load->late_credit / job.load->credit;
+        value.earned_credit = credit * job.load->late_credit / job.load->credit;
       } else {
         ++sum.unserved;
       }
-      if (job.started_ms >= 0) {
-        sum.wait_ms += static_cast<double>(
-            job.started_ms - start.InMilliseconds() - job.arrival_ms);
+      sum.earned_credit += value.earned_credit;
+      this->result.organisations[job.record.organisation].Add(value);
+      this->result.sizes[sizes.at(job.record.spec.id)].Add(value);
+      if (job.started_ms < 0) {
+        continue;
+      }
+      const auto waited = static_cast<double>(
+          job.started_ms - start.InMilliseconds() - job.arrival_ms);
+      sum.wait_ms += waited;
+      sum.waits_ms.push_back(waited);
+      if (outcomes != this->outcomes.end() &&
+          outcomes->second.second == JobOutcome::kCompleted) {
+        sum.runs_ms.push_back(took - waited);
       }
     }
     return this->result;
