Wire: a byte budget that a server shares with its process

Cause: the bodies that a server has handed to its handler, and the copies that sending needs, count against no limit. Change: HttpServerLimits::process_bytes, HttpResponse::body_share, ByteBudget::Charge; HttpClient::Send takes the call by value, so that a single-send body is moved instead of copied.

--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -21,8 +21,8 @@
 /// request again.
 class SingleReadBody : public QIODevice {
  public:
-  SingleReadBody(const std::string& content, QObject* parent)
-      : QIODevice(parent), bytes(content) {
+  SingleReadBody(std::string content, QObject* parent)
+      : QIODevice(parent), bytes(std::move(content)) {
     this->open(QIODevice::ReadOnly | QIODevice::Unbuffered);
   }
 
@@ -195,12 +195,13 @@
   return this->backend->bytes_moved;
 }
 
-void HttpClient::Send(const HttpCall& call, Done done) {
+void HttpClient::Send(HttpCall call, Done done) {
   Backend* owner = this->backend.get();
   const QNetworkRequest request = detail::ToNetworkRequest(call);
+  owner->bytes_moved += call.target.size() + call.body.size();
   QNetworkReply* reply = nullptr;
   if (call.single_send) {
-    auto* body = new SingleReadBody(call.body, owner);
+    auto* body = new SingleReadBody(std::move(call.body), owner);
     reply = owner->manager.sendCustomRequest(
         request, detail::MethodName(call.method), body);
     body->setParent(reply);
@@ -209,7 +210,6 @@
         request, detail::MethodName(call.method),
         QByteArray::fromStdString(call.body));
   }
-  owner->bytes_moved += call.target.size() + call.body.size();
   auto* timer = new QTimer(reply);
   timer->setSingleShot(true);
   auto exchange = std::make_shared<ExchangeState>();
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -67,9 +67,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Starts the exchange. `done` runs later on this thread, exactly once,
+  /// Starts the exchange. The caller moves a call with a large body, so that
+  /// the body is not copied. `done` runs later on this thread, exactly once,
   /// unless the client is destroyed first.
-  void Send(const HttpCall& call, Done done);
+  void Send(HttpCall call, Done done);
   /// Returns the bytes of all request targets, request bodies and response
   /// bodies since construction.
   std::uint64_t BytesMoved() const;
--- a/modules/wire/http/http_message.h
+++ b/modules/wire/http/http_message.h
@@ -57,6 +57,9 @@
   std::string content_type = "application/json";
   HttpHeaders headers;
   std::string body;
+  /// Share of a byte budget that the body of a response to be sent occupies, or
+  /// null. The server returns it when the response is written or dropped.
+  std::shared_ptr<const void> body_share;
 };
 
 /// HTTP status codes.
--- a/modules/wire/server/byte_budget.h
+++ b/modules/wire/server/byte_budget.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <memory>
+#include <utility>
 
 namespace hemlockdoor::wire {
 
@@ -11,6 +12,12 @@
 /// the bytes to the budget. A null pointer is no share.
 using ByteShare = std::shared_ptr<const void>;
 
+/// Returns a share that holds both shares.
+inline ByteShare JoinShares(ByteShare first, ByteShare second) {
+  return std::make_shared<const std::pair<ByteShare, ByteShare>>(
+      std::move(first), std::move(second));
+}
+
 /// Grants shares of a fixed number of bytes. Thread-safe. Shares may outlive
 /// the budget.
 class ByteBudget {
@@ -27,14 +34,26 @@
         return nullptr;
       }
     } while (!this->used->compare_exchange_weak(before, before + bytes));
-    return {this->used.get(),
-            [counter = this->used, bytes](const void*) { *counter -= bytes; }};
+    return this->MakeShare(bytes);
+  }
+
+  /// Returns a share of `bytes` even when fewer bytes than that are free, for
+  /// bytes that are already in memory and must not be dropped. `TryAcquire`
+  /// fails until enough shares have been returned.
+  ByteShare Charge(std::size_t bytes) {
+    *this->used += bytes;
+    return this->MakeShare(bytes);
   }
 
   std::size_t UsedBytes() const { return this->used->load(); }
   std::size_t LimitBytes() const { return this->limit; }
 
  private:
+  ByteShare MakeShare(std::size_t bytes) const {
+    return {this->used.get(),
+            [counter = this->used, bytes](const void*) { *counter -= bytes; }};
+  }
+
   std::size_t limit;
   std::shared_ptr<std::atomic<std::size_t>> used;
 };
--- a/modules/wire/server/http_connection.cc
+++ b/modules/wire/server/http_connection.cc
@@ -208,6 +208,12 @@
   ByteBudget& budget =
       is_small ? this->context->small_bytes : this->context->request_bytes;
   ByteShare share = budget.TryAcquire(bytes);
+  if (share && !is_small && this->context->limits.process_bytes) {
+    ByteShare of_process =
+        this->context->limits.process_bytes->TryAcquire(bytes);
+    share = of_process ? JoinShares(std::move(share), std::move(of_process))
+                       : nullptr;
+  }
   if (share) {
     this->request.body_share = std::move(share);
   }
@@ -355,6 +361,7 @@
   this->keeps_alive = keeps_connection;
   this->output_head = EncodeHead(response, keeps_connection);
   this->output_body = std::move(response.body);
+  this->process_share = std::move(response.body_share);
   this->head_offset = 0;
   this->body_offset = 0;
   if (response.status == http_status::kNoContent) {
@@ -402,6 +409,7 @@
   Free(this->output_body);
   this->output_head.clear();
   this->output_share.reset();
+  this->process_share.reset();
   if (!this->keeps_alive) {
     this->phase = Phase::kLingering;
     this->SetDeadline(kLingerTime);
@@ -485,6 +493,7 @@
   Free(this->request);
   Free(this->output_body);
   this->output_share.reset();
+  this->process_share.reset();
   this->context->on_closed(self);
 }
 
--- a/modules/wire/server/http_connection.h
+++ b/modules/wire/server/http_connection.h
@@ -129,6 +129,8 @@
   std::string output_body;
   std::size_t body_offset = 0;
   ByteShare output_share;
+  /// `HttpResponse::body_share` of the response that is being written.
+  ByteShare process_share;
   bool keeps_alive = true;
 };
 
--- a/modules/wire/server/http_server.h
+++ b/modules/wire/server/http_server.h
@@ -10,6 +10,7 @@
 
 #include "modules/core/core.h"
 #include "modules/wire/http/http_message.h"
+#include "modules/wire/server/byte_budget.h"
 
 namespace hemlockdoor::wire {
 
@@ -39,6 +40,10 @@
   /// Limit on the total of all larger response bodies that are not yet written.
   /// The server uses at least `max_body_bytes`.
   std::size_t max_response_bytes = 12U * 1024U * 1024U;
+  /// Budget that the server shares with other parts of the process, or null.
+  /// Larger request bodies count against it as well as `max_request_bytes`. It
+  /// must have room for `max_body_bytes`.
+  std::shared_ptr<ByteBudget> process_bytes;
   /// A request whose body waits longer than this for its share of the byte
   /// budget gets 503. The server does not read the body while it waits.
   core::Duration body_wait_timeout = core::Duration::Seconds(10);
