Agent: one budget for the large bodies in flight

Cause: parsed requests, deliveries and up to six task queries at once, each with copies of an 8 MB result, were not counted together. Change: 28 MB for requests (shed with 503 and Retry-After when there is no room to parse them), starts, deliveries and queries (they wait); the answer of a query is moved into the parser.

--- a/modules/agent/process/agent_process.cc
+++ b/modules/agent/process/agent_process.cc
@@ -17,6 +17,11 @@
 
 namespace {
 
+/// Limit on the bytes of large bodies in flight: received, parsed, and being
+/// sent. Parsing one body takes up to three times its size. With 12 MB of held
+/// results and about 20 MB of an idle agent, the total stays below 64 MB.
+constexpr std::size_t kMaxInFlightBytes = 28U * 1024U * 1024U;
+
 core::Incarnation DrawIncarnation() {
   std::random_device device;
   constexpr int kHalfBits = 32;
@@ -76,6 +81,8 @@
 class AgentProcess::Threads {
  public:
   SharedMetrics metrics;
+  std::shared_ptr<wire::ByteBudget> in_flight =
+      std::make_shared<wire::ByteBudget>(kMaxInFlightBytes);
   /// Runs `on_stopped` on the thread that called `Create`.
   std::unique_ptr<wire::Inbox<Stop>> stop_inbox;
   DutyThread<HttpFrontend> http;
@@ -101,6 +108,7 @@
   options.port = settings.common.port;
   options.internal_key = settings.common.internal_key.Reveal();
   options.upstream_address = upstream.address;
+  options.process_bytes = this->in_flight;
   core::Expected<void> outcome;
   this->http.Start("http", [&]() -> std::unique_ptr<HttpFrontend> {
     core::Expected<std::unique_ptr<HttpFrontend>> frontend =
@@ -123,7 +131,7 @@
     return listening;
   }
   const OutgoingCalls::Options call_options{
-      upstream, settings.common.internal_key.Reveal()};
+      upstream, settings.common.internal_key.Reveal(), this->in_flight};
   const auto make_calls = [&] {
     return std::make_unique<OutgoingCalls>(call_options, this->metrics);
   };
--- a/modules/agent/process/http_frontend.cc
+++ b/modules/agent/process/http_frontend.cc
@@ -17,6 +17,12 @@
 /// Room for a payload of 8 MB with its JSON envelope.
 constexpr std::size_t kMaxRequestBytes = 9U * 1024U * 1024U;
 
+/// Bodies of at least this size count against the byte budget when parsed.
+constexpr std::size_t kMinLargeBytes = 64U * 1024U;
+/// Bytes that parsing a body takes beyond the body, per byte of it: the buffer
+/// of the JSON lexer, and its previous buffer or the parsed string.
+constexpr std::size_t kParseFactor = 2;
+
 wire::HttpResponse OverloadedResponse() {
   wire::HttpResponse response =
       wire::MakeProblem(wire::http_status::kUnavailable, "overloaded",
@@ -31,6 +37,7 @@
 HttpFrontend::HttpFrontend(const Options& options,
                            SharedMetrics& shared_metrics)
     : metrics(shared_metrics),
+      process_bytes(options.process_bytes),
       router(options.internal_key, options.upstream_address),
       answers(kMaxPending + 1,
               [this](const Command& command) { this->OnCommand(command); }) {}
@@ -44,6 +51,7 @@
   // Bounds memory: only one large body is read at a time; others wait unread.
   limits.max_request_bytes = kMaxRequestBytes;
   limits.max_response_bytes = kMaxRequestBytes;
+  limits.process_bytes = options.process_bytes;
   auto server = wire::HttpServer::Listen(
       options.address, options.port, limits,
       [owner = frontend.get()](wire::HttpRequest request,
@@ -104,6 +112,16 @@
   }
   const CallId call = this->next_call++;
   const std::size_t request_bytes = request.path.size() + request.body.size();
+  wire::ByteShare parsing;
+  if (request.body.size() >= kMinLargeBytes) {
+    parsing =
+        this->process_bytes->TryAcquire(kParseFactor * request.body.size());
+    if (!parsing) {
+      ++this->metrics.shed;
+      this->Respond(responder, OverloadedResponse());
+      return;
+    }
+  }
   RouteResult routed = this->router.Route(request, call);
   if (const auto* answer = std::get_if<wire::HttpResponse>(&routed)) {
     this->Respond(responder, *answer);
@@ -122,7 +140,9 @@
     this->Respond(responder, OverloadedResponse());
     return;
   }
-  this->pending.emplace(call, Pending{responder, is_run});
+  parsing.reset();
+  this->pending.emplace(
+      call, Pending{responder, is_run, std::move(request.body_share)});
   if (!this->events->TryPush(std::move(event))) {
     ++this->metrics.shed;
     this->pending.erase(call);
--- a/modules/agent/process/http_frontend.h
+++ b/modules/agent/process/http_frontend.h
@@ -27,6 +27,8 @@
     std::uint16_t port = 0;
     std::string internal_key;
     std::string upstream_address;
+    /// Bounds the large bodies in flight in the process.
+    std::shared_ptr<wire::ByteBudget> process_bytes;
   };
 
   /// Starts to listen; fails with kUnavailable when the address and port
@@ -55,6 +57,8 @@
   struct Pending {
     wire::HttpResponder responder;
     bool is_run = false;
+    /// Share of the request's body, which the state duty may still hold.
+    wire::ByteShare body_share;
   };
 
   HttpFrontend(const Options& options, SharedMetrics& shared_metrics);
@@ -67,6 +71,7 @@
   wire::HttpResponse ProbeResponse(bool ok) const;
 
   SharedMetrics& metrics;
+  std::shared_ptr<wire::ByteBudget> process_bytes;
   RequestRouter router;
   wire::Inbox<Command> answers;
   std::unique_ptr<wire::HttpServer> server;
--- a/modules/agent/process/outgoing_calls.cc
+++ b/modules/agent/process/outgoing_calls.cc
@@ -18,6 +18,16 @@
 constexpr core::Duration kTaskTimeout = core::Duration::Seconds(2);
 /// Enough to send a result of 8 MB between regions.
 constexpr core::Duration kDeliveryTimeout = core::Duration::Seconds(10);
+/// Payloads and results of at least this size count against the byte budget.
+constexpr std::size_t kMinLargeBytes = 64U * 1024U;
+/// Copies of a payload or result that sending it needs at most.
+constexpr std::size_t kSendCopies = 2;
+/// Bytes that a query of a task counts for. Its answer may carry a result of
+/// the largest size, and reading it needs a further copy. Several such answers
+/// at once, after reports that were postponed for lack of room, took an agent
+/// to 95 MB.
+constexpr std::size_t kQueryBytes = 2 * model::kMaxPayloadBytes;
+constexpr core::Duration kBudgetRetryDelay = core::Duration::Milliseconds(5);
 
 std::string_view GangTarget(GangMessageKind kind) {
   switch (kind) {
@@ -82,7 +92,7 @@
 }
 
 TaskReported ReadTaskAnswer(const RequestTask& request,
-                            const core::Expected<wire::HttpResponse>& answer) {
+                            core::Expected<wire::HttpResponse> answer) {
   TaskReported event;
   event.key = request.key;
   event.kind = request.kind;
@@ -95,7 +105,8 @@
   }
   const bool ok =
       answer->status == status::kOk || answer->status == status::kAccepted;
-  core::Expected<UpstreamTask> task = UpstreamTaskFromText(answer->body);
+  core::Expected<UpstreamTask> task =
+      UpstreamTaskFromText(std::move(answer->body));
   // An answer that describes another task is not usable.
   if (ok && task && task->key == request.key) {
     event.outcome = ReportOutcome::kReported;
@@ -174,6 +185,7 @@
 
 void OutgoingCalls::Close() {
   this->outcomes = nullptr;
+  this->context.reset();
   this->clients.reset();
 }
 
@@ -188,13 +200,49 @@
   if (this->clients == nullptr) {
     return;
   }
+  this->Run(std::make_shared<Command>(std::move(command)));
+}
+
+bool OutgoingCalls::TryAcquireFor(const Command& command,
+                                  wire::ByteShare& share) const {
+  std::size_t bytes = 0;
+  if (const auto* start = std::get_if<StartTask>(&command)) {
+    bytes = kSendCopies * start->start.payload.size();
+  } else if (const auto* result = std::get_if<DeliverResult>(&command)) {
+    bytes = kSendCopies * result->notice->body.size();
+  } else if (const auto* request = std::get_if<RequestTask>(&command)) {
+    bytes = request->kind == TaskRequestKind::kQuery ? kQueryBytes : 0;
+  }
+  if (bytes < kMinLargeBytes) {
+    return true;
+  }
+  share = this->options.process_bytes->TryAcquire(bytes);
+  return share != nullptr;
+}
+
+void OutgoingCalls::Run(const std::shared_ptr<Command>& command) {
+  if (this->clients == nullptr) {
+    return;
+  }
+  // A start past its latest start time is not sent and needs no bytes.
+  const auto* start = std::get_if<StartTask>(command.get());
+  const bool expired =
+      start != nullptr && core::Clock::Now() > start->not_after;
+  wire::ByteShare share;
+  if (!expired && !this->TryAcquireFor(*command, share)) {
+    wire::RunLater(this->context.get(), kBudgetRetryDelay,
+                   [this, command] { this->Run(command); });
+    return;
+  }
   std::visit(
-      [this](const auto& one) {
-        if constexpr (requires { this->Send(one); }) {
+      [this, &share](const auto& one) {
+        if constexpr (requires { this->Send(one, share); }) {
+          this->Send(one, std::move(share));
+        } else if constexpr (requires { this->Send(one); }) {
           this->Send(one);
         }
       },
-      command);
+      *command);
 }
 
 wire::HttpCall OutgoingCalls::InternalPost(
@@ -250,7 +298,7 @@
       });
 }
 
-void OutgoingCalls::Send(const StartTask& command) {
+void OutgoingCalls::Send(const StartTask& command, wire::ByteShare share) {
   if (core::Clock::Now() > command.not_after) {
     this->Emit(
         StartAnswered{command.start.key, StartOutcome::kNotSent,
@@ -266,8 +314,8 @@
   call.single_send = true;
   this->metrics.payload_bytes += call.target.size() + call.body.size();
   this->clients->starts.Send(
-      call, [this, key = command.start.key](
-                const core::Expected<wire::HttpResponse>& answer) {
+      std::move(call), [this, key = command.start.key, held = std::move(share)](
+                           const core::Expected<wire::HttpResponse>& answer) {
         this->Emit(ReadStartAnswer(key, answer));
       });
 }
@@ -296,7 +344,7 @@
       });
 }
 
-void OutgoingCalls::Send(const RequestTask& command) {
+void OutgoingCalls::Send(const RequestTask& command, wire::ByteShare share) {
   wire::HttpCall call;
   call.endpoint = this->options.upstream;
   call.method = command.kind == TaskRequestKind::kQuery
@@ -306,13 +354,14 @@
   call.timeout = kTaskTimeout;
   this->metrics.payload_bytes += call.target.size();
   this->clients->tasks.Send(
-      call, [this, command](const core::Expected<wire::HttpResponse>& answer) {
+      call, [this, command, held = std::move(share)](
+                core::Expected<wire::HttpResponse> answer) {
         this->metrics.payload_bytes += answer ? answer->body.size() : 0;
-        this->Emit(ReadTaskAnswer(command, answer));
+        this->Emit(ReadTaskAnswer(command, std::move(answer)));
       });
 }
 
-void OutgoingCalls::Send(const DeliverResult& command) {
+void OutgoingCalls::Send(const DeliverResult& command, wire::ByteShare share) {
   const model::ResultNotice& notice = *command.notice;
   const TaskKey key{notice.job, notice.attempt, notice.member};
   const core::Expected<wire::Endpoint> endpoint =
@@ -326,9 +375,11 @@
   call.body = NoticeToText(notice);
   call.timeout = kDeliveryTimeout;
   this->metrics.payload_bytes += call.target.size() + call.body.size();
-  this->clients->deliveries.Send(call, [this,
-                                        key](const core::Expected<
-                                             wire::HttpResponse>& answer) {
+  this->clients->deliveries.Send(std::move(call), [this, key,
+                                                   held = std::move(share)](
+                                                      const core::Expected<
+                                                          wire::HttpResponse>&
+                                                          answer) {
     this->Emit(ResultDelivered{key, answer && answer->status == status::kOk});
   });
 }
--- a/modules/agent/process/outgoing_calls.h
+++ b/modules/agent/process/outgoing_calls.h
@@ -1,6 +1,7 @@
 // The duty that sends an agent's outgoing HTTP requests.
 #pragma once
 
+#include <QObject>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,10 +22,12 @@
 class OutgoingCalls {
  public:
   /// Endpoint of the upstream, and the key for the internal API of entries and
-  /// other agents.
+  /// other agents. `process_bytes` bounds the large bodies in flight in the
+  /// process; a call that does not fit waits.
   struct Options {
     wire::Endpoint upstream;
     std::string internal_key;
+    std::shared_ptr<wire::ByteBudget> process_bytes;
   };
 
   OutgoingCalls(Options call_options, SharedMetrics& shared_metrics);
@@ -49,15 +52,20 @@
 
   void OnCommand(Command& command);
   void Send(const SendAnnouncement& command);
-  void Send(const StartTask& command);
+  void Send(const StartTask& command, wire::ByteShare share);
   void Send(const ListTasks& command);
-  void Send(const RequestTask& command);
-  void Send(const DeliverResult& command);
+  void Send(const RequestTask& command, wire::ByteShare share);
+  void Send(const DeliverResult& command, wire::ByteShare share);
   void Send(const SendGangMessage& command);
   wire::HttpCall InternalPost(const wire::Endpoint& endpoint,
                               const std::string& target,
                               const nlohmann::json& document) const;
   void Emit(Event event);
+  /// Acquires the bytes that `command` needs while it is in flight. Returns
+  /// false when they are not free now.
+  bool TryAcquireFor(const Command& command, wire::ByteShare& share) const;
+  /// Runs a command that has its bytes, or tries again later.
+  void Run(const std::shared_ptr<Command>& command);
   /// Logs the first 401 that an entry answers; a wrong internal key would
   /// otherwise be logged with every announcement.
   void LogUnauthorizedOnce(const std::string& endpoint, int status);
@@ -68,6 +76,8 @@
   std::unique_ptr<Clients> clients;
   wire::Inbox<Event>* outcomes = nullptr;
   bool unauthorized_logged = false;
+  /// Context of the timers of calls that wait for bytes.
+  std::unique_ptr<QObject> context = std::make_unique<QObject>();
 };
 
 /// Returns the event that reports `command` as not sent; nothing when the
