Log why an agent no longer lists a run, and by which incarnation

Cause: run_gone reason=lost does not say which of five conclusions made the agent drop the run, nor which incarnation of the worker it was about, so the hypotheses of the incident cannot be told apart.

Change: agents log run_removed with reason, incarnation and whether the start was confirmed, count it in hemlockdoor_runs_removed_total, and log that another incarnation has answered a poll; start_answered names the addressed incarnation, the worker's clock and the time taken; run_gone says whether the lists were complete and which incarnations were compared. No decision changes.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -28,6 +28,22 @@
 
 }  // namespace
 
+std::string NameOf(RemovalReason reason) {
+  switch (reason) {
+    case RemovalReason::kNotListed:
+      return "not-listed";
+    case RemovalReason::kNewIncarnation:
+      return "new-incarnation";
+    case RemovalReason::kConnectionRefused:
+      return "connection-refused";
+    case RemovalReason::kLeasesExpired:
+      return "leases-expired";
+    case RemovalReason::kDeparted:
+      return "departed";
+  }
+  return "unknown";
+}
+
 WorkerSupervisor::WorkerSupervisor(core::AgentId agent_id,
                                    std::string own_endpoint,
                                    core::Incarnation own_incarnation,
@@ -65,8 +81,8 @@
     const WorkerDescription& description) {
   // A crash ends all runs. A start without an answer may still arrive at the
   // new incarnation, so it stays in the list and is stopped there too.
-  std::erase_if(this->runs,
-                [](const auto& entry) { return !entry.second.uncertain; });
+  this->RemoveRunsIf(RemovalReason::kNewIncarnation,
+                     [](const Run& run) { return !run.uncertain; });
   for (auto& [key, run] : this->runs) {
     run.state = RunState::kStopping;
     run.start_due = false;
@@ -88,9 +104,10 @@
   if (!this->worker || this->worker->identity.id != id) {
     return;
   }
+  this->RemoveRunsIf(RemovalReason::kDeparted,
+                     [](const Run& /*run*/) { return true; });
   this->worker.reset();
   this->is_complete = true;
-  this->runs.clear();
   this->ends.clear();
   this->clock_ms.reset();
   this->acknowledged = 0;
@@ -400,6 +417,7 @@
       ++entry;
       continue;
     }
+    this->NoteRemoval(entry->first, run, RemovalReason::kNotListed);
     this->Reject(entry->first, RejectReason::kNotListed);
     entry = this->runs.erase(entry);
   }
@@ -472,9 +490,9 @@
   if (this->refused_polls < kRefusalsToEndRuns) {
     return;
   }
-  const std::size_t ended = std::erase_if(this->runs, [](const auto& entry) {
-    return !entry.second.uncertain && entry.second.active.confirmed;
-  });
+  const std::size_t ended = this->RemoveRunsIf(
+      RemovalReason::kConnectionRefused,
+      [](const Run& run) { return !run.uncertain && run.active.confirmed; });
   this->unreported_change =
       this->unreported_change || ended > 0 || !this->is_complete;
   this->is_complete = true;
@@ -496,9 +514,10 @@
 }
 
 void WorkerSupervisor::OnAllLeasesExpired() {
+  const std::size_t expired = this->RemoveRunsIf(
+      RemovalReason::kLeasesExpired, [](const Run& /*run*/) { return true; });
   this->unreported_change =
-      this->unreported_change || !this->runs.empty() || !this->is_complete;
-  this->runs.clear();
+      this->unreported_change || expired > 0 || !this->is_complete;
   this->is_complete = true;
 }
 
@@ -586,6 +605,14 @@
   }
 }
 
+void WorkerSupervisor::NoteRemoval(const RunKey& key,
+                                   const Run& run,
+                                   RemovalReason reason) {
+  this->removed_runs.push_back(
+      {key, reason, this->worker ? this->worker->identity : WorkerIdentity(),
+       run.active.confirmed, run.uncertain});
+}
+
 void WorkerSupervisor::Reject(const RunKey& key, RejectReason reason) {
   this->rejections.push_back({key, reason});
   if (this->rejections.size() > kMaxRejections) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/batch/model/evacuation_state.h"
@@ -58,6 +59,31 @@
   std::vector<RunKey> refused_evacuated;
 };
 
+/// Why an agent no longer lists a run, apart from its end and from an answer
+/// that rejected its start.
+enum class RemovalReason {
+  kNotListed,          ///< A listing of the worker did not contain it.
+  kNewIncarnation,     ///< The worker has started anew.
+  kConnectionRefused,  ///< No process listens at the worker's address.
+  kLeasesExpired,      ///< All leases of an unreachable worker have expired.
+  kDeparted,           ///< The worker has deregistered.
+};
+
+/// Returns the name used in logs and metrics.
+std::string NameOf(RemovalReason reason);
+
+/// A run that the agent no longer lists, as the agent knew it last.
+struct RemovedRun {
+  RunKey key;
+  RemovalReason reason = RemovalReason::kNotListed;
+  /// Incarnation of the worker that the agent knew of before the removal.
+  WorkerIdentity worker;
+  /// The worker had confirmed the start.
+  bool confirmed = false;
+  /// A start had no answer, so that it could still be carried out.
+  bool uncertain = false;
+};
+
 /// Number of refused polls in a row that show that the worker's process has
 /// ended. One refusal can fall into the moment in which a worker reopens its
 /// socket.
@@ -158,6 +184,10 @@
   /// Returns whether only another listing can show that some run, whose stop
   /// the worker has answered, is over.
   bool AwaitsListing() const;
+  /// Returns the runs removed since the last call, in the order of removal.
+  std::vector<RemovedRun> TakeRemovedRuns() {
+    return std::exchange(this->removed_runs, {});
+  }
   /// Returns a report of the current state with the next sequence number and
   /// resets `HasUnreportedChange`.
   AgentReport MakeReport(core::TimePoint now);
@@ -216,6 +246,20 @@
   /// would make leases longer than granted.
   void ObserveAnnouncedClock(std::int64_t worker_clock_ms, core::TimePoint now);
   void Reject(const RunKey& key, RejectReason reason);
+  /// Records that the run is about to be removed, for `TakeRemovedRuns`.
+  void NoteRemoval(const RunKey& key, const Run& run, RemovalReason reason);
+  /// Removes and records the runs for which `is_over` returns true. Returns
+  /// their number.
+  template <typename Predicate>
+  std::size_t RemoveRunsIf(RemovalReason reason, Predicate is_over) {
+    return std::erase_if(this->runs, [&](const auto& entry) {
+      const bool over = is_over(entry.second);
+      if (over) {
+        this->NoteRemoval(entry.first, entry.second, reason);
+      }
+      return over;
+    });
+  }
   /// Returns whether a lease or start that an earlier process of this agent
   /// requested may still take effect.
   bool MayEarlierProcessAct(core::TimePoint now) const {
@@ -278,6 +322,7 @@
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   std::deque<Rejection> rejections;
+  std::vector<RemovedRun> removed_runs;
   EvacuationState evacuations;
   /// Speed of the worker, as the planner estimated it last.
   ReportedSpeed speed;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -621,7 +621,11 @@
             "run_gone", id,
             "task=" + key.task.ToText() + " run=" + Text(key.run) +
                 " agent=" + view.agent.Text() + " reason=" +
-                (was_rejected ? NameOf(rejection->reason) : "lost"));
+                (was_rejected ? NameOf(rejection->reason) : "lost") +
+                " lists=" + (report.is_complete ? "complete" : "incomplete") +
+                " born=" + Text(member->worker.born_wall_ms) +
+                " reported_born=" +
+                Text(report.worker ? report.worker->identity.born_wall_ms : 0));
         if (was_rejected) {
           unit.start_not_before = now + kRejectionBackoff;
           // An evacuation says nothing about the worker itself.
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -114,6 +114,7 @@
            {"state",
             after->state == WorkerState::kDraining ? "draining" : "ready"}});
     }
+    this->ReportRemovedRuns();
     this->PollIfDue();
     this->ReportIfChanged();
   }
@@ -122,6 +123,7 @@
     observe::Log(observe::LogLevel::kInfo, "worker departed", {},
                  {{"event", "worker_departed"}, {"worker", id.Text()}});
     this->supervisor.OnDeparture(id);
+    this->ReportRemovedRuns();
     this->ReportIfChanged();
   }
 
@@ -203,6 +205,7 @@
   void Tick() {
     const core::TimePoint now = core::Clock::Now();
     this->supervisor.OnTick(now);
+    this->ReportRemovedRuns();
     for (const StopCall& stop : this->supervisor.DueStops(now)) {
       this->SendStop(stop);
     }
@@ -250,6 +253,26 @@
     }
   }
 
+  /// Logs and counts the runs that are no longer listed although the worker has
+  /// not stated their end.
+  void ReportRemovedRuns() {
+    for (const RemovedRun& removed : this->supervisor.TakeRemovedRuns()) {
+      observe::ProcessMetrics().CountRemovedRun(NameOf(removed.reason));
+      observe::LogContext log_context;
+      log_context.job = removed.key.task.job;
+      observe::Log(
+          observe::LogLevel::kInfo, "run no longer listed", log_context,
+          {{"event", "run_removed"},
+           {"task", removed.key.task.ToText()},
+           {"run", std::to_string(removed.key.run)},
+           {"reason", NameOf(removed.reason)},
+           {"worker", removed.worker.id.Text()},
+           {"born", std::to_string(removed.worker.born_wall_ms)},
+           {"confirmed", removed.confirmed ? "true" : "false"},
+           {"unanswered_start", removed.uncertain ? "true" : "false"}});
+    }
+  }
+
   void SendCalls(const BatchCalls& calls) {
     for (const StopCall& stop : calls.stops) {
       this->SendStop(stop);
@@ -261,21 +284,28 @@
 
   void SendStart(const StartCall& start) {
     const RunKey key = start.order.key;
-    this->port.Start(start, [this, key](StartAnswer answer) {
-      this->supervisor.OnStartAnswer(key, answer.result, answer.reason,
-                                     answer.worker_clock_ms,
-                                     core::Clock::Now());
-      this->LogStart(key, answer);
-      for (const StartCall& again :
-           this->supervisor.DueStarts(core::Clock::Now())) {
-        this->SendStart(again);
-      }
-      this->AnswerOrders();
-      this->ReportIfChanged();
-    });
+    const core::TimePoint sent = core::Clock::Now();
+    this->port.Start(
+        start, [this, key, sent, addressed = start.worker](StartAnswer answer) {
+          this->supervisor.OnStartAnswer(key, answer.result, answer.reason,
+                                         answer.worker_clock_ms,
+                                         core::Clock::Now());
+          this->LogStart(key, answer, addressed, core::Clock::Now() - sent);
+          for (const StartCall& again :
+               this->supervisor.DueStarts(core::Clock::Now())) {
+            this->SendStart(again);
+          }
+          this->AnswerOrders();
+          this->ReportIfChanged();
+        });
   }
 
-  void LogStart(const RunKey& key, const StartAnswer& answer) {
+  /// Logs the answer to a start. A worker clock below that of an earlier answer
+  /// of the addressed incarnation shows that a later one has answered.
+  void LogStart(const RunKey& key,
+                const StartAnswer& answer,
+                const WorkerIdentity& addressed,
+                core::Duration took) {
     observe::LogContext log_context;
     log_context.job = key.task.job;
     std::string outcome = "started";
@@ -288,7 +318,10 @@
                  {{"event", "start_answered"},
                   {"task", key.task.ToText()},
                   {"run", std::to_string(key.run)},
-                  {"outcome", outcome}});
+                  {"outcome", outcome},
+                  {"born", std::to_string(addressed.born_wall_ms)},
+                  {"worker_clock_ms", std::to_string(answer.worker_clock_ms)},
+                  {"took_ms", std::to_string(took.InMilliseconds())}});
   }
 
   void SendStop(const StopCall& stop) {
@@ -351,6 +384,7 @@
     const core::TimePoint now = core::Clock::Now();
     if (listing) {
       listing->epoch = epoch;
+      this->LogOtherIncarnation(*listing);
       this->supervisor.OnListing(*listing, now);
       this->poll_failing = false;
       if (this->supervisor.HasUnacknowledgedEnds() ||
@@ -360,11 +394,31 @@
     } else {
       this->HandlePollFailure(listing.error(), now);
     }
+    this->ReportRemovedRuns();
     this->AnswerOrders();
     this->ReportIfChanged();
     this->PollIfDue();
   }
 
+  /// Logs once that another incarnation of the worker answered than the one
+  /// that the agent knows of.
+  void LogOtherIncarnation(const WorkerListing& listing) {
+    const auto& worker = this->supervisor.Worker();
+    if (!worker || listing.born_wall_ms == 0 ||
+        listing.born_wall_ms == worker->identity.born_wall_ms ||
+        listing.born_wall_ms == this->logged_incarnation) {
+      return;
+    }
+    this->logged_incarnation = listing.born_wall_ms;
+    observe::Log(observe::LogLevel::kWarn,
+                 "another incarnation of the worker answered a poll", {},
+                 {{"event", "other_incarnation_answered"},
+                  {"worker", worker->identity.id.Text()},
+                  {"born", std::to_string(listing.born_wall_ms)},
+                  {"known_born", std::to_string(worker->identity.born_wall_ms)},
+                  {"runs", std::to_string(listing.running.size())}});
+  }
+
   void HandlePollFailure(const core::Error& error, core::TimePoint now) {
     this->next_poll = now + kPollRetryDelay;
     // A worker that rejects the epoch is reachable: a newer planner has taken
@@ -507,6 +561,8 @@
   bool long_poll_in_flight = false;
   bool short_poll_in_flight = false;
   bool poll_failing = false;
+  /// Start time of the incarnation that `LogOtherIncarnation` has logged.
+  std::int64_t logged_incarnation = 0;
   core::TimePoint next_poll;
   std::vector<PendingOrders> pending_orders;
 };
--- a/modules/observe/metrics/metrics.cc
+++ b/modules/observe/metrics/metrics.cc
@@ -217,6 +217,11 @@
               "hemlockdoor_starts_refused_evacuated_total",
               "Starts that this agent refused because its data centre is "
               "evacuated.")};
+  CounterFamily removed_runs{
+      Counter(registry,
+              "hemlockdoor_runs_removed_total",
+              "Runs that this agent no longer lists although its worker has "
+              "not stated their end, by reason.")};
   GaugeFamily worker_factor{
       Gauge(registry,
             "hemlockdoor_worker_time_factor",
@@ -400,6 +405,11 @@
   this->state->evacuated_refusals.Get({}, {}).Increment();
 }
 
+void Metrics::CountRemovedRun(const std::string& reason) {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->removed_runs.Get({{"reason", reason}}, {}).Increment();
+}
+
 void Metrics::SetWorkerSpeeds(std::vector<WorkerSpeedFigures> workers) {
   if (workers.size() > kMaxWorkerSpeeds) {
     const auto distance = [](const WorkerSpeedFigures& worker) {
--- a/modules/observe/metrics/metrics.h
+++ b/modules/observe/metrics/metrics.h
@@ -101,6 +101,9 @@
                      core::Duration until_empty);
   /// A start that an agent refused because its data centre is evacuated.
   void CountStartRefusedEvacuated();
+  /// A run that an agent no longer lists although its worker has not stated its
+  /// end.
+  void CountRemovedRun(const std::string& reason);
   /// Speeds of the workers that this process plans for; replaces the earlier
   /// ones. Of more than `kMaxWorkerSpeeds` workers, those are exported whose
   /// factors differ most from 1.0.
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -420,6 +420,11 @@
     for (const StopCall& stop : agent.supervisor->DueStops(this->Now())) {
       this->SendStop(index, stop);
     }
+    for (const RemovedRun& removed : agent.supervisor->TakeRemovedRuns()) {
+      this->Note(agent.id.Text() + " removes run " +
+                 std::to_string(removed.key.run) + " of " +
+                 removed.key.task.ToText() + ": " + NameOf(removed.reason));
+    }
     const bool poll_due = agent.supervisor->Worker() && !agent.poll_in_flight &&
                           this->Now() >= agent.next_poll;
     if (poll_due) {
