Exploration: a call reaches whatever process of the worker has its id (red)

Cause: the simulation dropped calls whose WorkerIdentity differed from the worker's, start time included.

Change: starts, stops and polls are compared by id.

--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -112,6 +112,14 @@
   BOOST_TEST(Check(DrawScenario(20265084)));
 }
 
+// A call names a worker by its id alone, so a start that was sent to a process
+// of the worker can be carried out by the next one.
+BOOST_AUTO_TEST_CASE(AStartForAFormerProcessOfTheWorkerDoesNotRunTwice) {
+  for (const std::uint64_t seed : {1390, 1883, 2038, 100273}) {
+    BOOST_TEST(Check(DrawScenario(seed)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch::exploration
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -652,7 +652,7 @@
       }
       return;
     }
-    if (each.worker->Identity() != call.worker) {
+    if (each.worker->Identity().id != call.worker.id) {
       if (!is_late) {
         answer(refused);
       }
@@ -682,7 +682,7 @@
   this->queue.After(kCallTimeout, [answer] { answer(std::nullopt); });
   this->queue.After(this->MessageDelay(), [this, index, call, answer] {
     const Agent& each = this->AgentAt(index);
-    if (!each.worker || each.worker->Identity() != call.worker) {
+    if (!each.worker || each.worker->Identity().id != call.worker.id) {
       return;
     }
     const std::int64_t clock = each.worker->Stop(call, this->Now());
@@ -716,24 +716,24 @@
   const core::Error no_answer{core::ErrorCode::kTimeout, "no answer", {}};
   this->queue.After(kCallTimeout,
                     [answer, no_answer] { answer(tl::unexpected(no_answer)); });
-  this->queue.After(this->MessageDelay(),
-                    [this, index, answer, no_answer, epoch = supervisor.Epoch(),
-                     expected = supervisor.Worker()->identity,
-                     acknowledged = supervisor.Acknowledged(),
-                     deadline = supervisor.BeginPoll(this->Now())] {
-                      const Agent& each = this->AgentAt(index);
-                      if (!each.worker || each.worker->Identity() != expected) {
-                        if (!each.is_dark) {
-                          answer(tl::unexpected(no_answer));
-                        }
-                        return;
-                      }
-                      const core::Expected<WorkerListing> listing =
-                          each.worker->Hold(epoch, acknowledged, deadline,
-                                            this->Now());
-                      this->queue.After(this->MessageDelay(),
-                                        [answer, listing] { answer(listing); });
-                    });
+  this->queue.After(
+      this->MessageDelay(),
+      [this, index, answer, no_answer, epoch = supervisor.Epoch(),
+       expected = supervisor.Worker()->identity,
+       acknowledged = supervisor.Acknowledged(),
+       deadline = supervisor.BeginPoll(this->Now())] {
+        const Agent& each = this->AgentAt(index);
+        if (!each.worker || each.worker->Identity().id != expected.id) {
+          if (!each.is_dark) {
+            answer(tl::unexpected(no_answer));
+          }
+          return;
+        }
+        const core::Expected<WorkerListing> listing =
+            each.worker->Hold(epoch, acknowledged, deadline, this->Now());
+        this->queue.After(this->MessageDelay(),
+                          [answer, listing] { answer(listing); });
+      });
 }
 
 void Simulation::Commit(core::SchedulingEpoch owner,
