--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -51,7 +51,7 @@
     : agent(std::move(agent_id)),
       endpoint(std::move(own_endpoint)),
       incarnation(own_incarnation),
-      earlier_process_limit(now + kMaxWorkerLease) {}
+      earlier_calls_limit(now + kMaxWorkerLease) {}
 
 void WorkerSupervisor::OnAnnouncement(const WorkerDescription& description,
                                       std::uint64_t announcement_sequence,
@@ -64,7 +64,7 @@
     if (is_older) {
       return;
     }
-    this->ResetForNewIncarnation(description);
+    this->ResetForNewIncarnation(description, now);
     this->announcement = 0;
   }
   if (announcement_sequence < this->announcement) {
@@ -78,7 +78,19 @@
 }
 
 void WorkerSupervisor::ResetForNewIncarnation(
-    const WorkerDescription& description) {
+    const WorkerDescription& description,
+    core::TimePoint now) {
+  if (this->latest_worker.id == description.identity.id &&
+      this->latest_worker != description.identity) {
+    // Starts that were sent to the former incarnation may run on this one, and
+    // polls may have extended its lease by the clock of the former.
+    ++this->worker_restarts;
+    this->earlier_calls_limit =
+        std::max(this->earlier_calls_limit,
+                 now + kMaxWorkerLease + kMaxWorkerLease / kClockDriftDivisor);
+  }
+  this->latest_worker = description.identity;
+  this->is_superseded = false;
   // A crash ends all runs. A start without an answer may still arrive at the
   // new incarnation, so it stays in the list and is stopped there too.
   this->RemoveRunsIf(RemovalReason::kNewIncarnation,
@@ -94,7 +106,7 @@
   this->acknowledged = 0;
   this->clock_ms.reset();
   this->last_listing_clock_ms = 0;
-  this->last_listing_epoch = core::SchedulingEpoch();
+  this->last_listing_fence = FencingToken();
   this->is_complete = false;
   this->worker = description;
   this->unreported_change = true;
@@ -124,10 +136,14 @@
   this->ObserveEvacuations(answer.evacuated, answer.evacuation_revision);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
-  this->earlier_process_limit =
-      std::min(this->earlier_process_limit,
-               received + answer.earlier_leases +
-                   answer.earlier_leases / kClockDriftDivisor);
+  const bool knows_worker =
+      !this->worker || answer.worker == this->worker->identity;
+  if (knows_worker) {
+    this->earlier_calls_limit =
+        std::min(this->earlier_calls_limit,
+                 received + answer.earlier_leases +
+                     answer.earlier_leases / kClockDriftDivisor);
+  }
   if (answer.speed.weight > 0) {
     this->speed = answer.speed;
   }
@@ -149,12 +165,14 @@
   if (new_epoch > this->epoch) {
     this->batch = 0;
     this->session = SessionNumber();
+    this->worker_restarts = 0;
   }
   this->epoch = new_epoch;
   if (new_session == this->session) {
     return;
   }
   this->session = new_session;
+  this->worker_restarts = 0;
   for (auto& [key, run] : this->runs) {
     if (run.state == RunState::kStarting) {
       run.state = RunState::kStopping;
@@ -209,7 +227,7 @@
       run.order = start;
       run.start_attempts = 1;
       calls.starts.push_back(
-          {start, this->epoch, this->worker->identity, *deadline});
+          {start, this->Fence(), this->worker->identity, *deadline});
     }
   }
   for (const RunKey& key : orders.stops) {
@@ -229,7 +247,7 @@
                               core::TimePoint now,
                               BatchCalls& calls) {
   const bool is_known = this->runs.contains(key);
-  if (!is_known && (this->HasEnded(key) || !this->MayEarlierProcessAct(now))) {
+  if (!is_known && (this->HasEnded(key) || !this->MayEarlierCallsAct(now))) {
     return;
   }
   Run& run = this->runs[key];
@@ -246,17 +264,18 @@
   run.start_due = false;
   if (this->worker) {
     run.stop_sent = now;
-    calls.stops.push_back({key, this->epoch, this->worker->identity});
+    calls.stops.push_back({key, this->Fence(), this->worker->identity});
   }
 }
 
 void WorkerSupervisor::OnStartAnswer(const RunKey& key,
+                                     const WorkerIdentity& addressed,
                                      StartResult result,
                                      RejectReason reason,
                                      std::int64_t worker_clock_ms,
                                      core::TimePoint now) {
   const auto found = this->runs.find(key);
-  if (found == this->runs.end()) {
+  if (found == this->runs.end() || !this->IsPresentWorker(addressed)) {
     return;
   }
   Run& run = found->second;
@@ -283,6 +302,7 @@
     return;
   }
   run.settled_clock_ms = worker_clock_ms;
+  run.settled_at = now;
   if (run.state == RunState::kStarting) {
     // Attempts that arrive later have no effect: the worker already knows the
     // run or its end.
@@ -293,20 +313,24 @@
 }
 
 void WorkerSupervisor::OnStopAnswer(const RunKey& key,
+                                    const WorkerIdentity& addressed,
                                     bool answered,
                                     std::int64_t worker_clock_ms,
                                     core::TimePoint now) {
   const auto found = this->runs.find(key);
-  if (found == this->runs.end() || !answered) {
+  if (found == this->runs.end() || !answered ||
+      !this->IsPresentWorker(addressed)) {
     return;
   }
   this->ObserveClock(worker_clock_ms, now);
   found->second.stop_answered = true;
   found->second.settled_clock_ms =
       std::max(found->second.settled_clock_ms, worker_clock_ms);
+  found->second.settled_at = now;
 }
 
 void WorkerSupervisor::OnListing(const WorkerListing& listing,
+                                 core::TimePoint sent,
                                  core::TimePoint now) {
   if (!this->worker) {
     return;
@@ -315,6 +339,11 @@
       listing.born_wall_ms != 0 &&
       listing.born_wall_ms != this->worker->identity.born_wall_ms;
   if (other_incarnation) {
+    const bool is_later =
+        listing.born_wall_ms > this->worker->identity.born_wall_ms;
+    this->unreported_change =
+        this->unreported_change || (is_later && !this->is_superseded);
+    this->is_superseded = this->is_superseded || is_later;
     return;
   }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
@@ -328,16 +357,16 @@
   this->last_listing_at = now;
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
-  this->last_listing_epoch = std::max(this->last_listing_epoch, listing.epoch);
+  this->last_listing_fence = std::max(this->last_listing_fence, listing.fence);
   // Runs that are already known stay listed as active until their ends appear,
   // so truncated ends do not make complete lists incomplete.
   this->is_complete = this->is_complete || !listing.ends_are_truncated;
   this->unreported_change =
       this->unreported_change || (!was_complete && this->IsComplete(now));
   this->RecordEnds(listing);
-  this->MergeRunning(listing);
+  this->MergeRunning(listing, now);
   if (!listing.ends_are_truncated) {
-    this->RemoveMissingRuns(listing);
+    this->RemoveMissingRuns(listing, sent);
   }
 }
 
@@ -354,7 +383,8 @@
   }
 }
 
-void WorkerSupervisor::MergeRunning(const WorkerListing& listing) {
+void WorkerSupervisor::MergeRunning(const WorkerListing& listing,
+                                    core::TimePoint now) {
   for (const ActiveRun& listed : listing.running) {
     const auto [entry, is_new] = this->runs.try_emplace(listed.key);
     Run& run = entry->second;
@@ -366,6 +396,7 @@
       }
       run.state = RunState::kRunning;
       run.settled_clock_ms = listing.worker_clock_ms;
+      run.settled_at = now;
       this->unreported_change = true;
     }
     if (run.state == RunState::kStarting && run.uncertain) {
@@ -373,6 +404,7 @@
       run.uncertain = false;
       run.start_due = false;
       run.settled_clock_ms = listing.worker_clock_ms;
+      run.settled_at = now;
       this->unreported_change = true;
     }
     this->UpdateRun(run, listed, listing.worker_clock_ms);
@@ -402,7 +434,8 @@
                                   run.active.still >= kStallReportThreshold);
 }
 
-void WorkerSupervisor::RemoveMissingRuns(const WorkerListing& listing) {
+void WorkerSupervisor::RemoveMissingRuns(const WorkerListing& listing,
+                                         core::TimePoint sent) {
   std::set<RunKey> listed;
   for (const ActiveRun& active : listing.running) {
     listed.insert(active.key);
@@ -412,7 +445,8 @@
     const bool settled =
         run.uncertain ? run.stop_answered : run.state != RunState::kStarting;
     const bool gone = settled && !listed.contains(entry->first) &&
-                      listing.worker_clock_ms > run.settled_clock_ms;
+                      listing.worker_clock_ms > run.settled_clock_ms &&
+                      sent > run.settled_at;
     if (!gone) {
       ++entry;
       continue;
@@ -434,7 +468,7 @@
         (!run.stop_sent || now >= *run.stop_sent + kStopRetryInterval);
     if (due) {
       run.stop_sent = now;
-      calls.push_back({key, this->epoch, this->worker->identity});
+      calls.push_back({key, this->Fence(), this->worker->identity});
     }
   }
   return calls;
@@ -458,7 +492,7 @@
     ++run.start_attempts;
     this->RecordRequestedLease(now);
     calls.push_back(
-        {run.order, this->epoch, this->worker->identity, *deadline});
+        {run.order, this->Fence(), this->worker->identity, *deadline});
   }
   return calls;
 }
@@ -484,15 +518,21 @@
   this->RecordFailedPoll(now);
 }
 
-void WorkerSupervisor::OnPollRefused(core::TimePoint now) {
+void WorkerSupervisor::OnPollRefused(core::TimePoint sent,
+                                     core::TimePoint now) {
+  if (this->refused_polls == 0) {
+    this->first_refusal_sent = sent;
+  }
   ++this->refused_polls;
   this->RecordFailedPoll(now);
   if (this->refused_polls < kRefusalsToEndRuns) {
     return;
   }
   const std::size_t ended = this->RemoveRunsIf(
-      RemovalReason::kConnectionRefused,
-      [](const Run& run) { return !run.uncertain && run.active.confirmed; });
+      RemovalReason::kConnectionRefused, [this](const Run& run) {
+        return !run.uncertain && run.active.confirmed &&
+               run.settled_at < this->first_refusal_sent;
+      });
   this->unreported_change =
       this->unreported_change || ended > 0 || !this->is_complete;
   this->is_complete = true;
@@ -501,14 +541,14 @@
 void WorkerSupervisor::RecordFailedPoll(core::TimePoint now) {
   this->unreported_change = this->unreported_change || this->failed_polls == 0;
   ++this->failed_polls;
-  if (now < this->leases_expired_at || this->MayEarlierProcessAct(now)) {
+  if (now < this->leases_expired_at || this->MayEarlierCallsAct(now)) {
     return;
   }
   this->OnAllLeasesExpired();
 }
 
 void WorkerSupervisor::OnTick(core::TimePoint now) {
-  if (!this->worker && !this->MayEarlierProcessAct(now)) {
+  if (!this->worker && !this->MayEarlierCallsAct(now)) {
     this->OnAllLeasesExpired();
   }
 }
@@ -523,7 +563,7 @@
 
 std::optional<std::int64_t> WorkerSupervisor::LeaseDeadline(
     core::TimePoint now) const {
-  if (!this->HasTerm(now) || !this->clock_ms) {
+  if (!this->HasTerm(now) || !this->clock_ms || this->is_superseded) {
     return std::nullopt;
   }
   // The worker's clock showed `clock_ms` at `clock_read_at` or earlier, so the
@@ -544,11 +584,12 @@
 }
 
 bool WorkerSupervisor::IsComplete(core::TimePoint now) const {
-  // Until the worker has seen this epoch, it may carry out starts that an
-  // earlier process of this agent sent for an earlier planner.
+  // Until the worker has seen the session, it may carry out starts that were
+  // sent before: for an earlier planner, by an earlier process of this agent,
+  // or to an earlier incarnation of the worker.
   const bool has_fenced =
-      !this->worker || this->last_listing_epoch == this->epoch;
-  return this->is_complete && (has_fenced || !this->MayEarlierProcessAct(now));
+      !this->worker || this->last_listing_fence == this->Fence();
+  return this->is_complete && (has_fenced || !this->MayEarlierCallsAct(now));
 }
 
 bool WorkerSupervisor::AwaitsListing() const {
@@ -565,6 +606,7 @@
   report.incarnation = this->incarnation;
   report.sequence = ++this->sequence;
   report.epoch = this->epoch;
+  report.session = this->session;
   report.batch = this->batch;
   report.worker = this->worker;
   report.worker_reachable = this->IsWorkerReachable();
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -27,9 +27,9 @@
   std::int64_t born_wall_ms = 0;
   std::vector<ActiveRun> running;
   std::vector<RunEnd> ends;
-  /// Epoch that the poll carried. From then on the worker refuses starts of
-  /// earlier epochs, late ones too.
-  core::SchedulingEpoch epoch;
+  /// Token that the poll carried. From then on the worker refuses calls with
+  /// lower ones, late ones too.
+  FencingToken fence;
   /// The worker may have ends that it did not list. A run that is in neither
   /// list may then have ended, or be over for another reason.
   bool ends_are_truncated = false;
@@ -38,7 +38,7 @@
 /// A start to be sent to the worker.
 struct StartCall {
   StartOrder order;
-  core::SchedulingEpoch epoch;
+  FencingToken fence;
   WorkerIdentity worker;
   /// Latest start time and end of the lease, on the worker's clock.
   std::int64_t deadline_ms = 0;
@@ -47,7 +47,7 @@
 /// A stop to be sent to the worker.
 struct StopCall {
   RunKey key;
-  core::SchedulingEpoch epoch;
+  FencingToken fence;
   WorkerIdentity worker;
 };
 
@@ -92,9 +92,10 @@
 /// State machine of an agent. Performs no I/O and reads no clock: events carry
 /// the current time. A run that the planner ordered is reported as active until
 /// an answer or announcement of the worker proves that it is not running, or
-/// until all leases of an unreachable worker have expired. A predecessor of
-/// this agent may have requested leases of up to `kMaxWorkerLease`; the planner
-/// tells a closer limit.
+/// until all leases of an unreachable worker have expired. Calls name the
+/// worker by its id alone, so those for a former incarnation may reach the
+/// present one. They, and a predecessor of this agent, may have requested
+/// leases of up to `kMaxWorkerLease`; the planner tells a closer limit.
 class WorkerSupervisor {
  public:
   WorkerSupervisor(core::AgentId agent_id,
@@ -121,22 +122,31 @@
   /// this agent.
   core::Expected<BatchCalls> OnOrders(const OrderBatch& batch,
                                       core::TimePoint now);
-  /// Handles the result of a start. `reason` matters only for kRejected,
-  /// `worker_clock_ms` only when the worker answered.
+  /// Handles the result of a start that was sent to `addressed`. Ignored if
+  /// that is not the present incarnation: either may have answered. `reason`
+  /// matters only for kRejected, `worker_clock_ms` only when the worker
+  /// answered.
   void OnStartAnswer(const RunKey& key,
+                     const WorkerIdentity& addressed,
                      StartResult result,
                      RejectReason reason,
                      std::int64_t worker_clock_ms,
                      core::TimePoint now);
-  /// Handles the result of a stop. The run stays active until a later listing
-  /// no longer contains it or contains its end.
+  /// Handles the result of a stop that was sent to `addressed`, which has to be
+  /// the present incarnation as in `OnStartAnswer`. The run stays active until
+  /// a later listing no longer contains it or contains its end.
   void OnStopAnswer(const RunKey& key,
+                    const WorkerIdentity& addressed,
                     bool answered,
                     std::int64_t worker_clock_ms,
                     core::TimePoint now);
-  /// Handles a listing, the answer to a poll. Ignores listings of another
-  /// incarnation of the worker and those older than the newest one.
-  void OnListing(const WorkerListing& listing, core::TimePoint now);
+  /// Handles a listing, the answer at `now` to a poll that was sent at `sent`.
+  /// Ignores listings of another incarnation of the worker and those older than
+  /// the newest one. After a listing of a later incarnation, no run is started
+  /// until that is announced.
+  void OnListing(const WorkerListing& listing,
+                 core::TimePoint sent,
+                 core::TimePoint now);
   /// Returns the stops to send now and marks them as sent: those of runs whose
   /// start was not answered, and earlier stops whose run has not ended yet.
   std::vector<StopCall> DueStops(core::TimePoint now);
@@ -151,12 +161,13 @@
   std::optional<std::int64_t> BeginPoll(core::TimePoint now);
   /// Handles a poll without a usable answer.
   void OnPollFailed(core::TimePoint now);
-  /// Handles a poll that was refused because no process listens at the worker's
-  /// address. After `kRefusalsToEndRuns` such polls in a row, the worker's
-  /// process has ended, and with it all runs that the worker has confirmed.
-  /// Starts without an answer stay listed, since a later process of the worker
-  /// may still receive them.
-  void OnPollRefused(core::TimePoint now);
+  /// Handles a poll that was sent at `sent` and refused because no process
+  /// listens at the worker's address. After `kRefusalsToEndRuns` such polls in
+  /// a row, the worker's process has ended, and with it all runs that the
+  /// worker had confirmed before the first of them was sent. Starts without an
+  /// answer stay listed, since a later process of the worker may still receive
+  /// them.
+  void OnPollRefused(core::TimePoint sent, core::TimePoint now);
   /// Handles the passing of time. If this process has heard of no worker by the
   /// time at which all leases of its predecessors have expired, nothing runs
   /// here, and the lists are complete.
@@ -169,7 +180,10 @@
   const std::optional<WorkerDescription>& Worker() const {
     return this->worker;
   }
-  core::SchedulingEpoch Epoch() const { return this->epoch; }
+  /// Returns the token for calls to the worker.
+  FencingToken Fence() const {
+    return {this->epoch, this->session, this->worker_restarts};
+  }
   bool IsWorkerReachable() const { return this->failed_polls == 0; }
   /// Returns whether some ends listed by the worker are not acknowledged yet.
   bool HasUnacknowledgedEnds() const { return !this->ends.empty(); }
@@ -203,9 +217,11 @@
     StartOrder order;
     int start_attempts = 0;
     bool start_due = false;
-    /// Worker clock of the answer that determined the state. The absence of
-    /// the run from an older listing proves nothing.
+    /// Worker clock and time of the answer that determined the state. The
+    /// absence of the run proves nothing in an older listing, or in the answer
+    /// to a poll that was sent before.
     std::int64_t settled_clock_ms = 0;
+    core::TimePoint settled_at;
     /// Worker clock of the listing in which the run's progress percentage last
     /// changed.
     std::int64_t progress_clock_ms = 0;
@@ -238,7 +254,8 @@
   /// Records that a lease up to the end of the term is requested from the
   /// worker. The recorded expiry allows for the drift between the clocks.
   void RecordRequestedLease(core::TimePoint now);
-  void ResetForNewIncarnation(const WorkerDescription& description);
+  void ResetForNewIncarnation(const WorkerDescription& description,
+                              core::TimePoint now);
   /// Takes the clock from an answer of the worker.
   void ObserveClock(std::int64_t worker_clock_ms, core::TimePoint now);
   /// Takes the clock from an announcement, until the worker has answered a
@@ -260,10 +277,10 @@
       return over;
     });
   }
-  /// Returns whether a lease or start that an earlier process of this agent
-  /// requested may still take effect.
-  bool MayEarlierProcessAct(core::TimePoint now) const {
-    return now < this->earlier_process_limit;
+  /// Returns whether a lease or start that was requested before the session may
+  /// still take effect.
+  bool MayEarlierCallsAct(core::TimePoint now) const {
+    return now < this->earlier_calls_limit;
   }
   /// Returns whether the worker has listed an end of the run.
   bool HasEnded(const RunKey& key) const;
@@ -280,9 +297,13 @@
   void UpdateRun(Run& run,
                  const ActiveRun& listed,
                  std::int64_t listing_clock_ms);
-  void MergeRunning(const WorkerListing& listing);
+  void MergeRunning(const WorkerListing& listing, core::TimePoint now);
   void RecordEnds(const WorkerListing& listing);
-  void RemoveMissingRuns(const WorkerListing& listing);
+  void RemoveMissingRuns(const WorkerListing& listing, core::TimePoint sent);
+  /// Returns whether `identity` is the incarnation that the agent knows of.
+  bool IsPresentWorker(const WorkerIdentity& identity) const {
+    return this->worker && this->worker->identity == identity;
+  }
   /// Drops all runs, since all leases and the deadlines of all starts have
   /// passed. The lists are then complete.
   void OnAllLeasesExpired();
@@ -297,13 +318,22 @@
   core::TimePoint term_end;
   /// When all leases that this process requested from the worker have expired.
   core::TimePoint leases_expired_at;
-  /// When all leases and starts that earlier processes of this agent requested
-  /// have expired.
-  core::TimePoint earlier_process_limit;
+  /// When all leases and starts that were requested before the session, by
+  /// earlier processes of this agent or from an earlier incarnation of the
+  /// worker, have expired.
+  core::TimePoint earlier_calls_limit;
   int failed_polls = 0;
-  /// Refused polls since the latest poll with another result.
+  /// Refused polls since the latest poll with another result, and when the
+  /// first of them was sent.
   int refused_polls = 0;
+  core::TimePoint first_refusal_sent;
   std::optional<WorkerDescription> worker;
+  /// Latest incarnation that this process has known of.
+  WorkerIdentity latest_worker;
+  /// Number of restarts of the worker during the session.
+  std::uint64_t worker_restarts = 0;
+  /// A later incarnation than `worker` has answered a poll.
+  bool is_superseded = false;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
   /// the agent received that reading.
@@ -314,10 +344,10 @@
   /// The agent has received a listing of the current worker incarnation, or the
   /// worker has deregistered.
   bool is_complete = false;
-  /// Worker clock and epoch of the newest listing.
+  /// Worker clock of the newest listing, and highest token of a listing.
   std::int64_t last_listing_clock_ms = 0;
   core::TimePoint last_listing_at;
-  core::SchedulingEpoch last_listing_epoch;
+  FencingToken last_listing_fence;
   std::map<RunKey, Run> runs;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -12,6 +12,7 @@
 using testing::MakeWorker;
 
 const RunKey kRun{{core::JobId("j"), 0, 0, 0}, 1};
+const WorkerIdentity kWorker = MakeWorker("w1").identity;
 
 /// Returns a supervisor that has a valid term and has polled its worker once.
 WorkerSupervisor MakeReady() {
@@ -22,7 +23,7 @@
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
   supervisor.OnReportAnswer(answer, At(1000), At(1000));
-  supervisor.OnListing({510, 1000, {}, {}, answer.epoch}, At(1010));
+  supervisor.OnListing({510, 1000, {}, {}, answer.epoch}, At(1010), At(1010));
   return supervisor;
 }
 
@@ -57,11 +58,27 @@
 /// Leaves the start and all its repetitions without an answer.
 void LoseAllStarts(WorkerSupervisor& supervisor, core::TimePoint now) {
   do {
-    supervisor.OnStartAnswer(kRun, StartResult::kUnknown,
+    supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
                              RejectReason::kInvalid, 0, now);
   } while (!supervisor.DueStarts(now).empty());
 }
 
+/// A process of the worker that began after that of `MakeReady`.
+WorkerDescription MakeRestarted() {
+  WorkerDescription restarted = MakeWorker("w1");
+  restarted.identity.born_wall_ms = 2000;
+  return restarted;
+}
+
+/// Returns the answer to a report that names this worker.
+ReportAnswer MakeAnswer(const WorkerDescription& worker) {
+  ReportAnswer answer;
+  answer.epoch = core::SchedulingEpoch(1);
+  answer.term = core::Duration::Seconds(5);
+  answer.worker = worker.identity;
+  return answer;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkerSupervisorTest)
@@ -72,7 +89,7 @@
   BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
   supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
   BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
-  supervisor.OnListing({510, 1000, {}, {}}, At(10));
+  supervisor.OnListing({510, 1000, {}, {}}, At(10), At(10));
   BOOST_TEST(supervisor.MakeReport(At(1100)).is_complete);
 }
 
@@ -89,7 +106,8 @@
   supervisor.OnReportAnswer(answer, At(1200), At(1200));
   ActiveRun run;
   run.key = kRun;
-  supervisor.OnListing({800, 1000, {run}, {}, answer.epoch}, At(1300));
+  supervisor.OnListing({800, 1000, {run}, {}, answer.epoch}, At(1300),
+                       At(1300));
   const AgentReport report = supervisor.MakeReport(At(1700));
   BOOST_TEST(report.speed.log_factor == 0.5);
   BOOST_TEST(report.speed.weight == 9.0);
@@ -104,7 +122,7 @@
   supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
   ActiveRun run;
   run.key = kRun;
-  supervisor.OnListing({510, 1000, {run}, {}}, At(10));
+  supervisor.OnListing({510, 1000, {run}, {}}, At(10), At(10));
   supervisor.OnPollFailed(At(20));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   supervisor.OnPollFailed(At(20) + kMaxWorkerLease);
@@ -121,13 +139,13 @@
   BOOST_REQUIRE(calls.has_value());
   BOOST_REQUIRE_EQUAL(calls->stops.size(), 1U);
   BOOST_TEST((calls->stops.front().key == kRun));
-  supervisor.OnListing({700, 1000, {}, {}}, At(1200));
+  supervisor.OnListing({700, 1000, {}, {}}, At(1200), At(1200));
   BOOST_REQUIRE_EQUAL(supervisor.MakeReport(At(1200)).active.size(), 1U);
   BOOST_TEST(!supervisor.MakeReport(At(1200)).active.front().confirmed);
   BOOST_TEST(!supervisor.AwaitsListing());
-  supervisor.OnStopAnswer(kRun, true, 800, At(1300));
+  supervisor.OnStopAnswer(kRun, kWorker, true, 800, At(1300));
   BOOST_TEST(supervisor.AwaitsListing());
-  supervisor.OnListing({801, 1000, {}, {}}, At(1301));
+  supervisor.OnListing({801, 1000, {}, {}}, At(1301), At(1301));
   BOOST_TEST(supervisor.MakeReport(At(1301)).active.empty());
   // By now all starts of the predecessor are past their deadlines.
   WorkerSupervisor old = MakeReady();
@@ -145,9 +163,11 @@
   answer.term = core::Duration::Seconds(5);
   supervisor.OnReportAnswer(answer, At(1100), At(1100));
   BOOST_TEST(!supervisor.MakeReport(At(1100)).is_complete);
-  supervisor.OnListing({600, 1000, {}, {}, core::SchedulingEpoch(1)}, At(1110));
+  supervisor.OnListing({600, 1000, {}, {}, core::SchedulingEpoch(1)}, At(1110),
+                       At(1110));
   BOOST_TEST(!supervisor.MakeReport(At(1110)).is_complete);
-  supervisor.OnListing({610, 1000, {}, {}, core::SchedulingEpoch(2)}, At(1120));
+  supervisor.OnListing({610, 1000, {}, {}, core::SchedulingEpoch(2)}, At(1120),
+                       At(1120));
   BOOST_TEST(supervisor.HasUnreportedChange());
   BOOST_TEST(supervisor.MakeReport(At(1120)).is_complete);
 }
@@ -211,14 +231,14 @@
   run.key = kRun;
   run.confirmed = true;
   supervisor.OnListing({600, 1000, {run}, {}, core::SchedulingEpoch(1)},
-                       At(1100));
-  supervisor.OnPollRefused(At(1200));
+                       At(1100), At(1100));
+  supervisor.OnPollRefused(At(1200), At(1200));
   BOOST_TEST(supervisor.MakeReport(At(1200)).active.size() == 1U);
   // A timeout does not show that the process has ended.
   supervisor.OnPollFailed(At(1300));
-  supervisor.OnPollRefused(At(1400));
+  supervisor.OnPollRefused(At(1400), At(1400));
   BOOST_TEST(supervisor.MakeReport(At(1400)).active.size() == 1U);
-  supervisor.OnPollRefused(At(1550));
+  supervisor.OnPollRefused(At(1550), At(1550));
   BOOST_TEST(supervisor.HasUnreportedChange());
   const AgentReport report = supervisor.MakeReport(At(1550));
   BOOST_TEST(report.active.empty());
@@ -232,8 +252,8 @@
   WorkerSupervisor supervisor = MakeReady();
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
   LoseAllStarts(supervisor, At(1500));
-  supervisor.OnPollRefused(At(1600));
-  supervisor.OnPollRefused(At(1750));
+  supervisor.OnPollRefused(At(1600), At(1600));
+  supervisor.OnPollRefused(At(1750), At(1750));
   BOOST_TEST(supervisor.MakeReport(At(1750)).active.size() == 1U);
 }
 
@@ -243,12 +263,12 @@
   WorkerSupervisor supervisor = MakeReady();
   ActiveRun run;
   run.key = kRun;
-  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200), At(1200));
   WorkerListing truncated{800, 1000, {}, {}};
   truncated.ends = {
       {1, {{core::JobId("other"), 0, 0, 0}, 1}, RunEndKind::kDone, ""}};
   truncated.ends_are_truncated = true;
-  supervisor.OnListing(truncated, At(1300));
+  supervisor.OnListing(truncated, At(1300), At(1300));
   const AgentReport report = supervisor.MakeReport(At(1300));
   BOOST_TEST(report.is_complete);
   BOOST_TEST(report.ends.size() == 1U);
@@ -257,7 +277,7 @@
   // The worker lists the end once it may forget earlier ones.
   WorkerListing rest{900, 1000, {}, {}};
   rest.ends = {{2, kRun, RunEndKind::kDone, ""}};
-  supervisor.OnListing(rest, At(1400));
+  supervisor.OnListing(rest, At(1400), At(1400));
   BOOST_TEST(supervisor.MakeReport(At(1400)).active.empty());
   BOOST_TEST(supervisor.MakeReport(At(1400)).rejections.empty());
 }
@@ -269,11 +289,11 @@
   supervisor.OnAnnouncement(MakeWorker("w1"), 1, 500, At(0));
   WorkerListing listing{510, 1000, {}, {}};
   listing.ends_are_truncated = true;
-  supervisor.OnListing(listing, At(10));
+  supervisor.OnListing(listing, At(10), At(10));
   BOOST_TEST(!supervisor.MakeReport(At(10)).is_complete);
   listing.worker_clock_ms = 520;
   listing.ends_are_truncated = false;
-  supervisor.OnListing(listing, At(20));
+  supervisor.OnListing(listing, At(20), At(20));
   BOOST_TEST(supervisor.HasUnreportedChange());
   BOOST_TEST(supervisor.MakeReport(At(20)).is_complete);
 }
@@ -313,11 +333,11 @@
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
   LoseAllStarts(supervisor, At(1500));
   BOOST_TEST(supervisor.DueStops(At(1500)).size() == 1U);
-  supervisor.OnListing({900, 1000, {}, {}}, At(1501));
+  supervisor.OnListing({900, 1000, {}, {}}, At(1501), At(1501));
   // No answer to the stop yet: the start may still arrive.
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
-  supervisor.OnStopAnswer(kRun, true, 1000, At(1600));
-  supervisor.OnListing({1100, 1000, {}, {}}, At(1700));
+  supervisor.OnStopAnswer(kRun, kWorker, true, 1000, At(1600));
+  supervisor.OnListing({1100, 1000, {}, {}}, At(1700), At(1700));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
@@ -326,31 +346,31 @@
 BOOST_AUTO_TEST_CASE(SendsAnUnansweredStartAgainAndKeepsTheRun) {
   WorkerSupervisor supervisor = MakeReady();
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "c", ""}}), At(1100)).value();
-  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
-                           0, At(1400));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                           RejectReason::kInvalid, 0, At(1400));
   BOOST_TEST(supervisor.DueStops(At(1400)).empty());
   const std::vector<StartCall> again = supervisor.DueStarts(At(1400));
   BOOST_TEST_REQUIRE(again.size() == 1U);
   BOOST_TEST((again.front().order.key == kRun));
   BOOST_TEST(again.front().order.checkpoint == "c");
   BOOST_TEST(supervisor.DueStarts(At(1400)).empty());
-  supervisor.OnStartAnswer(kRun, StartResult::kStarted, RejectReason::kInvalid,
-                           910, At(1410));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 910, At(1410));
   BOOST_TEST(supervisor.DueStops(At(2000)).empty());
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.front().confirmed);
   // A later listing without the run ends it; no stop is needed.
-  supervisor.OnListing({1000, 1000, {}, {}}, At(1500));
+  supervisor.OnListing({1000, 1000, {}, {}}, At(1500), At(1500));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
 BOOST_AUTO_TEST_CASE(TreatsAListedRunAsTheAnswerToItsStart) {
   WorkerSupervisor supervisor = MakeReady();
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
-  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
-                           0, At(1400));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                           RejectReason::kInvalid, 0, At(1400));
   ActiveRun run;
   run.key = kRun;
-  supervisor.OnListing({900, 1000, {run}, {}}, At(1401));
+  supervisor.OnListing({900, 1000, {run}, {}}, At(1401), At(1401));
   BOOST_TEST(supervisor.DueStarts(At(1402)).empty());
   BOOST_TEST(supervisor.DueStops(At(1402)).empty());
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.front().confirmed);
@@ -360,10 +380,10 @@
 BOOST_AUTO_TEST_CASE(StopsARunWhoseRepeatedStartIsRejected) {
   WorkerSupervisor supervisor = MakeReady();
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
-  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
-                           0, At(1400));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                           RejectReason::kInvalid, 0, At(1400));
   BOOST_TEST(supervisor.DueStarts(At(1400)).size() == 1U);
-  supervisor.OnStartAnswer(kRun, StartResult::kRejected,
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kRejected,
                            RejectReason::kNoCapacity, 910, At(1410));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
   BOOST_TEST(supervisor.DueStops(At(1410)).size() == 1U);
@@ -374,18 +394,18 @@
   ActiveRun run;
   run.key = kRun;
   run.percent = 10;
-  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200), At(1200));
   run.percent = 20;
-  supervisor.OnListing({1700, 1000, {run}, {}}, At(2200));
+  supervisor.OnListing({1700, 1000, {run}, {}}, At(2200), At(2200));
   supervisor.MakeReport(At(1100));
-  supervisor.OnListing({2200, 1000, {run}, {}}, At(2700));
+  supervisor.OnListing({2200, 1000, {run}, {}}, At(2700), At(2700));
   BOOST_TEST(!supervisor.HasUnreportedChange());
-  supervisor.OnListing({2700, 1000, {run}, {}}, At(3200));
+  supervisor.OnListing({2700, 1000, {run}, {}}, At(3200), At(3200));
   BOOST_TEST(supervisor.HasUnreportedChange());
   BOOST_TEST((supervisor.MakeReport(At(1100)).active.front().still ==
               core::Duration::Seconds(1)));
   run.percent = 21;
-  supervisor.OnListing({2800, 1000, {run}, {}}, At(3300));
+  supervisor.OnListing({2800, 1000, {run}, {}}, At(3300), At(3300));
   BOOST_TEST((supervisor.MakeReport(At(1100)).active.front().still ==
               core::Duration()));
 }
@@ -395,7 +415,7 @@
   for (const bool restarts : {false, true}) {
     WorkerSupervisor supervisor = MakeReady();
     supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
-    supervisor.OnStartAnswer(kRun, StartResult::kUnknown,
+    supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
                              RejectReason::kInvalid, 0, At(1400));
     WorkerDescription changed = MakeWorker("w1");
     changed.state = WorkerState::kDraining;
@@ -412,11 +432,11 @@
 BOOST_AUTO_TEST_CASE(IgnoresAListingFromBeforeTheStart) {
   WorkerSupervisor supervisor = MakeReady();
   supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
-  supervisor.OnStartAnswer(kRun, StartResult::kStarted, RejectReason::kInvalid,
-                           620, At(1120));
-  supervisor.OnListing({615, 1000, {}, {}}, At(1130));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 620, At(1120));
+  supervisor.OnListing({615, 1000, {}, {}}, At(1130), At(1130));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.size() == 1U);
-  supervisor.OnListing({700, 1000, {}, {}}, At(1210));
+  supervisor.OnListing({700, 1000, {}, {}}, At(1210), At(1210));
   BOOST_TEST(supervisor.MakeReport(At(1100)).active.empty());
 }
 
@@ -424,7 +444,7 @@
   WorkerSupervisor supervisor = MakeReady();
   ActiveRun run;
   run.key = kRun;
-  supervisor.OnListing({700, 1000, {run}, {}}, At(1200));
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1200), At(1200));
   WorkerDescription restarted = MakeWorker("w1");
   restarted.identity.born_wall_ms = 2000;
   supervisor.OnAnnouncement(restarted, 1, 5, At(1300));
@@ -434,6 +454,110 @@
   BOOST_TEST((supervisor.Worker()->identity == restarted.identity));
 }
 
+// Guards against TWICE: a start that was sent to the former process of the
+// worker is carried out by the present one, and the run was given up.
+BOOST_AUTO_TEST_CASE(ARestartedWorkerIsPolledBeforeItsRunsAreGivenUp) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 3, At(1110));
+  const FencingToken before = supervisor.Fence();
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 5, At(1120));
+  BOOST_TEST((supervisor.Fence() > before));
+  BOOST_TEST(!supervisor.MakeReport(At(1120)).is_complete);
+  // The answer to a poll from before does not keep a late start from the
+  // worker.
+  supervisor.OnListing({10, 2000, {}, {}, before}, At(1125), At(1130));
+  BOOST_TEST(!supervisor.MakeReport(At(1130)).is_complete);
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({20, 2000, {run}, {}, supervisor.Fence()}, At(1135),
+                       At(1140));
+  const AgentReport report = supervisor.MakeReport(At(1140));
+  BOOST_TEST(report.is_complete);
+  BOOST_REQUIRE_EQUAL(report.active.size(), 1U);
+  BOOST_TEST((report.active.front().key == kRun));
+}
+
+// Guards against TWICE: the start was answered by a later process of the worker
+// than the one whose older listing is handled next.
+BOOST_AUTO_TEST_CASE(AListingOfAPollFromBeforeTheStartProvesNothing) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 3, At(1120));
+  supervisor.OnListing({600, 1000, {}, {}}, At(1090), At(1130));
+  BOOST_TEST(supervisor.MakeReport(At(1130)).active.size() == 1U);
+}
+
+// Guards against leases that outlast their term: an answer of the former
+// process of the worker carries the clock of that process.
+BOOST_AUTO_TEST_CASE(AnswersForTheFormerWorkerDoNotChangeTheClock) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  const WorkerDescription restarted = MakeRestarted();
+  supervisor.OnAnnouncement(restarted, 1, 5, At(1200));
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({10, 2000, {run}, {}, supervisor.Fence()}, At(1205),
+                       At(1210));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 900'000, At(1220));
+  supervisor.OnStopAnswer(kRun, kWorker, true, 900'000, At(1220));
+  // The worker's clock read 10 at 1210; the term ends at 6000.
+  BOOST_TEST(supervisor.BeginPoll(At(1300)).value() == 10 + 4790);
+  // The run ends with a listing that lacks it, whatever the former clock was.
+  supervisor.OnListing({200, 2000, {}, {}, supervisor.Fence()}, At(1390),
+                       At(1400));
+  BOOST_TEST(supervisor.MakeReport(At(1400)).active.empty());
+}
+
+// Guards against runs on a process of the worker that the agent does not know:
+// a later process has answered a poll and has not been announced yet.
+BOOST_AUTO_TEST_CASE(StartsNothingWhileAnUnknownProcessAnswers) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnListing({10, 2000, {}, {}}, At(1090), At(1100));
+  BOOST_TEST(!supervisor.MakeReport(At(1100)).can_start);
+  BOOST_TEST(!supervisor.BeginPoll(At(1100)).has_value());
+  BOOST_TEST(supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100))
+                 ->starts.empty());
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 20, At(1110));
+  BOOST_TEST(supervisor.MakeReport(At(1110)).can_start);
+}
+
+// Guards against TWICE: a poll for the former process of the worker extends the
+// lease of the present one by the clock of the former. The worker cannot be
+// reached afterwards.
+BOOST_AUTO_TEST_CASE(CountsWithLongLeasesAfterARestartOfTheWorker) {
+  WorkerSupervisor supervisor = MakeReady();
+  const core::TimePoint later = At(0) + kMaxWorkerLease;
+  supervisor.OnReportAnswer(MakeAnswer(MakeWorker("w1")), later, later);
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 5, later);
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({10, 2000, {run}, {}, supervisor.Fence()}, later, later);
+  // The answer to a report from before the restart does not know of it.
+  ReportAnswer unaware = MakeAnswer(MakeWorker("w1"));
+  unaware.earlier_leases = core::Duration();
+  supervisor.OnReportAnswer(unaware, later, later);
+  supervisor.OnPollFailed(later + core::Duration::Seconds(6));
+  BOOST_TEST(supervisor.MakeReport(later).active.size() == 1U);
+  supervisor.OnPollFailed(later + kMaxWorkerLease + core::Duration::Seconds(1));
+  BOOST_TEST(supervisor.MakeReport(later).active.empty());
+}
+
+// Guards against TWICE: the second refusal is that of a poll from before the
+// worker was back and confirmed the run.
+BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnPollRefused(At(1110), At(1111));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kStarted,
+                           RejectReason::kInvalid, 3, At(1300));
+  supervisor.OnPollRefused(At(1260), At(1301));
+  BOOST_TEST(supervisor.MakeReport(At(1301)).active.size() == 1U);
+}
+
 // Guards against a planner that sends its first starts before the agents have a
 // term: after each change of planner, the agents rejected all of them.
 BOOST_AUTO_TEST_CASE(ReportsImmediatelyWhetherItCanStart) {
@@ -482,8 +606,8 @@
 BOOST_AUTO_TEST_CASE(RepeatsNoStartInAnEvacuatedDataCentre) {
   WorkerSupervisor supervisor = MakeReady();
   BOOST_REQUIRE(supervisor.OnOrders(MakeBatch(1, {{kRun, "", ""}}), At(1020)));
-  supervisor.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid,
-                           0, At(1270));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                           RejectReason::kInvalid, 0, At(1270));
   Evacuate(supervisor, 10, {"a"}, At(1280));
   BOOST_TEST(supervisor.DueStarts(At(1290)).empty());
   BOOST_TEST(supervisor.DueStops(At(1290)).size() == 1U);
--- a/modules/batch/model/ids.h
+++ b/modules/batch/model/ids.h
@@ -20,12 +20,30 @@
 using QueueName = core::StrongId<detail::QueueTag>;
 /// Id that a worker reports for itself. A restarted worker may reuse its id.
 using WorkerId = core::StrongId<detail::WorkerTag>;
-/// Number of a session between a planner and an agent. A session ends when the
-/// planner counts the agent as lost; the next one in the same epoch has the
-/// next number. Orders and terms are valid only in the session they were given
-/// in.
+/// Number of a session between a planner and an agent. A session covers one
+/// process of the agent, and ends when the planner counts the agent as lost;
+/// the next one in the same epoch has the next number. Orders, terms and
+/// complete lists of runs are valid only in the session they were given in.
 using SessionNumber = core::StrongNumber<detail::SessionTag>;
 
+/// Ranks the calls to a worker by the permission under which they are sent. A
+/// worker refuses a call with a lower token than the highest that it has seen.
+/// Each incarnation of the worker that an agent comes to know raises the token,
+/// so that calls for a former incarnation are refused once the present one has
+/// been polled.
+struct FencingToken {
+  core::SchedulingEpoch epoch;
+  SessionNumber session;
+  /// Number of times that the worker has started anew during the session.
+  std::uint64_t worker_restarts = 0;
+
+  /// Returns one number with the same order, for fewer than 65,536 sessions in
+  /// an epoch and 16,384 restarts in a session. It fits into 53 bits, which all
+  /// JSON parsers represent exactly, for up to eight million epochs.
+  std::uint64_t Number() const;
+  auto operator<=>(const FencingToken&) const = default;
+};
+
 /// One incarnation of a worker: its id and start time. The start time tells a
 /// restarted worker from its predecessor with the same id.
 struct WorkerIdentity {
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -227,6 +227,9 @@
   if (report.worker) {
     json["worker"] = *report.worker;
   }
+  if (report.session) {
+    json["session"] = *report.session;
+  }
 }
 
 static void from_json(const nlohmann::json& json, AgentReport& report) {
@@ -247,6 +250,9 @@
   if (json.contains("worker")) {
     report.worker = json.at("worker").get<WorkerDescription>();
   }
+  if (json.contains("session")) {
+    report.session = json.at("session").get<SessionNumber>();
+  }
 }
 
 namespace {
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -107,6 +107,9 @@
   /// Rises with each report of one incarnation.
   std::uint64_t sequence = 0;
   core::SchedulingEpoch epoch;
+  /// Session of `epoch` that the agent is in; empty in reports of versions that
+  /// do not state it.
+  std::optional<SessionNumber> session;
   /// Highest number among the order batches of `epoch` that the agent has
   /// accepted.
   std::uint64_t batch = 0;
@@ -114,10 +117,10 @@
   std::optional<WorkerDescription> worker;
   /// False after a call to the worker went unanswered.
   bool worker_reachable = true;
-  /// True if the lists below cover everything on the worker and, except for
-  /// starts that earlier processes of the agent sent in `epoch`, everything
-  /// that the worker may still start. False after a restart of the agent or of
-  /// the worker, until the agent has read the worker's list of runs.
+  /// True if the lists below cover everything on the worker and everything that
+  /// the worker may still start on the orders of the session and of earlier
+  /// ones. False at the begin of a session, and after a restart of the worker,
+  /// until the worker has answered a poll.
   bool is_complete = false;
   /// True if the agent has an unexpired term from the planner and knows the
   /// worker's clock. Without both it cannot set the lease of a run, and refuses
@@ -147,7 +150,8 @@
   /// which it sent the report.
   core::Duration term;
   /// Time, counted from the arrival of the answer, after which no lease or
-  /// start that earlier processes of the agent requested can be valid.
+  /// start that was requested before the session, by earlier processes of the
+  /// agent or from an earlier incarnation of the worker, can be valid.
   core::Duration earlier_leases = kMaxWorkerLease;
   /// Incarnation of the worker to which `acknowledged` refers.
   WorkerIdentity worker;
--- a/modules/batch/model/messages_test.cc
+++ b/modules/batch/model/messages_test.cc
@@ -222,6 +222,33 @@
   }
 }
 
+// A worker orders calls by the number of the token alone.
+BOOST_AUTO_TEST_CASE(TokensRankByEpochThenSessionThenRestarts) {
+  const auto token = [](std::uint64_t epoch, std::uint64_t session,
+                        std::uint64_t restarts) {
+    return FencingToken{core::SchedulingEpoch(epoch), SessionNumber(session),
+                        restarts};
+  };
+  const std::vector<FencingToken> rising = {token(0, 0, 0), token(1, 0, 0),
+                                            token(1, 0, 1), token(1, 1, 0),
+                                            token(1, 2, 7), token(2, 0, 0)};
+  for (std::size_t i = 1; i < rising.size(); ++i) {
+    BOOST_TEST((rising[i - 1] < rising[i]));
+    BOOST_TEST(rising[i - 1].Number() < rising[i].Number());
+  }
+  BOOST_TEST(token(0, 0, 0).Number() == 0U);
+}
+
+// Reports of versions without sessions are read, and those with one keep it.
+BOOST_AUTO_TEST_CASE(ReportsKeepTheirSession) {
+  AgentReport report;
+  report.agent = core::AgentId("a");
+  report.endpoint = "127.0.0.1:1";
+  BOOST_TEST(!ReportFromText(ToText(report))->session.has_value());
+  report.session = SessionNumber(3);
+  BOOST_TEST((ReportFromText(ToText(report))->session == report.session));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::batch
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -54,7 +54,8 @@
   bool is_evacuated = false;
   /// The worker is cold, and its data centre has returned to service recently.
   bool ranks_as_cold = false;
-  /// The lists of the latest report covered everything on the worker.
+  /// The lists of the latest report covered everything on the worker, in the
+  /// present session.
   bool is_complete = false;
   /// The agent reported that it can set the lease of the runs it starts.
   bool can_start = false;
@@ -69,13 +70,17 @@
   /// for. An agent that has not reported by then is considered lost, and its
   /// runs may be started elsewhere.
   core::TimePoint leases_expire_at;
-  /// The same for earlier processes of this agent.
+  /// The same for calls from before the session, by earlier processes of this
+  /// agent or from an earlier incarnation of the worker.
   core::TimePoint earlier_leases_expire_at;
   /// No report arrived before `leases_expire_at`.
   bool is_lost = false;
   /// Orders of earlier sessions may still arrive at the agent, which refuses
   /// them.
   SessionNumber session;
+  /// The worker has started anew, and no report shows that the new incarnation
+  /// has been polled. It may still carry out calls for the former one.
+  bool awaits_fencing = false;
   /// Number of the latest order batch. At most one batch is open, that is, sent
   /// and not yet answered.
   std::uint64_t batch = 0;
--- a/modules/batch/planner/permission_test.cc
+++ b/modules/batch/planner/permission_test.cc
@@ -18,6 +18,7 @@
 
 constexpr Resources kSmall{5600, 23000, 1};
 const RunKey kRun{{core::JobId("j"), 0, 0, 0}, 1};
+const WorkerIdentity kWorker = MakeWorker("w1").identity;
 
 /// An agent with a term of 5 s that began at 1000 ms.
 WorkerSupervisor MakeAgent() {
@@ -28,7 +29,7 @@
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
   agent.OnReportAnswer(answer, At(1000), At(1000));
-  agent.OnListing({510, 1000, {}, {}}, At(1010));
+  agent.OnListing({510, 1000, {}, {}}, At(1010), At(1010));
   return agent;
 }
 
@@ -149,7 +150,7 @@
   WorkerSupervisor agent(delayed.front().agent, "127.0.0.1:1",
                          core::Incarnation(7), At(0));
   agent.OnAnnouncement(MakeWorker(cut), 1, 500, fleet.now);
-  agent.OnListing({510, 1000, {}, {}}, fleet.now);
+  agent.OnListing({510, 1000, {}, {}}, fleet.now, fleet.now);
   const auto report = [&agent, &fleet] {
     agent.OnReportAnswer(
         fleet.planner.OnReport(agent.MakeReport(fleet.now), fleet.now),
@@ -190,8 +191,8 @@
   answer.term = core::Duration::Seconds(5);
   answer.session = SessionNumber(1);
   agent.OnReportAnswer(answer, At(8000), At(8010));
-  agent.OnStartAnswer(kRun, StartResult::kUnknown, RejectReason::kInvalid, 0,
-                      At(8020));
+  agent.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                      RejectReason::kInvalid, 0, At(8020));
   BOOST_TEST(agent.DueStarts(At(8020)).empty());
   BOOST_TEST(agent.DueStops(At(8020)).size() == 1U);
   // An answer of the earlier session grants no term.
@@ -215,7 +216,7 @@
       // Paused between a start without an answer and its repetition.
       WorkerSupervisor repeating = MakeAgent();
       BOOST_REQUIRE(repeating.OnOrders(MakeBatch(1, 1), At(1010)).has_value());
-      repeating.OnStartAnswer(kRun, StartResult::kUnknown,
+      repeating.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
                               RejectReason::kInvalid, 0, At(1010));
       BOOST_TEST(repeating.DueStarts(now).size() == (in_term ? 1U : 0U));
     }
@@ -262,7 +263,7 @@
   answer.epoch = core::SchedulingEpoch(1);
   answer.term = core::Duration::Seconds(5);
   agent.OnReportAnswer(answer, At(1000), At(1000));
-  agent.OnListing({510, 1000, {}, {}}, At(1010));
+  agent.OnListing({510, 1000, {}, {}}, At(1010), At(1010));
   BOOST_TEST((agent.BeginPoll(At(1010)) == std::optional<std::int64_t>(5500)));
   agent.OnAnnouncement(MakeWorker("w1"), 2, 900'000'000, At(1020));
   BOOST_TEST((agent.BeginPoll(At(1020)) == std::optional<std::int64_t>(5500)));
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -196,7 +196,9 @@
   view.endpoint = report.endpoint;
   if (view.incarnation != report.incarnation) {
     if (view.incarnation != core::Incarnation()) {
-      view.earlier_leases_expire_at = view.leases_expire_at;
+      view.earlier_leases_expire_at =
+          std::max(view.earlier_leases_expire_at, view.leases_expire_at);
+      view.session = view.session.Next();
       this->OnAgentRestarted(view);
     }
     view.incarnation = report.incarnation;
@@ -211,6 +213,14 @@
   return view;
 }
 
+void Planner::ExtendEarlierLeases(AgentView& view, core::TimePoint now) {
+  view.earlier_leases_expire_at =
+      std::max(view.earlier_leases_expire_at,
+               now + MaxLeaseDuration(this->options.max_worker_lease));
+  view.leases_expire_at =
+      std::max(view.leases_expire_at, view.earlier_leases_expire_at);
+}
+
 void Planner::OnAgentRestarted(const AgentView& view) {
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
@@ -273,7 +283,7 @@
     this->ApplyActiveRuns(view, report, now);
     this->RemoveMissingRuns(view, report, now);
     view.has_reported =
-        view.has_reported || (!view.needs_probe && report.is_complete);
+        view.has_reported || (!view.needs_probe && view.is_complete);
   }
   ReportAnswer answer;
   answer.epoch = this->epoch;
@@ -297,6 +307,18 @@
   const bool same_incarnation =
       view.worker && report.worker &&
       view.worker->identity == report.worker->identity;
+  const bool has_restarted =
+      !same_incarnation && view.worker && report.worker &&
+      view.worker->identity.id == report.worker->identity.id;
+  if (has_restarted) {
+    view.awaits_fencing = true;
+    this->LogDecision(
+        "worker_restarted", {},
+        "agent=" + view.agent.Text() +
+            " worker=" + report.worker->identity.id.Text() +
+            " born=" + Text(report.worker->identity.born_wall_ms) +
+            " former_born=" + Text(view.worker->identity.born_wall_ms));
+  }
   if (!same_incarnation) {
     view.applied_end = 0;
     view.pending_ends.clear();
@@ -333,7 +355,12 @@
   }
   view.worker = report.worker;
   view.worker_reachable = report.worker_reachable;
-  view.is_complete = report.is_complete;
+  const bool is_in_session = !report.session || *report.session == view.session;
+  view.is_complete = report.is_complete && is_in_session;
+  if (view.awaits_fencing) {
+    this->ExtendEarlierLeases(view, now);
+    view.awaits_fencing = !view.is_complete;
+  }
   view.can_start = report.can_start;
 }
 
@@ -573,7 +600,7 @@
           "task=" + key.task.ToText() + " agent=" + view.agent.Text());
     }
   }
-  if (report.is_complete) {
+  if (view.is_complete) {
     view.orphan_runs.clear();
   }
   view.orphan_runs.merge(orphan_runs);
@@ -602,13 +629,10 @@
         const bool is_listed = std::any_of(
             report.active.begin(), report.active.end(),
             [&key](const ActiveRun& active) { return active.key == key; });
-        // Unless the lists are complete, only runs of an earlier incarnation of
-        // the worker are known to be over.
-        const bool is_earlier_incarnation =
-            report.worker && report.worker->identity != member->worker;
+        // A new incarnation of the worker alone does not show that a run is
+        // over: it may have been given the start.
         const bool is_settled = member->sent && member->batch <= report.batch &&
-                                !is_listed &&
-                                (report.is_complete || is_earlier_incarnation);
+                                !is_listed && view.is_complete;
         if (member->agent != view.agent || !is_settled) {
           ++member;
           continue;
@@ -622,7 +646,8 @@
             "task=" + key.task.ToText() + " run=" + Text(key.run) +
                 " agent=" + view.agent.Text() + " reason=" +
                 (was_rejected ? NameOf(rejection->reason) : "lost") +
-                " lists=" + (report.is_complete ? "complete" : "incomplete") +
+                " session=" +
+                Text(static_cast<std::int64_t>(view.session.Number())) +
                 " born=" + Text(member->worker.born_wall_ms) +
                 " reported_born=" +
                 Text(report.worker ? report.worker->identity.born_wall_ms : 0));
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -36,6 +36,8 @@
   /// How long an agent may renew a worker's lease after a report without
   /// hearing from the planner again.
   core::Duration term = core::Duration::Seconds(5);
+  /// Longest lease that a worker accepts.
+  core::Duration max_worker_lease = kMaxWorkerLease;
   /// How long an ended job stays known.
   core::Duration retention = core::Duration::Seconds(150);
   /// Internal endpoint of this planner.
@@ -212,6 +214,9 @@
   /// answered, since the report of an ended one may arrive late, also after
   /// that of its successor.
   bool IsPresentProcess(const AgentReport& report);
+  /// Counts with leases as long as a worker accepts, requested now by calls for
+  /// an earlier incarnation, whose clock was another.
+  void ExtendEarlierLeases(AgentView& view, core::TimePoint now);
   /// Handles a restart of the agent. Only the ended process knew which of its
   /// starts the worker had not answered, and the worker may carry these out
   /// later, so all starts that no report has confirmed become doubtful.
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -362,6 +362,68 @@
   BOOST_TEST(members.front().run == 1);
 }
 
+// Guards against TWICE: the worker has started anew and was given the start
+// that was meant for its former process. Only a list of the present process
+// shows whether the run is over.
+BOOST_AUTO_TEST_CASE(ARestartOfTheWorkerAloneDoesNotEndItsRuns) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  const core::JobId job("j");
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  const std::string worker = fleet.Active().front().first;
+  AgentReport& report = fleet.ReportOf(worker);
+  ++report.worker->identity.born_wall_ms;
+  report.is_complete = false;
+  report.active.clear();
+  fleet.Advance(2000);
+  BOOST_TEST(fleet.Active().empty());
+  report.is_complete = true;
+  fleet.Advance(2000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().second.run == 2);
+}
+
+// Guards against TWICE: the lists of a restarted agent are from before the
+// session in which the worker refuses the starts of the ended process.
+BOOST_AUTO_TEST_CASE(ListsFromBeforeTheSessionAreNotComplete) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  AgentReport& report = fleet.ReportOf("w1");
+  const SessionNumber before =
+      fleet.planner.OnReport(report, fleet.now).session;
+  report.incarnation = core::Incarnation(8);
+  report.session = before;
+  report.active.clear();
+  report.sequence = 1;
+  const ReportAnswer answer = fleet.planner.OnReport(report, fleet.now);
+  BOOST_TEST((answer.session > before));
+  const auto& units = fleet.planner.Jobs().at(core::JobId("j")).units;
+  BOOST_TEST(units.front().members.size() == 1U);
+  report.session = answer.session;
+  report.batch = 9;
+  report.sequence = 2;
+  fleet.planner.OnReport(report, fleet.now);
+  BOOST_TEST(units.front().members.empty());
+}
+
+// Guards against TWICE: calls for the former process of a worker may have given
+// the present one a lease of any length, so its silent agent is not lost
+// before.
+BOOST_AUTO_TEST_CASE(CountsWithLongLeasesAfterARestartOfTheWorker) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  ++fleet.ReportOf("w1").worker->identity.born_wall_ms;
+  fleet.ReportAll();
+  fleet.DisconnectAgent("w1");
+  const auto is_lost = [&fleet] {
+    return fleet.planner.Agents().at(core::AgentId("agent-w1")).is_lost;
+  };
+  fleet.Advance(kMaxWorkerLease.InMilliseconds());
+  BOOST_TEST(!is_lost());
+  fleet.Advance(1000);
+  BOOST_TEST(is_lost());
+}
+
 // Guards against LOST: the only report of a process that lived for a moment
 // arrives after those of its successor. It must not take the successor's place.
 // Found by batch_exploration_test (seed 2088).
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -39,7 +39,7 @@
 /// A poll of the worker for its runs. It also extends the worker's lease and
 /// acknowledges ends.
 struct PollCall {
-  core::SchedulingEpoch epoch;
+  FencingToken fence;
   WorkerIdentity worker;
   /// Number of the last acknowledged end.
   std::uint64_t acknowledged = 0;
@@ -51,7 +51,7 @@
 };
 
 /// Calls to the worker. Callbacks run asynchronously on the calling thread. A
-/// poll fails with kStale when the worker has seen a newer epoch, and with
+/// poll fails with kStale when the worker has seen a higher token, and with
 /// kNotFound when no process listens at the worker's address.
 template <typename T>
 concept WorkerPort =
@@ -100,6 +100,7 @@
                       std::uint64_t sequence,
                       std::int64_t worker_clock_ms) {
     const auto before = this->supervisor.Worker();
+    const FencingToken token_before = this->supervisor.Fence();
     this->supervisor.OnAnnouncement(description, sequence, worker_clock_ms,
                                     core::Clock::Now());
     const auto& after = this->supervisor.Worker();
@@ -115,6 +116,7 @@
             after->state == WorkerState::kDraining ? "draining" : "ready"}});
     }
     this->ReportRemovedRuns();
+    this->PollWithNewToken(token_before);
     this->PollIfDue();
     this->ReportIfChanged();
   }
@@ -149,22 +151,23 @@
       responder.Respond(std::move(refusal));
       return;
     }
-    const core::SchedulingEpoch before = this->supervisor.Epoch();
+    const FencingToken before = this->supervisor.Fence();
     const core::Expected<BatchCalls> calls =
         this->supervisor.OnOrders(*batch, core::Clock::Now());
     if (!calls) {
-      observe::Log(observe::LogLevel::kWarn, calls.error().message, {},
-                   {{"event", "orders_refused"},
-                    {"epoch", std::to_string(batch->epoch.Number())},
-                    {"known_epoch", std::to_string(before.Number())}});
+      observe::Log(
+          observe::LogLevel::kWarn, calls.error().message, {},
+          {{"event", "orders_refused"},
+           {"epoch", std::to_string(batch->epoch.Number())},
+           {"session", std::to_string(batch->session.Number())},
+           {"known_epoch", std::to_string(before.epoch.Number())},
+           {"known_session", std::to_string(before.session.Number())}});
       refusal.status = wire::http_status::kConflict;
       responder.Respond(std::move(refusal));
       return;
     }
     this->planner = batch->planner;
-    if (this->supervisor.Epoch() != before) {
-      this->OnNewEpoch();
-    }
+    this->PollWithNewToken(before);
     this->ReportRefusals(*calls);
     this->SendCalls(*calls);
     this->pending_orders.push_back(
@@ -226,17 +229,27 @@
     }
   }
 
-  void OnNewEpoch() {
-    this->entry_index = 0;
-    observe::Log(
-        observe::LogLevel::kInfo, "scheduling epoch raised by a new planner",
-        {},
-        {{"event", "epoch_raised"},
-         {"epoch", std::to_string(this->supervisor.Epoch().Number())}});
-    // Tells the worker the new epoch, its fencing token, without waiting for
-    // the long poll in flight.
+  /// Tells the worker the token if it has been raised since `before`, without
+  /// waiting for the long poll in flight.
+  void PollWithNewToken(const FencingToken& before) {
+    const FencingToken fence = this->supervisor.Fence();
+    if (fence == before) {
+      return;
+    }
+    const bool is_new_epoch = fence.epoch != before.epoch;
+    observe::Log(observe::LogLevel::kInfo,
+                 is_new_epoch ? "scheduling epoch raised by a new planner"
+                              : "token for calls to the worker raised",
+                 {},
+                 {{"event", is_new_epoch ? "epoch_raised" : "token_raised"},
+                  {"epoch", std::to_string(fence.epoch.Number())},
+                  {"session", std::to_string(fence.session.Number())},
+                  {"worker_restarts", std::to_string(fence.worker_restarts)}});
     this->Poll(core::Duration());
-    this->Report();
+    if (is_new_epoch) {
+      this->entry_index = 0;
+      this->Report();
+    }
   }
 
   void ReportRefusals(const BatchCalls& calls) {
@@ -287,8 +300,8 @@
     const core::TimePoint sent = core::Clock::Now();
     this->port.Start(
         start, [this, key, sent, addressed = start.worker](StartAnswer answer) {
-          this->supervisor.OnStartAnswer(key, answer.result, answer.reason,
-                                         answer.worker_clock_ms,
+          this->supervisor.OnStartAnswer(key, addressed, answer.result,
+                                         answer.reason, answer.worker_clock_ms,
                                          core::Clock::Now());
           this->LogStart(key, answer, addressed, core::Clock::Now() - sent);
           for (const StartCall& again :
@@ -325,10 +338,11 @@
   }
 
   void SendStop(const StopCall& stop) {
-    this->port.Stop(stop, [this, key = stop.key](StopAnswer answer) {
-      this->supervisor.OnStopAnswer(key, answer.worker_clock_ms.has_value(),
-                                    answer.worker_clock_ms.value_or(0),
-                                    core::Clock::Now());
+    this->port.Stop(stop, [this, key = stop.key,
+                           addressed = stop.worker](StopAnswer answer) {
+      this->supervisor.OnStopAnswer(
+          key, addressed, answer.worker_clock_ms.has_value(),
+          answer.worker_clock_ms.value_or(0), core::Clock::Now());
     });
   }
 
@@ -361,7 +375,7 @@
       return;
     }
     PollCall poll;
-    poll.epoch = this->supervisor.Epoch();
+    poll.fence = this->supervisor.Fence();
     poll.worker = worker->identity;
     poll.acknowledged = this->supervisor.Acknowledged();
     poll.deadline_ms = this->supervisor.BeginPoll(core::Clock::Now());
@@ -371,28 +385,29 @@
     poll.wait = may_wait ? wait : core::Duration();
     const bool is_long = wait > core::Duration();
     (is_long ? this->long_poll_in_flight : this->short_poll_in_flight) = true;
-    this->port.Poll(poll, [this, is_long, epoch = poll.epoch](
+    this->port.Poll(poll, [this, is_long, sent, fence = poll.fence](
                               core::Expected<WorkerListing> listing) {
       (is_long ? this->long_poll_in_flight : this->short_poll_in_flight) =
           false;
-      this->OnPollAnswer(std::move(listing), epoch);
+      this->OnPollAnswer(std::move(listing), fence, sent);
     });
   }
 
   void OnPollAnswer(core::Expected<WorkerListing> listing,
-                    core::SchedulingEpoch epoch) {
+                    const FencingToken& fence,
+                    core::TimePoint sent) {
     const core::TimePoint now = core::Clock::Now();
     if (listing) {
-      listing->epoch = epoch;
+      listing->fence = fence;
       this->LogOtherIncarnation(*listing);
-      this->supervisor.OnListing(*listing, now);
+      this->supervisor.OnListing(*listing, sent, now);
       this->poll_failing = false;
       if (this->supervisor.HasUnacknowledgedEnds() ||
           !this->supervisor.IsComplete(now)) {
         this->next_poll = now + kUnacknowledgedPollInterval;
       }
     } else {
-      this->HandlePollFailure(listing.error(), now);
+      this->HandlePollFailure(listing.error(), sent, now);
     }
     this->ReportRemovedRuns();
     this->AnswerOrders();
@@ -419,14 +434,16 @@
                   {"runs", std::to_string(listing.running.size())}});
   }
 
-  void HandlePollFailure(const core::Error& error, core::TimePoint now) {
+  void HandlePollFailure(const core::Error& error,
+                         core::TimePoint sent,
+                         core::TimePoint now) {
     this->next_poll = now + kPollRetryDelay;
-    // A worker that rejects the epoch is reachable: a newer planner has taken
-    // over and sends its orders soon.
+    // A worker that rejects the token is reachable: a newer planner has taken
+    // over, or a newer session has begun.
     if (error.code != core::ErrorCode::kStale) {
       this->LogPollFailure(error);
       if (error.code == core::ErrorCode::kNotFound) {
-        this->supervisor.OnPollRefused(now);
+        this->supervisor.OnPollRefused(sent, now);
       } else {
         this->supervisor.OnPollFailed(now);
       }
@@ -528,7 +545,7 @@
                    "report accepted by a planner again", {},
                    {{"event", "planner_found"}});
     }
-    const core::SchedulingEpoch before = this->supervisor.Epoch();
+    const FencingToken before = this->supervisor.Fence();
     const std::uint64_t acknowledged = this->supervisor.Acknowledged();
     this->supervisor.OnReportAnswer(answer, sent, core::Clock::Now());
     if (this->supervisor.Acknowledged() != acknowledged) {
@@ -538,9 +555,7 @@
     if (this->planner.empty() && !this->entries.empty()) {
       this->planner = this->entries[this->entry_index % this->entries.size()];
     }
-    if (this->supervisor.Epoch() != before) {
-      this->OnNewEpoch();
-    }
+    this->PollWithNewToken(before);
     this->ReportIfChanged();
     this->PollIfDue();
   }
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -32,6 +32,8 @@
   entry::OwnershipTiming ownership;
   /// Validity of the term that the planner grants to an agent with each answer.
   core::Duration term;
+  /// Longest lease that a worker accepts.
+  core::Duration max_worker_lease = PlannerOptions().max_worker_lease;
   /// Time for which the records of ended jobs are kept.
   core::Duration retention = PlannerOptions().retention;
   /// Internal endpoints of entries, sent to agents.
@@ -419,6 +421,7 @@
     if (is_first) {
       PlannerOptions planner_options;
       planner_options.term = this->options.term;
+      planner_options.max_worker_lease = this->options.max_worker_lease;
       planner_options.endpoint = this->options.endpoint;
       planner_options.retention = this->options.retention;
       planner_options.overload_policy = this->options.overload_policy;
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -466,8 +466,12 @@
                                            number, clock,
                                            description = worker->Describe()] {
     this->InProcess(index, process, [this, index, number, clock, description] {
-      this->AgentAt(index).supervisor->OnAnnouncement(description, number,
-                                                      clock, this->Now());
+      WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
+      const FencingToken before = supervisor.Fence();
+      supervisor.OnAnnouncement(description, number, clock, this->Now());
+      if (supervisor.Fence() != before) {
+        this->Poll(index);
+      }
     });
   });
   this->queue.After(kAnnouncementPeriod, [this, index, worker] {
@@ -618,20 +622,21 @@
   Agent& agent = this->AgentAt(index);
   const auto is_answered = std::make_shared<bool>(false);
   const auto answer = [this, index, process = agent.process,
-                       key = call.order.key,
+                       key = call.order.key, addressed = call.worker,
                        is_answered](const StartReply& reply) {
-    this->InProcess(index, process, [this, index, key, is_answered, reply] {
-      if (*is_answered) {
-        return;
-      }
-      *is_answered = true;
-      WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
-      supervisor.OnStartAnswer(key, reply.result, reply.reason, reply.clock_ms,
-                               this->Now());
-      for (const StartCall& again : supervisor.DueStarts(this->Now())) {
-        this->SendStart(index, again);
-      }
-    });
+    this->InProcess(
+        index, process, [this, index, key, addressed, is_answered, reply] {
+          if (*is_answered) {
+            return;
+          }
+          *is_answered = true;
+          WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
+          supervisor.OnStartAnswer(key, addressed, reply.result, reply.reason,
+                                   reply.clock_ms, this->Now());
+          for (const StartCall& again : supervisor.DueStarts(this->Now())) {
+            this->SendStart(index, again);
+          }
+        });
   };
   this->queue.After(kStartTimeout, [answer] {
     answer({StartResult::kUnknown, RejectReason::kInvalid, 0});
@@ -670,14 +675,17 @@
   const std::uint64_t process = this->AgentAt(index).process;
   const auto is_answered = std::make_shared<bool>(false);
   const auto answer = [this, index, process, key = call.key,
+                       addressed = call.worker,
                        is_answered](std::optional<std::int64_t> clock) {
-    this->InProcess(index, process, [this, index, key, is_answered, clock] {
-      if (!*is_answered) {
-        *is_answered = true;
-        this->AgentAt(index).supervisor->OnStopAnswer(
-            key, clock.has_value(), clock.value_or(0), this->Now());
-      }
-    });
+    this->InProcess(index, process,
+                    [this, index, key, addressed, is_answered, clock] {
+                      if (!*is_answered) {
+                        *is_answered = true;
+                        this->AgentAt(index).supervisor->OnStopAnswer(
+                            key, addressed, clock.has_value(),
+                            clock.value_or(0), this->Now());
+                      }
+                    });
   };
   this->queue.After(kCallTimeout, [answer] { answer(std::nullopt); });
   this->queue.After(this->MessageDelay(), [this, index, call, answer] {
@@ -696,9 +704,10 @@
   agent.poll_in_flight = true;
   const std::uint64_t process = agent.process;
   const auto is_answered = std::make_shared<bool>(false);
-  const auto answer = [this, index, process, is_answered](
+  const core::TimePoint sent = this->Now();
+  const auto answer = [this, index, process, sent, is_answered](
                           const core::Expected<WorkerListing>& listing) {
-    this->InProcess(index, process, [this, index, is_answered, listing] {
+    this->InProcess(index, process, [this, index, sent, is_answered, listing] {
       if (*is_answered) {
         return;
       }
@@ -707,7 +716,7 @@
       each.poll_in_flight = false;
       each.next_poll = this->Now() + kPollInterval;
       if (listing) {
-        each.supervisor->OnListing(*listing, this->Now());
+        each.supervisor->OnListing(*listing, sent, this->Now());
       } else if (listing.error().code != core::ErrorCode::kStale) {
         each.supervisor->OnPollFailed(this->Now());
       }
@@ -718,7 +727,7 @@
                     [answer, no_answer] { answer(tl::unexpected(no_answer)); });
   this->queue.After(
       this->MessageDelay(),
-      [this, index, answer, no_answer, epoch = supervisor.Epoch(),
+      [this, index, answer, no_answer, fence = supervisor.Fence(),
        expected = supervisor.Worker()->identity,
        acknowledged = supervisor.Acknowledged(),
        deadline = supervisor.BeginPoll(this->Now())] {
@@ -730,7 +739,7 @@
           return;
         }
         const core::Expected<WorkerListing> listing =
-            each.worker->Hold(epoch, acknowledged, deadline, this->Now());
+            each.worker->Hold(fence, acknowledged, deadline, this->Now());
         this->queue.After(this->MessageDelay(),
                           [answer, listing] { answer(listing); });
       });
--- a/tests/exploration/worker_model.cc
+++ b/tests/exploration/worker_model.cc
@@ -49,10 +49,10 @@
     return StartReply{StartResult::kRejected, reason, clock};
   };
   const RunKey& key = call.order.key;
-  if (call.epoch < this->fence) {
+  if (call.fence < this->fence) {
     return rejected(RejectReason::kStaleEpoch);
   }
-  this->fence = call.epoch;
+  this->fence = call.fence;
   if (call.deadline_ms <= clock) {
     return rejected(RejectReason::kDeadlinePassed);
   }
@@ -75,10 +75,10 @@
 
 std::int64_t WorkerModel::Stop(const StopCall& call, core::TimePoint now) {
   const std::int64_t clock = this->ClockAt(now);
-  if (call.epoch < this->fence) {
+  if (call.fence < this->fence) {
     return clock;
   }
-  this->fence = call.epoch;
+  this->fence = call.fence;
   std::int64_t& highest = this->highest_over[call.key.task];
   highest = std::max(highest, call.key.run);
   const auto found = this->active.find(call.key);
@@ -90,14 +90,14 @@
 }
 
 core::Expected<WorkerListing> WorkerModel::Hold(
-    core::SchedulingEpoch epoch,
+    FencingToken token,
     std::uint64_t acknowledged,
     std::optional<std::int64_t> deadline_ms,
     core::TimePoint now) {
-  if (epoch < this->fence) {
-    return core::MakeError(core::ErrorCode::kStale, "newer epoch");
+  if (token < this->fence) {
+    return core::MakeError(core::ErrorCode::kStale, "higher token");
   }
-  this->fence = epoch;
+  this->fence = token;
   const std::int64_t clock = this->ClockAt(now);
   if (deadline_ms) {
     this->ExtendLease(*deadline_ms, clock);
@@ -113,7 +113,7 @@
   WorkerListing listing;
   listing.worker_clock_ms = clock;
   listing.born_wall_ms = this->identity.born_wall_ms;
-  listing.epoch = epoch;
+  listing.fence = token;
   for (const auto& [key, task] : this->active) {
     ActiveRun run;
     run.key = key;
--- a/tests/exploration/worker_model.h
+++ b/tests/exploration/worker_model.h
@@ -37,7 +37,7 @@
   /// Returns the worker's clock.
   std::int64_t Stop(const StopCall& call, core::TimePoint now);
   /// Returns kStale for a lower epoch.
-  core::Expected<WorkerListing> Hold(core::SchedulingEpoch epoch,
+  core::Expected<WorkerListing> Hold(FencingToken token,
                                      std::uint64_t acknowledged,
                                      std::optional<std::int64_t> deadline_ms,
                                      core::TimePoint now);
@@ -62,7 +62,7 @@
   std::int64_t drift_per_mille;
   core::TimePoint born;
   Witness& witness;
-  core::SchedulingEpoch fence;
+  FencingToken fence;
   std::int64_t lease_ms = 0;
   std::map<RunKey, ActiveTask> active;
   std::map<TaskName, std::int64_t> highest_over;
