List a run while a copy of its start may still reach the worker

Cause: a start without an answer is sent again. A process of the worker that has stopped or ended the run refuses further copies, but the next process under the same id knows nothing of that. The planner started the task elsewhere as soon as the stop was answered or the run had ended otherwise.

Change: a run that ends otherwise than done stays listed, not confirmed, until 12 seconds after its latest start if some copy was not answered, or until the next process has been polled. Since that costs time, a start is sent up to eight times instead of four before the agent stops the run, which stays below the shortest time for which members of a gang wait for each other.

A run that is done cannot be held back in this way.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -15,10 +15,10 @@
 /// than the time that a worker may take to stop a task.
 constexpr core::Duration kStopRetryInterval = core::Duration::Milliseconds(500);
 /// Number of times a start is sent before the agent sends a stop instead. With
-/// the timeout of the worker port, all attempts take about one second, which is
-/// less than the shortest time for which a gang member waits for the other
+/// the timeout of the worker port, all attempts take about two seconds, which
+/// is less than the shortest time for which a gang member waits for the other
 /// members (3 s).
-constexpr int kMaxStartAttempts = 4;
+constexpr int kMaxStartAttempts = 8;
 
 /// A run whose progress percentage has not changed for this long is reported
 /// immediately. The longest usual runs (one minute) advance one percentage
@@ -102,6 +102,9 @@
     run.stop_sent.reset();
     run.settled_clock_ms = 0;
   }
+  // The new incarnation refuses them once it has been polled, and the lists are
+  // not complete before.
+  this->late_starts.clear();
   this->ends.clear();
   this->acknowledged = 0;
   this->clock_ms.reset();
@@ -226,6 +229,8 @@
       run.active.checkpoint = start.checkpoint;
       run.order = start;
       run.start_attempts = 1;
+      run.open_starts = 1;
+      run.last_start_sent = now;
       calls.starts.push_back(
           {start, this->Fence(), this->worker->identity, *deadline});
     }
@@ -280,6 +285,9 @@
   }
   Run& run = found->second;
   this->unreported_change = true;
+  if (result != StartResult::kUnknown) {
+    --run.open_starts;
+  }
   if (result == StartResult::kRejected && !run.uncertain) {
     this->runs.erase(found);
     this->Reject(key, reason);
@@ -378,7 +386,13 @@
       continue;
     }
     this->ends[end.number] = end;
-    this->runs.erase(end.key);
+    const auto run = this->runs.find(end.key);
+    if (run != this->runs.end()) {
+      if (end.kind != RunEndKind::kDone) {
+        this->ListWhileStartsAreOpen(run->first, run->second);
+      }
+      this->runs.erase(run);
+    }
     this->unreported_change = true;
   }
 }
@@ -403,6 +417,7 @@
       run.state = RunState::kRunning;
       run.uncertain = false;
       run.start_due = false;
+      --run.open_starts;
       run.settled_clock_ms = listing.worker_clock_ms;
       run.settled_at = now;
       this->unreported_change = true;
@@ -452,6 +467,7 @@
       continue;
     }
     this->NoteRemoval(entry->first, run, RemovalReason::kNotListed);
+    this->ListWhileStartsAreOpen(entry->first, run);
     this->Reject(entry->first, RejectReason::kNotListed);
     entry = this->runs.erase(entry);
   }
@@ -490,6 +506,8 @@
       continue;
     }
     ++run.start_attempts;
+    ++run.open_starts;
+    run.last_start_sent = now;
     this->RecordRequestedLease(now);
     calls.push_back(
         {run.order, this->Fence(), this->worker->identity, *deadline});
@@ -548,6 +566,10 @@
 }
 
 void WorkerSupervisor::OnTick(core::TimePoint now) {
+  const std::size_t settled =
+      std::erase_if(this->late_starts,
+                    [now](const auto& entry) { return now >= entry.second; });
+  this->unreported_change = this->unreported_change || settled > 0;
   if (!this->worker && !this->MayEarlierCallsAct(now)) {
     this->OnAllLeasesExpired();
   }
@@ -619,6 +641,13 @@
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
+  for (const auto& [key, until] : this->late_starts) {
+    if (!this->runs.contains(key)) {
+      ActiveRun listed;
+      listed.key = key;
+      report.active.push_back(listed);
+    }
+  }
   for (const auto& [number, end] : this->ends) {
     report.ends.push_back(end);
   }
@@ -647,6 +676,13 @@
   }
 }
 
+void WorkerSupervisor::ListWhileStartsAreOpen(const RunKey& key,
+                                              const Run& run) {
+  if (run.open_starts > 0) {
+    this->late_starts[key] = run.last_start_sent + kMaxCallDelay;
+  }
+}
+
 void WorkerSupervisor::NoteRemoval(const RunKey& key,
                                    const Run& run,
                                    RemovalReason reason) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -84,6 +84,9 @@
   bool uncertain = false;
 };
 
+/// Longest time after which a call without an answer may still be carried out.
+inline constexpr core::Duration kMaxCallDelay = core::Duration::Seconds(12);
+
 /// Number of refused polls in a row that show that the worker's process has
 /// ended. One refusal can fall into the moment in which a worker reopens its
 /// socket.
@@ -168,9 +171,10 @@
   /// answer stay listed, since a later process of the worker may still receive
   /// them.
   void OnPollRefused(core::TimePoint sent, core::TimePoint now);
-  /// Handles the passing of time. If this process has heard of no worker by the
-  /// time at which all leases of its predecessors have expired, nothing runs
-  /// here, and the lists are complete.
+  /// Handles the passing of time. Runs that are over and were listed for a
+  /// start without an answer leave the list in time. If this process has heard
+  /// of no worker by the time at which all leases of its predecessors have
+  /// expired, nothing runs here, and the lists are complete.
   void OnTick(core::TimePoint now);
   /// Returns whether the term that the planner granted is still valid.
   bool HasTerm(core::TimePoint now) const { return now < this->term_end; }
@@ -216,6 +220,10 @@
     bool uncertain = false;
     StartOrder order;
     int start_attempts = 0;
+    /// Starts that have been sent and neither answered nor, as far as known,
+    /// carried out, and when the latest start was sent.
+    int open_starts = 0;
+    core::TimePoint last_start_sent;
     bool start_due = false;
     /// Worker clock and time of the answer that determined the state. The
     /// absence of the run proves nothing in an older listing, or in the answer
@@ -263,6 +271,9 @@
   /// would make leases longer than granted.
   void ObserveAnnouncedClock(std::int64_t worker_clock_ms, core::TimePoint now);
   void Reject(const RunKey& key, RejectReason reason);
+  /// Keeps the run listed as long as an open start could begin it anew. The
+  /// present incarnation would refuse the start, but a later one would not.
+  void ListWhileStartsAreOpen(const RunKey& key, const Run& run);
   /// Records that the run is about to be removed, for `TakeRemovedRuns`.
   void NoteRemoval(const RunKey& key, const Run& run, RemovalReason reason);
   /// Removes and records the runs for which `is_over` returns true. Returns
@@ -273,6 +284,7 @@
       const bool over = is_over(entry.second);
       if (over) {
         this->NoteRemoval(entry.first, entry.second, reason);
+        this->ListWhileStartsAreOpen(entry.first, entry.second);
       }
       return over;
     });
@@ -349,6 +361,9 @@
   core::TimePoint last_listing_at;
   FencingToken last_listing_fence;
   std::map<RunKey, Run> runs;
+  /// Runs that are over, with the time until which a start of them that had no
+  /// answer may be carried out by a later incarnation of the worker.
+  std::map<RunKey, core::TimePoint> late_starts;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   std::deque<Rejection> rejections;
