Ignore the deregistration of a worker that is not draining

What callers would see: TWICE.

Cause: a deregistration names the worker by its id alone. That of a former process, which arrives after the present one has been announced, removed all runs of the present one, and the lists counted as complete without a worker.

Change: a deregistration ends runs only if the present process is known to be draining, which gets no starts. Otherwise it is logged (departure_ignored) and the failing polls show whether the worker has left.

Evidence: ALateDeregistrationDoesNotEndTheRunsOfTheNextProcess.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -115,9 +115,11 @@
   this->unreported_change = true;
 }
 
-void WorkerSupervisor::OnDeparture(const WorkerId& id) {
-  if (!this->worker || this->worker->identity.id != id) {
-    return;
+bool WorkerSupervisor::OnDeparture(const WorkerId& id) {
+  const bool is_leaving = this->worker && this->worker->identity.id == id &&
+                          this->worker->state == WorkerState::kDraining;
+  if (!is_leaving) {
+    return false;
   }
   this->RemoveRunsIf(RemovalReason::kDeparted,
                      [](const Run& /*run*/) { return true; });
@@ -127,6 +129,7 @@
   this->clock_ms.reset();
   this->acknowledged = 0;
   this->unreported_change = true;
+  return true;
 }
 
 void WorkerSupervisor::OnReportAnswer(const ReportAnswer& answer,
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -113,8 +113,11 @@
                       std::uint64_t sequence,
                       std::int64_t worker_clock_ms,
                       core::TimePoint now);
-  /// Handles the deregistration of the worker; its runs have ended.
-  void OnDeparture(const WorkerId& id);
+  /// Handles a deregistration, which names no incarnation. Returns true if it
+  /// is that of the present one, which is known to be draining; its runs have
+  /// ended then. Otherwise it may be a late one of a former incarnation and is
+  /// ignored.
+  bool OnDeparture(const WorkerId& id);
   /// Handles the planner's answer, which arrived at `received`, to a report
   /// that was sent at `sent`. Ignores answers of an older epoch or session.
   void OnReportAnswer(const ReportAnswer& answer,
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -598,6 +598,25 @@
   BOOST_TEST(supervisor.MakeReport(later).active.empty());
 }
 
+// Guards against TWICE: a deregistration names no process, and that of the
+// former one arrives after the present one was announced and given work.
+BOOST_AUTO_TEST_CASE(ALateDeregistrationDoesNotEndTheRunsOfTheNextProcess) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({700, 1000, {run}, {}}, At(1190), At(1200));
+  BOOST_TEST(!supervisor.OnDeparture(kWorker.id));
+  BOOST_TEST(supervisor.MakeReport(At(1200)).active.size() == 1U);
+  BOOST_TEST(supervisor.Worker().has_value());
+  WorkerDescription draining = MakeWorker("w1");
+  draining.state = WorkerState::kDraining;
+  supervisor.OnAnnouncement(draining, 2, 800, At(1300));
+  BOOST_TEST(!supervisor.OnDeparture(WorkerId("w2")));
+  BOOST_TEST(supervisor.OnDeparture(kWorker.id));
+  BOOST_TEST(supervisor.MakeReport(At(1300)).active.empty());
+  BOOST_TEST(supervisor.MakeReport(At(1300)).is_complete);
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -122,9 +122,14 @@
   }
   /// Handles the deregistration of the worker.
   void OnDeparture(const WorkerId& id) {
-    observe::Log(observe::LogLevel::kInfo, "worker departed", {},
-                 {{"event", "worker_departed"}, {"worker", id.Text()}});
-    this->supervisor.OnDeparture(id);
+    const bool has_departed = this->supervisor.OnDeparture(id);
+    observe::Log(
+        observe::LogLevel::kInfo,
+        has_departed ? "worker departed"
+                     : "deregistration ignored: the worker is not draining",
+        {},
+        {{"event", has_departed ? "worker_departed" : "departure_ignored"},
+         {"worker", id.Text()}});
     this->ReportRemovedRuns();
     this->ReportIfChanged();
   }
