Acknowledge ends only while the worker lists them

What callers would see: a task that runs again after it was done.

Cause: every poll carried the number of the last acknowledged end. A poll for the former process that the next one receives makes it forget its own ends up to that number, since both number from 1. A run that had ended there was then in neither list and was taken for lost.

Change: the number is sent only while the latest listing contains acknowledged ends, and not once another process has answered. A poll with a new number can still reach the next process.

Evidence: AcknowledgesEndsOnlyWhileTheWorkerListsThem.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -107,6 +107,7 @@
   this->late_starts.clear();
   this->ends.clear();
   this->acknowledged = 0;
+  this->lists_acknowledged_ends = false;
   this->clock_ms.reset();
   this->last_listing_clock_ms = 0;
   this->last_listing_fence = FencingToken();
@@ -128,6 +129,7 @@
   this->ends.clear();
   this->clock_ms.reset();
   this->acknowledged = 0;
+  this->lists_acknowledged_ends = false;
   this->unreported_change = true;
   return true;
 }
@@ -154,6 +156,8 @@
     this->speed = answer.speed;
   }
   if (this->worker && answer.worker == this->worker->identity) {
+    this->lists_acknowledged_ends = this->lists_acknowledged_ends ||
+                                    answer.acknowledged > this->acknowledged;
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
     this->ends.erase(this->ends.begin(),
                      this->ends.upper_bound(this->acknowledged));
@@ -374,6 +378,9 @@
   this->is_complete = this->is_complete || !listing.ends_are_truncated;
   this->unreported_change =
       this->unreported_change || (!was_complete && this->IsComplete(now));
+  this->lists_acknowledged_ends = std::any_of(
+      listing.ends.begin(), listing.ends.end(),
+      [this](const RunEnd& end) { return end.number <= this->acknowledged; });
   this->RecordEnds(listing);
   this->MergeRunning(listing, now);
   if (!listing.ends_are_truncated) {
@@ -598,7 +605,9 @@
 }
 
 std::uint64_t WorkerSupervisor::Acknowledged() const {
-  return this->acknowledged;
+  return this->lists_acknowledged_ends && !this->is_superseded
+             ? this->acknowledged
+             : 0;
 }
 
 bool WorkerSupervisor::HasPendingStarts() const {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -181,8 +181,10 @@
   void OnTick(core::TimePoint now);
   /// Returns whether the term that the planner granted is still valid.
   bool HasTerm(core::TimePoint now) const { return now < this->term_end; }
-  /// Returns the number of the last end that the planner has acknowledged; the
-  /// worker may forget this end and all earlier ones.
+  /// Returns the number of the last end that the planner has acknowledged, so
+  /// that the worker may forget this end and all earlier ones. Returns 0 unless
+  /// the worker has listed such ends since: another incarnation, which numbers
+  /// its ends anew, must not receive it.
   std::uint64_t Acknowledged() const;
   const std::optional<WorkerDescription>& Worker() const {
     return this->worker;
@@ -369,6 +371,8 @@
   std::map<RunKey, core::TimePoint> late_starts;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
+  /// The latest listing contained acknowledged ends.
+  bool lists_acknowledged_ends = false;
   std::deque<Rejection> rejections;
   std::vector<RemovedRun> removed_runs;
   EvacuationState evacuations;
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -617,6 +617,32 @@
   BOOST_TEST(supervisor.MakeReport(At(1300)).is_complete);
 }
 
+// Guards against a task that runs again after it was done: a poll for the
+// former process made the next one forget an end, since both number from 1.
+BOOST_AUTO_TEST_CASE(AcknowledgesEndsOnlyWhileTheWorkerListsThem) {
+  WorkerSupervisor supervisor = MakeReady();
+  WorkerListing listing{700, 1000, {}, {}};
+  listing.ends = {{1, kRun, RunEndKind::kDone, ""}};
+  supervisor.OnListing(listing, At(1190), At(1200));
+  BOOST_TEST(supervisor.Acknowledged() == 0U);
+  ReportAnswer answer = MakeAnswer(MakeWorker("w1"));
+  answer.acknowledged = 1;
+  supervisor.OnReportAnswer(answer, At(1210), At(1220));
+  BOOST_TEST(supervisor.Acknowledged() == 1U);
+  // The poll with the number was lost.
+  listing.worker_clock_ms = 800;
+  supervisor.OnListing(listing, At(1290), At(1300));
+  BOOST_TEST(supervisor.Acknowledged() == 1U);
+  BOOST_TEST(supervisor.MakeReport(At(1300)).ends.empty());
+  supervisor.OnListing({900, 1000, {}, {}}, At(1390), At(1400));
+  BOOST_TEST(supervisor.Acknowledged() == 0U);
+  answer.acknowledged = 2;
+  supervisor.OnReportAnswer(answer, At(1410), At(1420));
+  BOOST_TEST(supervisor.Acknowledged() == 2U);
+  supervisor.OnListing({10, 2000, {}, {}}, At(1430), At(1440));
+  BOOST_TEST(supervisor.Acknowledged() == 0U);
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
