Keep a listed run when the worker rejects a copy of its start

What callers would see: TWICE.

Cause: the first start was carried out and its answer lost; a listing showed the run while the copy was in flight. The copy was rejected, for example by a raised token, and the agent dropped the run, which went on.

Change: a rejection does not end a run that a listing has confirmed.

Evidence: ARejectedCopyDoesNotEndARunThatIsListed.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -295,6 +295,11 @@
   if (result != StartResult::kUnknown) {
     --run.open_starts;
   }
+  const bool was_listed = run.active.confirmed;
+  if (result == StartResult::kRejected && was_listed) {
+    // An earlier copy of the start has begun the run.
+    return;
+  }
   if (result == StartResult::kRejected && !run.uncertain) {
     this->runs.erase(found);
     this->Reject(key, reason);
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -643,6 +643,25 @@
   BOOST_TEST(supervisor.Acknowledged() == 0U);
 }
 
+// Guards against TWICE: the answer to the first start was lost, a listing shows
+// the run, and the worker rejects the copy of the start under a newer token.
+BOOST_AUTO_TEST_CASE(ARejectedCopyDoesNotEndARunThatIsListed) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                           RejectReason::kInvalid, 0, At(1400));
+  BOOST_REQUIRE_EQUAL(supervisor.DueStarts(At(1400)).size(), 1U);
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({910, 1000, {run}, {}}, At(1405), At(1410));
+  supervisor.OnStartAnswer(kRun, kWorker, StartResult::kRejected,
+                           RejectReason::kStaleEpoch, 915, At(1415));
+  const AgentReport report = supervisor.MakeReport(At(1420));
+  BOOST_REQUIRE_EQUAL(report.active.size(), 1U);
+  BOOST_TEST(report.active.front().confirmed);
+  BOOST_TEST(supervisor.DueStops(At(1420)).empty());
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
