Count polls that were in flight at once as one refusal

What callers would see: TWICE, if a worker reopens its socket.

Cause: two refused polls show that the worker's process has ended, since one can fall into the moment in which it reopens its socket. A short and a long poll that were sent together counted as two.

Change: a refusal counts if its poll was sent after the one before was handled.

Evidence: PollsThatWereInFlightAtOnceCountAsOneRefusal.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -556,7 +556,11 @@
   if (this->refused_polls == 0) {
     this->first_refusal_sent = sent;
   }
-  ++this->refused_polls;
+  // Polls in flight at once may be refused in the same moment.
+  if (this->refused_polls == 0 || sent > this->last_refusal_at) {
+    ++this->refused_polls;
+    this->last_refusal_at = now;
+  }
   this->RecordFailedPoll(now);
   if (this->refused_polls < kRefusalsToEndRuns) {
     return;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -340,10 +340,11 @@
   /// worker, have expired.
   core::TimePoint earlier_calls_limit;
   int failed_polls = 0;
-  /// Refused polls since the latest poll with another result, and when the
-  /// first of them was sent.
+  /// Refused polls, one after the other, since the latest poll with another
+  /// result; when the first of them was sent, and when the last was handled.
   int refused_polls = 0;
   core::TimePoint first_refusal_sent;
+  core::TimePoint last_refusal_at;
   std::optional<WorkerDescription> worker;
   /// Latest incarnation that this process has known of.
   WorkerIdentity latest_worker;
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -662,6 +662,20 @@
   BOOST_TEST(supervisor.DueStops(At(1420)).empty());
 }
 
+// One refusal can fall into the moment in which a worker reopens its socket.
+// Two polls that were in flight at once are refused in the same moment.
+BOOST_AUTO_TEST_CASE(PollsThatWereInFlightAtOnceCountAsOneRefusal) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnListing({600, 1000, {run}, {}}, At(1090), At(1100));
+  supervisor.OnPollRefused(At(1200), At(1201));
+  supervisor.OnPollRefused(At(1200), At(1202));
+  BOOST_TEST(supervisor.MakeReport(At(1202)).active.size() == 1U);
+  supervisor.OnPollRefused(At(1350), At(1351));
+  BOOST_TEST(supervisor.MakeReport(At(1351)).active.empty());
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
