Accept a restarted worker whose clock was set back

What callers would see: LOST, the tasks of the worker stay listed for ever.

Cause: announcements and listings with an earlier start time were taken for late ones of a former process. A machine whose time of day was set back gives its restarted worker an earlier start time.

Change: another process that answers a poll which was sent after the last listing of the known one has replaced it, whatever its start time; its announcements are accepted. A late announcement after a deregistration is compared with the latest known process, and any change of the process raises the token.

Evidence: AProcessThatAnswersIsAcceptedWhateverItsStartTime.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -59,9 +59,12 @@
                                       core::TimePoint now) {
   if (!this->worker || this->worker->identity != description.identity) {
     const bool is_older =
-        this->worker &&
-        description.identity.born_wall_ms < this->worker->identity.born_wall_ms;
-    if (is_older) {
+        this->latest_worker.id == description.identity.id &&
+        description.identity.born_wall_ms < this->latest_worker.born_wall_ms;
+    const bool has_answered =
+        this->IsSuperseded() &&
+        description.identity.born_wall_ms == this->superseding_born_wall_ms;
+    if (is_older && !has_answered) {
       return;
     }
     this->ResetForNewIncarnation(description, now);
@@ -80,8 +83,9 @@
 void WorkerSupervisor::ResetForNewIncarnation(
     const WorkerDescription& description,
     core::TimePoint now) {
-  if (this->latest_worker.id == description.identity.id &&
-      this->latest_worker != description.identity) {
+  const bool has_restarted = !this->latest_worker.id.IsEmpty() &&
+                             this->latest_worker != description.identity;
+  if (has_restarted) {
     // Starts that were sent to the former incarnation may run on this one, and
     // polls may have extended its lease by the clock of the former.
     ++this->worker_restarts;
@@ -90,7 +94,7 @@
                  now + kMaxWorkerLease + kMaxWorkerLease / kClockDriftDivisor);
   }
   this->latest_worker = description.identity;
-  this->is_superseded = false;
+  this->superseding_born_wall_ms = 0;
   // A crash ends all runs. A start without an answer may still arrive at the
   // new incarnation, so it stays in the list and is stopped there too.
   this->RemoveRunsIf(RemovalReason::kNewIncarnation,
@@ -102,9 +106,11 @@
     run.stop_sent.reset();
     run.settled_clock_ms = 0;
   }
-  // The new incarnation refuses them once it has been polled, and the lists are
-  // not complete before.
-  this->late_starts.clear();
+  if (has_restarted) {
+    // The new incarnation refuses them once it has been polled, and the lists
+    // are not complete before.
+    this->late_starts.clear();
+  }
   this->ends.clear();
   this->acknowledged = 0;
   this->lists_acknowledged_ends = false;
@@ -359,11 +365,16 @@
       listing.born_wall_ms != 0 &&
       listing.born_wall_ms != this->worker->identity.born_wall_ms;
   if (other_incarnation) {
-    const bool is_later =
-        listing.born_wall_ms > this->worker->identity.born_wall_ms;
-    this->unreported_change =
-        this->unreported_change || (is_later && !this->is_superseded);
-    this->is_superseded = this->is_superseded || is_later;
+    // The start times of incarnations need not rise, since the worker's clock
+    // may have been set back.
+    const bool has_replaced =
+        listing.born_wall_ms > this->worker->identity.born_wall_ms ||
+        sent > this->last_listing_at;
+    if (has_replaced) {
+      this->unreported_change =
+          this->unreported_change || !this->IsSuperseded();
+      this->superseding_born_wall_ms = listing.born_wall_ms;
+    }
     return;
   }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
@@ -604,7 +615,7 @@
 
 std::optional<std::int64_t> WorkerSupervisor::LeaseDeadline(
     core::TimePoint now) const {
-  if (!this->HasTerm(now) || !this->clock_ms || this->is_superseded) {
+  if (!this->HasTerm(now) || !this->clock_ms || this->IsSuperseded()) {
     return std::nullopt;
   }
   // The worker's clock showed `clock_ms` at `clock_read_at` or earlier, so the
@@ -614,7 +625,7 @@
 }
 
 std::uint64_t WorkerSupervisor::Acknowledged() const {
-  return this->lists_acknowledged_ends && !this->is_superseded
+  return this->lists_acknowledged_ends && !this->IsSuperseded()
              ? this->acknowledged
              : 0;
 }
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -317,6 +317,9 @@
   void MergeRunning(const WorkerListing& listing, core::TimePoint now);
   void RecordEnds(const WorkerListing& listing);
   void RemoveMissingRuns(const WorkerListing& listing, core::TimePoint sent);
+  /// Returns whether another incarnation than the known one has taken its
+  /// place.
+  bool IsSuperseded() const { return this->superseding_born_wall_ms != 0; }
   /// Returns whether `identity` is the incarnation that the agent knows of.
   bool IsPresentWorker(const WorkerIdentity& identity) const {
     return this->worker && this->worker->identity == identity;
@@ -350,8 +353,9 @@
   WorkerIdentity latest_worker;
   /// Number of restarts of the worker during the session.
   std::uint64_t worker_restarts = 0;
-  /// A later incarnation than `worker` has answered a poll.
-  bool is_superseded = false;
+  /// Start time of another incarnation that has answered a poll after `worker`
+  /// answered one; 0 if there is none.
+  std::int64_t superseding_born_wall_ms = 0;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
   /// the agent received that reading.
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -676,6 +676,25 @@
   BOOST_TEST(supervisor.MakeReport(At(1351)).active.empty());
 }
 
+// Guards against LOST: the clock of the worker's machine was set back before
+// the worker started anew, so its process seems to be older than the former
+// one.
+BOOST_AUTO_TEST_CASE(AProcessThatAnswersIsAcceptedWhateverItsStartTime) {
+  WorkerSupervisor supervisor = MakeReady();
+  WorkerDescription restarted = MakeWorker("w1");
+  restarted.identity.born_wall_ms = 900;
+  supervisor.OnAnnouncement(restarted, 1, 5, At(1100));
+  BOOST_TEST((supervisor.Worker()->identity == kWorker));
+  // A delayed answer of an earlier process does not replace the known one.
+  supervisor.OnListing({9000, 900, {}, {}}, At(1000), At(1100));
+  supervisor.OnAnnouncement(restarted, 1, 5, At(1100));
+  BOOST_TEST((supervisor.Worker()->identity == kWorker));
+  supervisor.OnListing({20, 900, {}, {}}, At(1110), At(1120));
+  BOOST_TEST(!supervisor.MakeReport(At(1120)).can_start);
+  supervisor.OnAnnouncement(restarted, 2, 25, At(1130));
+  BOOST_TEST((supervisor.Worker()->identity == restarted.identity));
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
