--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -242,7 +242,7 @@
       run.active.checkpoint = start.checkpoint;
       run.order = start;
       run.start_attempts = 1;
-      run.open_starts = 1;
+      run.sent_starts = 1;
       run.last_start_sent = now;
       calls.starts.push_back(
           {start, this->Fence(), this->worker->identity, *deadline});
@@ -299,10 +299,9 @@
   Run& run = found->second;
   this->unreported_change = true;
   if (result != StartResult::kUnknown) {
-    --run.open_starts;
+    ++run.answered_starts;
   }
-  const bool was_listed = run.active.confirmed;
-  if (result == StartResult::kRejected && was_listed) {
+  if (result == StartResult::kRejected && run.was_listed) {
     // An earlier copy of the start has begun the run.
     return;
   }
@@ -443,7 +442,6 @@
       run.state = RunState::kRunning;
       run.uncertain = false;
       run.start_due = false;
-      --run.open_starts;
       run.settled_clock_ms = listing.worker_clock_ms;
       run.settled_at = now;
       this->unreported_change = true;
@@ -466,6 +464,7 @@
   if (progressed) {
     run.progress_clock_ms = listing_clock_ms;
   }
+  run.was_listed = true;
   run.active = listed;
   run.active.confirmed = run.state != RunState::kStarting;
   run.active.still =
@@ -532,7 +531,7 @@
       continue;
     }
     ++run.start_attempts;
-    ++run.open_starts;
+    ++run.sent_starts;
     run.last_start_sent = now;
     this->RecordRequestedLease(now);
     calls.push_back(
@@ -710,7 +709,7 @@
 
 void WorkerSupervisor::ListWhileStartsAreOpen(const RunKey& key,
                                               const Run& run) {
-  if (run.open_starts > 0) {
+  if (run.OpenStarts() > 0) {
     this->late_starts[key] = run.last_start_sent + kMaxCallDelay;
   }
 }
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -1,6 +1,7 @@
 // State of an agent: its worker, the runs there, and the planner's orders.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -225,10 +226,19 @@
     bool uncertain = false;
     StartOrder order;
     int start_attempts = 0;
-    /// Starts that have been sent and neither answered nor, as far as known,
-    /// carried out, and when the latest start was sent.
-    int open_starts = 0;
+    /// Starts that have been sent and answered, and when the latest was sent.
+    int sent_starts = 0;
+    int answered_starts = 0;
     core::TimePoint last_start_sent;
+    /// The worker has listed the run.
+    bool was_listed = false;
+
+    /// Returns the number of starts that may still be carried out. One of those
+    /// that began a listed run may be the one that was answered.
+    int OpenStarts() const {
+      return this->sent_starts -
+             std::max(this->answered_starts, this->was_listed ? 1 : 0);
+    }
     bool start_due = false;
     /// Worker clock and time of the answer that determined the state. The
     /// absence of the run proves nothing in an older listing, or in the answer
