Send no start of the former planner with the token of the new one

What callers would see: TWICE, after a change of the planner and a restart of the agent.

Cause: a start without an answer was sent again with the token of the new epoch. If the agent ended before its report, its next process completed the lists with the same token, and the copy was carried out after that.

Change: with a new epoch a start without an answer is stopped.

Evidence: AStartOfTheFormerPlannerIsNotSentWithTheNewToken.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -182,6 +182,13 @@
     this->batch = 0;
     this->session = SessionNumber();
     this->worker_restarts = 0;
+    for (auto& [key, run] : this->runs) {
+      if (run.state == RunState::kStarting) {
+        run.start_attempts = kMaxStartAttempts;
+        run.state = run.start_due ? RunState::kStopping : run.state;
+        run.start_due = false;
+      }
+    }
   }
   this->epoch = new_epoch;
   if (new_session == this->session) {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -259,6 +259,8 @@
   /// Takes the epoch and session of a message that is not outdated. When the
   /// planner has counted this agent as lost, starts without an answer are
   /// stopped and not sent again, since it may have started the runs elsewhere.
+  /// With a new epoch they are not sent again either: the token of the epoch
+  /// would carry them past the poll that completes the lists.
   void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
   /// Takes the evacuations of a message that is not outdated, unless those of a
   /// later store version are known. Orders that an earlier message announced as
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -695,6 +695,29 @@
   BOOST_TEST((supervisor.Worker()->identity == restarted.identity));
 }
 
+// Guards against TWICE: a copy of a start of the former planner, sent with the
+// token of the new one, is carried out after the lists were complete.
+BOOST_AUTO_TEST_CASE(AStartOfTheFormerPlannerIsNotSentWithTheNewToken) {
+  for (const bool is_answered : {false, true}) {
+    WorkerSupervisor supervisor = MakeReady();
+    supervisor.OnOrders(MakeBatch(1, {{kRun, "p", "", ""}}), At(1100)).value();
+    if (!is_answered) {
+      supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                               RejectReason::kInvalid, 0, At(1350));
+    }
+    ReportAnswer answer = MakeAnswer(MakeWorker("w1"));
+    answer.epoch = core::SchedulingEpoch(2);
+    supervisor.OnReportAnswer(answer, At(1360), At(1360));
+    if (is_answered) {
+      supervisor.OnStartAnswer(kRun, kWorker, StartResult::kUnknown,
+                               RejectReason::kInvalid, 0, At(1370));
+    }
+    BOOST_TEST(supervisor.DueStarts(At(1380)).empty());
+    BOOST_TEST(supervisor.DueStops(At(1380)).size() == 1U);
+    BOOST_TEST(supervisor.MakeReport(At(1380)).active.size() == 1U);
+  }
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
