Keep the long lease of a restarted worker in mind over a change of the planner

Cause: a call for the former process asks for a lease by a clock that means nothing to the present one, which grants its longest lease. The planner counted with it only if it had heard of both processes; the next planner did not.

Change: agents state the lease that a restarted worker may hold, planners pass the longest lease of the settings to agents, compare a worker with the latest one of its agent even if there was none in between, and mark the member in the stored list before they start runs on a restarted worker. The next planner waits longer for marked members that stay silent.

Evidence: TheNextPlannerCountsWithTheLeaseOfARestartedWorker, AnAgentStatesTheLeaseOfItsRestartedWorker, ReportsTheLeaseThatARestartedWorkerMayHold.

Not covered: a worker that starts anew while its agent is silent to the planner and paused, so that nobody can stop its runs.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -89,9 +89,7 @@
     // Starts that were sent to the former incarnation may run on this one, and
     // polls may have extended its lease by the clock of the former.
     ++this->worker_restarts;
-    this->earlier_calls_limit =
-        std::max(this->earlier_calls_limit,
-                 now + kMaxWorkerLease + kMaxWorkerLease / kClockDriftDivisor);
+    this->RecordRestartLease(now);
   }
   this->latest_worker = description.identity;
   this->superseding_born_wall_ms = 0;
@@ -150,6 +148,7 @@
   this->ObserveEvacuations(answer.evacuated, answer.evacuation_revision);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
+  this->max_worker_lease = answer.max_worker_lease;
   const bool knows_worker =
       !this->worker || answer.worker == this->worker->identity;
   if (knows_worker) {
@@ -394,6 +393,12 @@
   this->last_listing_at = now;
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
+  const bool is_first_of_restart =
+      this->worker_restarts > 0 && this->last_listing_fence < this->Fence();
+  if (is_first_of_restart) {
+    // Calls for the former incarnation were accepted until this poll.
+    this->RecordRestartLease(now);
+  }
   this->last_listing_fence = std::max(this->last_listing_fence, listing.fence);
   // Runs that are already known stay listed as active until their ends appear,
   // so truncated ends do not make complete lists incomplete.
@@ -556,6 +561,13 @@
   return deadline;
 }
 
+void WorkerSupervisor::RecordRestartLease(core::TimePoint now) {
+  this->restart_lease_end = now + this->max_worker_lease +
+                            this->max_worker_lease / kClockDriftDivisor;
+  this->earlier_calls_limit =
+      std::max(this->earlier_calls_limit, this->restart_lease_end);
+}
+
 void WorkerSupervisor::RecordRequestedLease(core::TimePoint now) {
   const core::Duration left = this->term_end - now;
   this->leases_expired_at = std::max(
@@ -672,6 +684,8 @@
   report.worker_reachable = this->IsWorkerReachable();
   report.is_complete = this->IsComplete(now);
   report.can_start = this->LeaseDeadline(now).has_value();
+  report.restart_lease =
+      std::max(this->restart_lease_end - now, core::Duration());
   report.speed = this->speed;
   if (!this->runs.empty() && this->last_listing_at != core::TimePoint()) {
     report.progress_age = now - this->last_listing_at;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -273,6 +273,9 @@
            this->evacuations.data_centres.contains(this->worker->data_centre);
   }
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
+  /// Records that a call for a former incarnation may have extended the lease
+  /// of the present one until now.
+  void RecordRestartLease(core::TimePoint now);
   /// Counts a poll without a usable answer, and drops all runs once all leases
   /// have expired.
   void RecordFailedPoll(core::TimePoint now);
@@ -350,6 +353,11 @@
   core::TimePoint term_end;
   /// When all leases that this process requested from the worker have expired.
   core::TimePoint leases_expired_at;
+  /// Longest lease that the worker accepts, as far as known.
+  core::Duration max_worker_lease = kMaxWorkerLease;
+  /// When a lease has expired that calls for a former incarnation requested
+  /// from the present one.
+  core::TimePoint restart_lease_end;
   /// When all leases and starts that were requested before the session, by
   /// earlier processes of this agent or from an earlier incarnation of the
   /// worker, have expired.
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -718,6 +718,27 @@
   }
 }
 
+// The planner may change before it knows of the lease that calls for the former
+// process requested from the present one.
+BOOST_AUTO_TEST_CASE(ReportsTheLeaseThatARestartedWorkerMayHold) {
+  WorkerSupervisor supervisor = MakeReady();
+  BOOST_TEST(
+      (supervisor.MakeReport(At(1100)).restart_lease == core::Duration()));
+  ReportAnswer answer = MakeAnswer(MakeWorker("w1"));
+  answer.max_worker_lease = core::Duration::Seconds(6);
+  supervisor.OnReportAnswer(answer, At(1100), At(1100));
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 5, At(1200));
+  BOOST_TEST((supervisor.MakeReport(At(1200)).restart_lease ==
+              core::Duration::Milliseconds(6120)));
+  // Until the first poll with the raised token such calls were accepted.
+  supervisor.OnListing({10, 2000, {}, {}, supervisor.Fence()}, At(1300),
+                       At(1310));
+  supervisor.OnListing({110, 2000, {}, {}, supervisor.Fence()}, At(1400),
+                       At(1410));
+  BOOST_TEST((supervisor.MakeReport(At(1410)).restart_lease ==
+              core::Duration::Milliseconds(6020)));
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -168,6 +168,7 @@
                                                 session,
                                                 term,
                                                 earlier_leases,
+                                                max_worker_lease,
                                                 worker,
                                                 acknowledged,
                                                 speed,
@@ -203,7 +204,10 @@
                                                 checkpoints,
                                                 highest_run,
                                                 ended_wall_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberRecord, agent, endpoint)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberRecord,
+                                                agent,
+                                                endpoint,
+                                                long_leases)
 
 static void to_json(nlohmann::json& json, const AgentReport& report) {
   json = {{"agent", report.agent},
@@ -230,6 +234,9 @@
   if (report.session) {
     json["session"] = *report.session;
   }
+  if (report.restart_lease > core::Duration()) {
+    json["restart_lease"] = report.restart_lease;
+  }
 }
 
 static void from_json(const nlohmann::json& json, AgentReport& report) {
@@ -253,6 +260,7 @@
   if (json.contains("session")) {
     report.session = json.at("session").get<SessionNumber>();
   }
+  report.restart_lease = json.value("restart_lease", core::Duration());
 }
 
 namespace {
@@ -354,6 +362,10 @@
   if (report.progress_age < core::Duration()) {
     return Invalid("expected a positive length of time", "progress_age");
   }
+  if (report.restart_lease < core::Duration() ||
+      report.restart_lease > kLongestRestartLease) {
+    return Invalid("length of time out of range", "restart_lease");
+  }
   if (const core::Expected<void> valid = Validate(report.speed); !valid) {
     return valid;
   }
@@ -374,6 +386,10 @@
   if (answer.earlier_leases < core::Duration()) {
     return Invalid("expected a positive length of time", "earlier_leases");
   }
+  if (answer.max_worker_lease <= core::Duration() ||
+      answer.max_worker_lease > kMaxWorkerLease) {
+    return Invalid("length of time out of range", "max_worker_lease");
+  }
   return Validate(answer.speed);
 }
 
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -126,6 +126,10 @@
   /// worker's clock. Without both it cannot set the lease of a run, and refuses
   /// starts.
   bool can_start = true;
+  /// Time for which the worker may hold a lease that calls for a former
+  /// incarnation requested by another clock; zero if there is none. Such a
+  /// lease may outlast the term.
+  core::Duration restart_lease;
   /// Estimate from the latest answer of a planner.
   ReportedSpeed speed;
   /// Time since the worker stated the progress of the active runs.
@@ -142,6 +146,10 @@
 /// Upper bound of the lease durations that workers accept.
 inline constexpr core::Duration kMaxWorkerLease = core::Duration::Seconds(11);
 
+/// The same with the drift of the worker's clock.
+inline constexpr core::Duration kLongestRestartLease =
+    kMaxWorkerLease + kMaxWorkerLease / kClockDriftDivisor;
+
 /// The planner's answer to a report.
 struct ReportAnswer {
   core::SchedulingEpoch epoch;
@@ -153,6 +161,8 @@
   /// start that was requested before the session, by earlier processes of the
   /// agent or from an earlier incarnation of the worker, can be valid.
   core::Duration earlier_leases = kMaxWorkerLease;
+  /// Longest lease that a worker accepts.
+  core::Duration max_worker_lease = kMaxWorkerLease;
   /// Incarnation of the worker to which `acknowledged` refers.
   WorkerIdentity worker;
   /// Ends up to this number are recorded, so that agent and worker may drop
@@ -234,6 +244,10 @@
 struct MemberRecord {
   core::AgentId agent;
   std::string endpoint;
+  /// The worker has started anew recently and may hold a lease as long as a
+  /// worker accepts, longer than the term of its agent. Written before runs are
+  /// started on it.
+  bool long_leases = false;
 };
 
 /// The stored member list, without the entries that cannot be decoded.
--- a/modules/batch/planner/fleet.cc
+++ b/modules/batch/planner/fleet.cc
@@ -6,6 +6,7 @@
   return this->worker && this->worker->state == WorkerState::kReady &&
          this->worker_reachable && this->is_complete && this->can_start &&
          this->membership == Membership::kStored && this->has_reported &&
+         (this->stored_long_leases || !this->has_long_leases) &&
          !this->is_lost && !this->needs_probe && !this->is_evacuated &&
          now < this->last_contact + kReportTimeout &&
          now >= this->stalled_until;
--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -78,6 +78,16 @@
   /// Orders of earlier sessions may still arrive at the agent, which refuses
   /// them.
   SessionNumber session;
+  /// Latest identity of the agent's worker, also when it has none at present.
+  WorkerIdentity latest_worker;
+  /// Until when the worker may hold leases as long as a worker accepts, since
+  /// it has started anew.
+  core::TimePoint long_leases_until;
+  /// `long_leases_until` is in the future, as of the last decision or report.
+  bool has_long_leases = false;
+  /// The stored member list says so. Until it does, no runs are started on the
+  /// worker: the next planner would count with the term.
+  bool stored_long_leases = false;
   /// The worker has started anew, and no report shows that the new incarnation
   /// has been polled. It may still carry out calls for the former one.
   bool awaits_fencing = false;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -117,6 +117,13 @@
     view.last_contact = now;
     view.leases_expire_at = now + longest;
     view.earlier_leases_expire_at = now + longest;
+    if (member.long_leases) {
+      view.stored_long_leases = true;
+      this->ExtendLeases(
+          view, now + MaxLeaseDuration(this->options.max_worker_lease));
+      this->recovery_deadline =
+          std::max(this->recovery_deadline, view.leases_expire_at);
+    }
   }
   this->LogDecision(
       "term_begun", {},
@@ -213,12 +220,13 @@
   return view;
 }
 
-void Planner::ExtendEarlierLeases(AgentView& view, core::TimePoint now) {
+void Planner::ExtendLeases(AgentView& view, core::TimePoint until) {
+  view.has_long_leases = true;
+  view.long_leases_until = std::max(view.long_leases_until, until);
   view.earlier_leases_expire_at =
-      std::max(view.earlier_leases_expire_at,
-               now + MaxLeaseDuration(this->options.max_worker_lease));
+      std::max(view.earlier_leases_expire_at, view.long_leases_until);
   view.leases_expire_at =
-      std::max(view.leases_expire_at, view.earlier_leases_expire_at);
+      std::max(view.leases_expire_at, view.long_leases_until);
 }
 
 void Planner::OnAgentRestarted(const AgentView& view) {
@@ -268,6 +276,9 @@
   AgentView& view = this->UpdateView(report, now);
   view.leases_expire_at = std::max(view.leases_expire_at,
                                    now + MaxLeaseDuration(this->options.term));
+  if (report.restart_lease > core::Duration()) {
+    this->ExtendLeases(view, now + report.restart_lease + kLeaseMargin);
+  }
   this->speeds.Restore(report.agent, report.speed);
   const bool is_current =
       report.epoch == this->epoch && report.sequence > view.sequence;
@@ -296,6 +307,8 @@
     answer.worker = view.worker->identity;
     answer.acknowledged = view.HighestAcknowledgeableEnd();
   }
+  answer.max_worker_lease =
+      std::min(this->options.max_worker_lease, kMaxWorkerLease);
   answer.evacuated = this->evacuations.State().data_centres;
   answer.evacuation_revision = this->evacuations.State().revision;
   return answer;
@@ -307,9 +320,9 @@
   const bool same_incarnation =
       view.worker && report.worker &&
       view.worker->identity == report.worker->identity;
-  const bool has_restarted =
-      !same_incarnation && view.worker && report.worker &&
-      view.worker->identity.id == report.worker->identity.id;
+  const bool has_restarted = report.worker &&
+                             !view.latest_worker.id.IsEmpty() &&
+                             view.latest_worker != report.worker->identity;
   if (has_restarted) {
     view.awaits_fencing = true;
     this->LogDecision(
@@ -317,7 +330,10 @@
         "agent=" + view.agent.Text() +
             " worker=" + report.worker->identity.id.Text() +
             " born=" + Text(report.worker->identity.born_wall_ms) +
-            " former_born=" + Text(view.worker->identity.born_wall_ms));
+            " former_born=" + Text(view.latest_worker.born_wall_ms));
+  }
+  if (report.worker) {
+    view.latest_worker = report.worker->identity;
   }
   if (!same_incarnation) {
     view.applied_end = 0;
@@ -358,7 +374,8 @@
   const bool is_in_session = !report.session || *report.session == view.session;
   view.is_complete = report.is_complete && is_in_session;
   if (view.awaits_fencing) {
-    this->ExtendEarlierLeases(view, now);
+    this->ExtendLeases(view,
+                       now + MaxLeaseDuration(this->options.max_worker_lease));
     view.awaits_fencing = !view.is_complete;
   }
   view.can_start = report.can_start;
@@ -718,6 +735,7 @@
     const bool is_stored =
         found != members.end() && found->endpoint == view.endpoint;
     view.membership = is_stored ? Membership::kStored : Membership::kAbsent;
+    view.stored_long_leases = is_stored && found->long_leases;
   }
 }
 
@@ -730,7 +748,8 @@
     const bool has_no_worker = view.is_complete && !view.worker;
     const bool is_gone = view.is_lost || has_no_worker;
     if (!is_gone) {
-      members.push_back({view.agent, view.endpoint});
+      members.push_back({view.agent, view.endpoint, view.has_long_leases});
+      changed = changed || view.has_long_leases != view.stored_long_leases;
     }
     const Membership wanted =
         is_gone ? Membership::kAbsent : Membership::kStored;
@@ -890,6 +909,9 @@
 
 std::vector<AgentOrders> Planner::Decide(core::TimePoint now,
                                          std::int64_t wall_ms) {
+  for (auto& [agent, view] : this->fleet) {
+    view.has_long_leases = now < view.long_leases_until;
+  }
   this->CloseOverdueBatches(now);
   this->DropLostAgents(now);
   this->UpdateSpeeds(now);
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -214,9 +214,9 @@
   /// answered, since the report of an ended one may arrive late, also after
   /// that of its successor.
   bool IsPresentProcess(const AgentReport& report);
-  /// Counts with leases as long as a worker accepts, requested now by calls for
-  /// an earlier incarnation, whose clock was another.
-  void ExtendEarlierLeases(AgentView& view, core::TimePoint now);
+  /// Counts with leases until then, requested by calls for an earlier
+  /// incarnation of the worker, whose clock was another.
+  static void ExtendLeases(AgentView& view, core::TimePoint until);
   /// Handles a restart of the agent. Only the ended process knew which of its
   /// starts the worker had not answered, and the worker may carry these out
   /// later, so all starts that no report has confirmed become doubtful.
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -424,6 +424,54 @@
   BOOST_TEST(is_lost());
 }
 
+// Guards against TWICE: the planner ends after a worker has started anew, and
+// the agent is silent. The next planner must count with a lease longer than a
+// term.
+BOOST_AUTO_TEST_CASE(TheNextPlannerCountsWithTheLeaseOfARestartedWorker) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  ++fleet.ReportOf("w1").worker->identity.born_wall_ms;
+  fleet.ReportAll();
+  // No run is started before the next planner would know.
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().empty());
+  const auto members = fleet.planner.TakeMembersWrite();
+  BOOST_REQUIRE(members);
+  BOOST_TEST(members->front().long_leases);
+  const auto read = MembersFromText(ToText(*members));
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read->members.front().long_leases);
+  fleet.planner.OnMembersRecorded(*members);
+  fleet.Settle();
+  BOOST_TEST(fleet.Active().size() == 1U);
+
+  Planner next{PlannerOptions()};
+  next.BeginTerm(core::SchedulingEpoch(2), read->members, fleet.now);
+  const auto is_lost_after = [&next, &fleet](core::Duration after) {
+    next.Decide(fleet.now + after, 0);
+    return next.Agents().at(core::AgentId("agent-w1")).is_lost;
+  };
+  BOOST_TEST(!is_lost_after(kMaxWorkerLease));
+  BOOST_TEST(is_lost_after(kMaxWorkerLease + core::Duration::Seconds(1)));
+  // The mark is removed in time.
+  fleet.Advance(12'000);
+  BOOST_REQUIRE(fleet.planner.TakeMembersWrite());
+  BOOST_TEST(!fleet.planner.TakeMembersWrite()->front().long_leases);
+}
+
+// The agent tells a planner that does not know of the restart.
+BOOST_AUTO_TEST_CASE(AnAgentStatesTheLeaseOfItsRestartedWorker) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  AgentReport& report = fleet.ReportOf("w1");
+  report.restart_lease = core::Duration::Seconds(9);
+  BOOST_TEST(
+      (ReportFromText(ToText(report))->restart_lease == report.restart_lease));
+  const ReportAnswer answer = fleet.planner.OnReport(report, fleet.now);
+  BOOST_TEST((answer.earlier_leases >= report.restart_lease));
+  BOOST_TEST((fleet.planner.Agents().at(report.agent).leases_expire_at >=
+              fleet.now + report.restart_lease));
+}
+
 // Guards against LOST: the only report of a process that lived for a moment
 // arrives after those of its successor. It must not take the successor's place.
 // Found by batch_exploration_test (seed 2088).
