Stop the runs of a restarted worker before the term ends

What callers would see: TWICE.

Cause: the planner starts the runs of a silent agent elsewhere when its term has ended. A worker that started anew shortly before may hold a lease that calls for its former process requested, up to the longest that it accepts.

Change: an agent that is cut off from the planner, and knows of such a worker, stops all its runs 1.2 s before the term ends, while that lease may last.

Evidence: StopsTheRunsOfARestartedWorkerBeforeTheTermEnds. Not covered: an agent that is paused itself.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -14,6 +14,10 @@
 /// Interval at which a stop is sent again while the run has not ended. Longer
 /// than the time that a worker may take to stop a task.
 constexpr core::Duration kStopRetryInterval = core::Duration::Milliseconds(500);
+/// How long before the end of a term runs are stopped whose lease may outlast
+/// it. Workers take up to 0.9 s for a stop.
+constexpr core::Duration kStopBeforeTermEnd =
+    core::Duration::Milliseconds(1200);
 /// Number of times a start is sent before the agent sends a stop instead. With
 /// the timeout of the worker port, all attempts take about two seconds, which
 /// is less than the shortest time for which a gang member waits for the other
@@ -510,7 +514,21 @@
   }
 }
 
+void WorkerSupervisor::StopRunsThatOutlastTheTerm(core::TimePoint now) {
+  const bool may_outlast = this->term_end != core::TimePoint() &&
+                           this->restart_lease_end > this->term_end &&
+                           now < this->restart_lease_end;
+  if (!may_outlast || now + kStopBeforeTermEnd < this->term_end) {
+    return;
+  }
+  for (auto& [key, run] : this->runs) {
+    run.state = RunState::kStopping;
+    run.start_due = false;
+  }
+}
+
 std::vector<StopCall> WorkerSupervisor::DueStops(core::TimePoint now) {
+  this->StopRunsThatOutlastTheTerm(now);
   std::vector<StopCall> calls;
   if (!this->worker) {
     return calls;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -155,7 +155,9 @@
                  core::TimePoint sent,
                  core::TimePoint now);
   /// Returns the stops to send now and marks them as sent: those of runs whose
-  /// start was not answered, and earlier stops whose run has not ended yet.
+  /// start was not answered, and earlier stops whose run has not ended yet. Of
+  /// a restarted worker, whose lease may outlast the term, all runs are stopped
+  /// before the term ends.
   std::vector<StopCall> DueStops(core::TimePoint now);
   /// Returns the starts to send again and marks them as sent. Starting a run is
   /// idempotent, so the answer to the repeated start replaces a lost answer.
@@ -276,6 +278,9 @@
   /// Records that a call for a former incarnation may have extended the lease
   /// of the present one until now.
   void RecordRestartLease(core::TimePoint now);
+  /// Marks all runs as stopping if the term is about to end and the worker may
+  /// hold a lease that lasts longer. The planner may start them elsewhere then.
+  void StopRunsThatOutlastTheTerm(core::TimePoint now);
   /// Counts a poll without a usable answer, and drops all runs once all leases
   /// have expired.
   void RecordFailedPoll(core::TimePoint now);
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -739,6 +739,28 @@
               core::Duration::Milliseconds(6020)));
 }
 
+// Guards against TWICE: the agent is cut off from the planner after its worker
+// has started anew. Calls for the former process may have given the present one
+// a lease that lasts longer than the term, after which the planner starts the
+// runs elsewhere.
+BOOST_AUTO_TEST_CASE(StopsTheRunsOfARestartedWorkerBeforeTheTermEnds) {
+  WorkerSupervisor supervisor = MakeReady();
+  ActiveRun run;
+  run.key = kRun;
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 5, At(1200));
+  supervisor.OnListing({10, 2000, {run}, {}, supervisor.Fence()}, At(1300),
+                       At(1310));
+  BOOST_TEST(supervisor.DueStops(At(4000)).empty());
+  // The term ends at 6000.
+  const std::vector<StopCall> stops = supervisor.DueStops(At(5000));
+  BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+  BOOST_TEST((stops.front().key == kRun));
+  // Without a restart, the lease ends with the term.
+  WorkerSupervisor steady = MakeReady();
+  steady.OnListing({700, 1000, {run}, {}}, At(1190), At(1200));
+  BOOST_TEST(steady.DueStops(At(5900)).empty());
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
