Keep open copies of a start in mind over a restart of the worker

What callers would see: TWICE.

Cause: the agent forgot the open copies of a start when the worker started anew. The present process refuses them once it has been polled, but if it ends too, the next one has seen no token.

Change: they stay listed until they can no longer be carried out.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -108,11 +108,6 @@
     run.stop_sent.reset();
     run.settled_clock_ms = 0;
   }
-  if (has_restarted) {
-    // The new incarnation refuses them once it has been polled, and the lists
-    // are not complete before.
-    this->late_starts.clear();
-  }
   this->ends.clear();
   this->acknowledged = 0;
   this->lists_acknowledged_ends = false;
@@ -453,6 +448,13 @@
       run.settled_clock_ms = listing.worker_clock_ms;
       run.settled_at = now;
       this->unreported_change = true;
+      // One of the open starts has begun the run on this incarnation.
+      const auto late = this->late_starts.find(listed.key);
+      if (late != this->late_starts.end()) {
+        run.sent_starts = late->second.count;
+        run.last_start_sent = late->second.last_sent;
+        this->late_starts.erase(late);
+      }
     }
     if (run.state == RunState::kStarting && run.uncertain) {
       run.state = RunState::kRunning;
@@ -633,8 +635,9 @@
 
 void WorkerSupervisor::OnTick(core::TimePoint now) {
   const std::size_t settled =
-      std::erase_if(this->late_starts,
-                    [now](const auto& entry) { return now >= entry.second; });
+      std::erase_if(this->late_starts, [now](const auto& entry) {
+        return now >= entry.second.last_sent + kMaxCallDelay;
+      });
   this->unreported_change = this->unreported_change || settled > 0;
   if (!this->worker && !this->MayEarlierCallsAct(now)) {
     this->OnAllLeasesExpired();
@@ -711,7 +714,7 @@
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
-  for (const auto& [key, until] : this->late_starts) {
+  for (const auto& [key, late] : this->late_starts) {
     if (!this->runs.contains(key)) {
       ActiveRun listed;
       listed.key = key;
@@ -749,7 +752,7 @@
 void WorkerSupervisor::ListWhileStartsAreOpen(const RunKey& key,
                                               const Run& run) {
   if (run.OpenStarts() > 0) {
-    this->late_starts[key] = run.last_start_sent + kMaxCallDelay;
+    this->late_starts[key] = {run.OpenStarts(), run.last_start_sent};
   }
 }
 
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -396,9 +396,13 @@
   core::TimePoint last_listing_at;
   FencingToken last_listing_fence;
   std::map<RunKey, Run> runs;
-  /// Runs that are over, with the time until which a start of them that had no
-  /// answer may be carried out by a later incarnation of the worker.
-  std::map<RunKey, core::TimePoint> late_starts;
+  /// Open starts of a run that is over. A later incarnation of the worker may
+  /// carry them out.
+  struct LateStarts {
+    int count = 0;
+    core::TimePoint last_sent;
+  };
+  std::map<RunKey, LateStarts> late_starts;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
   /// The latest listing contained acknowledged ends.
