--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -14,6 +14,10 @@
 /// Interval at which a stop is sent again while the run has not ended. Longer
 /// than the time that a worker may take to stop a task.
 constexpr core::Duration kStopRetryInterval = core::Duration::Milliseconds(500);
+/// How long before the end of a term runs are stopped whose lease may outlast
+/// it. Workers take up to 0.9 s for a stop.
+constexpr core::Duration kStopBeforeTermEnd =
+    core::Duration::Milliseconds(1200);
 /// Number of times a start is sent before the agent sends a stop instead. With
 /// the timeout of the worker port, all attempts take about two seconds, which
 /// is less than the shortest time for which a gang member waits for the other
@@ -59,9 +63,12 @@
                                       core::TimePoint now) {
   if (!this->worker || this->worker->identity != description.identity) {
     const bool is_older =
-        this->worker &&
-        description.identity.born_wall_ms < this->worker->identity.born_wall_ms;
-    if (is_older) {
+        this->latest_worker.id == description.identity.id &&
+        description.identity.born_wall_ms < this->latest_worker.born_wall_ms;
+    const bool has_answered =
+        this->IsSuperseded() &&
+        description.identity.born_wall_ms == this->superseding_born_wall_ms;
+    if (is_older && !has_answered) {
       return;
     }
     this->ResetForNewIncarnation(description, now);
@@ -80,17 +87,16 @@
 void WorkerSupervisor::ResetForNewIncarnation(
     const WorkerDescription& description,
     core::TimePoint now) {
-  if (this->latest_worker.id == description.identity.id &&
-      this->latest_worker != description.identity) {
+  const bool has_restarted = !this->latest_worker.id.IsEmpty() &&
+                             this->latest_worker != description.identity;
+  if (has_restarted) {
     // Starts that were sent to the former incarnation may run on this one, and
     // polls may have extended its lease by the clock of the former.
     ++this->worker_restarts;
-    this->earlier_calls_limit =
-        std::max(this->earlier_calls_limit,
-                 now + kMaxWorkerLease + kMaxWorkerLease / kClockDriftDivisor);
+    this->RecordRestartLease(now);
   }
   this->latest_worker = description.identity;
-  this->is_superseded = false;
+  this->superseding_born_wall_ms = 0;
   // A crash ends all runs. A start without an answer may still arrive at the
   // new incarnation, so it stays in the list and is stopped there too.
   this->RemoveRunsIf(RemovalReason::kNewIncarnation,
@@ -102,11 +108,9 @@
     run.stop_sent.reset();
     run.settled_clock_ms = 0;
   }
-  // The new incarnation refuses them once it has been polled, and the lists are
-  // not complete before.
-  this->late_starts.clear();
   this->ends.clear();
   this->acknowledged = 0;
+  this->lists_acknowledged_ends = false;
   this->clock_ms.reset();
   this->last_listing_clock_ms = 0;
   this->last_listing_fence = FencingToken();
@@ -115,9 +119,11 @@
   this->unreported_change = true;
 }
 
-void WorkerSupervisor::OnDeparture(const WorkerId& id) {
-  if (!this->worker || this->worker->identity.id != id) {
-    return;
+bool WorkerSupervisor::OnDeparture(const WorkerId& id) {
+  const bool is_leaving = this->worker && this->worker->identity.id == id &&
+                          this->worker->state == WorkerState::kDraining;
+  if (!is_leaving) {
+    return false;
   }
   this->RemoveRunsIf(RemovalReason::kDeparted,
                      [](const Run& /*run*/) { return true; });
@@ -126,7 +132,9 @@
   this->ends.clear();
   this->clock_ms.reset();
   this->acknowledged = 0;
+  this->lists_acknowledged_ends = false;
   this->unreported_change = true;
+  return true;
 }
 
 void WorkerSupervisor::OnReportAnswer(const ReportAnswer& answer,
@@ -139,6 +147,7 @@
   this->ObserveEvacuations(answer.evacuated, answer.evacuation_revision);
   this->unreported_change = this->unreported_change || !this->HasTerm(sent);
   this->term_end = std::max(this->term_end, sent + answer.term);
+  this->max_worker_lease = answer.max_worker_lease;
   const bool knows_worker =
       !this->worker || answer.worker == this->worker->identity;
   if (knows_worker) {
@@ -151,6 +160,8 @@
     this->speed = answer.speed;
   }
   if (this->worker && answer.worker == this->worker->identity) {
+    this->lists_acknowledged_ends = this->lists_acknowledged_ends ||
+                                    answer.acknowledged > this->acknowledged;
     this->acknowledged = std::max(this->acknowledged, answer.acknowledged);
     this->ends.erase(this->ends.begin(),
                      this->ends.upper_bound(this->acknowledged));
@@ -169,6 +180,13 @@
     this->batch = 0;
     this->session = SessionNumber();
     this->worker_restarts = 0;
+    for (auto& [key, run] : this->runs) {
+      if (run.state == RunState::kStarting) {
+        run.start_attempts = kMaxStartAttempts;
+        run.state = run.start_due ? RunState::kStopping : run.state;
+        run.start_due = false;
+      }
+    }
   }
   this->epoch = new_epoch;
   if (new_session == this->session) {
@@ -229,7 +247,7 @@
       run.active.checkpoint = start.checkpoint;
       run.order = start;
       run.start_attempts = 1;
-      run.open_starts = 1;
+      run.sent_starts = 1;
       run.last_start_sent = now;
       calls.starts.push_back(
           {start, this->Fence(), this->worker->identity, *deadline});
@@ -286,7 +304,11 @@
   Run& run = found->second;
   this->unreported_change = true;
   if (result != StartResult::kUnknown) {
-    --run.open_starts;
+    ++run.answered_starts;
+  }
+  if (result == StartResult::kRejected && run.was_listed) {
+    // An earlier copy of the start has begun the run.
+    return;
   }
   if (result == StartResult::kRejected && !run.uncertain) {
     this->runs.erase(found);
@@ -347,11 +369,16 @@
       listing.born_wall_ms != 0 &&
       listing.born_wall_ms != this->worker->identity.born_wall_ms;
   if (other_incarnation) {
-    const bool is_later =
-        listing.born_wall_ms > this->worker->identity.born_wall_ms;
-    this->unreported_change =
-        this->unreported_change || (is_later && !this->is_superseded);
-    this->is_superseded = this->is_superseded || is_later;
+    // The start times of incarnations need not rise, since the worker's clock
+    // may have been set back.
+    const bool has_replaced =
+        listing.born_wall_ms > this->worker->identity.born_wall_ms ||
+        sent > this->last_listing_at;
+    if (has_replaced) {
+      this->unreported_change =
+          this->unreported_change || !this->IsSuperseded();
+      this->superseding_born_wall_ms = listing.born_wall_ms;
+    }
     return;
   }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
@@ -365,12 +392,21 @@
   this->last_listing_at = now;
   this->ObserveClock(listing.worker_clock_ms, now);
   const bool was_complete = this->IsComplete(now);
+  const bool is_first_of_restart =
+      this->worker_restarts > 0 && this->last_listing_fence < this->Fence();
+  if (is_first_of_restart) {
+    // Calls for the former incarnation were accepted until this poll.
+    this->RecordRestartLease(now);
+  }
   this->last_listing_fence = std::max(this->last_listing_fence, listing.fence);
   // Runs that are already known stay listed as active until their ends appear,
   // so truncated ends do not make complete lists incomplete.
   this->is_complete = this->is_complete || !listing.ends_are_truncated;
   this->unreported_change =
       this->unreported_change || (!was_complete && this->IsComplete(now));
+  this->lists_acknowledged_ends = std::any_of(
+      listing.ends.begin(), listing.ends.end(),
+      [this](const RunEnd& end) { return end.number <= this->acknowledged; });
   this->RecordEnds(listing);
   this->MergeRunning(listing, now);
   if (!listing.ends_are_truncated) {
@@ -412,12 +448,18 @@
       run.settled_clock_ms = listing.worker_clock_ms;
       run.settled_at = now;
       this->unreported_change = true;
+      // One of the open starts has begun the run on this incarnation.
+      const auto late = this->late_starts.find(listed.key);
+      if (late != this->late_starts.end()) {
+        run.sent_starts = late->second.count;
+        run.last_start_sent = late->second.last_sent;
+        this->late_starts.erase(late);
+      }
     }
     if (run.state == RunState::kStarting && run.uncertain) {
       run.state = RunState::kRunning;
       run.uncertain = false;
       run.start_due = false;
-      --run.open_starts;
       run.settled_clock_ms = listing.worker_clock_ms;
       run.settled_at = now;
       this->unreported_change = true;
@@ -440,6 +482,7 @@
   if (progressed) {
     run.progress_clock_ms = listing_clock_ms;
   }
+  run.was_listed = true;
   run.active = listed;
   run.active.confirmed = run.state != RunState::kStarting;
   run.active.still =
@@ -473,7 +516,21 @@
   }
 }
 
+void WorkerSupervisor::StopRunsThatOutlastTheTerm(core::TimePoint now) {
+  const bool may_outlast = this->term_end != core::TimePoint() &&
+                           this->restart_lease_end > this->term_end &&
+                           now < this->restart_lease_end;
+  if (!may_outlast || now + kStopBeforeTermEnd < this->term_end) {
+    return;
+  }
+  for (auto& [key, run] : this->runs) {
+    run.state = RunState::kStopping;
+    run.start_due = false;
+  }
+}
+
 std::vector<StopCall> WorkerSupervisor::DueStops(core::TimePoint now) {
+  this->StopRunsThatOutlastTheTerm(now);
   std::vector<StopCall> calls;
   if (!this->worker) {
     return calls;
@@ -506,7 +563,7 @@
       continue;
     }
     ++run.start_attempts;
-    ++run.open_starts;
+    ++run.sent_starts;
     run.last_start_sent = now;
     this->RecordRequestedLease(now);
     calls.push_back(
@@ -524,6 +581,13 @@
   return deadline;
 }
 
+void WorkerSupervisor::RecordRestartLease(core::TimePoint now) {
+  this->restart_lease_end = now + this->max_worker_lease +
+                            this->max_worker_lease / kClockDriftDivisor;
+  this->earlier_calls_limit =
+      std::max(this->earlier_calls_limit, this->restart_lease_end);
+}
+
 void WorkerSupervisor::RecordRequestedLease(core::TimePoint now) {
   const core::Duration left = this->term_end - now;
   this->leases_expired_at = std::max(
@@ -541,7 +605,11 @@
   if (this->refused_polls == 0) {
     this->first_refusal_sent = sent;
   }
-  ++this->refused_polls;
+  // Polls in flight at once may be refused in the same moment.
+  if (this->refused_polls == 0 || sent > this->last_refusal_at) {
+    ++this->refused_polls;
+    this->last_refusal_at = now;
+  }
   this->RecordFailedPoll(now);
   if (this->refused_polls < kRefusalsToEndRuns) {
     return;
@@ -567,8 +635,9 @@
 
 void WorkerSupervisor::OnTick(core::TimePoint now) {
   const std::size_t settled =
-      std::erase_if(this->late_starts,
-                    [now](const auto& entry) { return now >= entry.second; });
+      std::erase_if(this->late_starts, [now](const auto& entry) {
+        return now >= entry.second.last_sent + kMaxCallDelay;
+      });
   this->unreported_change = this->unreported_change || settled > 0;
   if (!this->worker && !this->MayEarlierCallsAct(now)) {
     this->OnAllLeasesExpired();
@@ -585,7 +654,7 @@
 
 std::optional<std::int64_t> WorkerSupervisor::LeaseDeadline(
     core::TimePoint now) const {
-  if (!this->HasTerm(now) || !this->clock_ms || this->is_superseded) {
+  if (!this->HasTerm(now) || !this->clock_ms || this->IsSuperseded()) {
     return std::nullopt;
   }
   // The worker's clock showed `clock_ms` at `clock_read_at` or earlier, so the
@@ -595,7 +664,9 @@
 }
 
 std::uint64_t WorkerSupervisor::Acknowledged() const {
-  return this->acknowledged;
+  return this->lists_acknowledged_ends && !this->IsSuperseded()
+             ? this->acknowledged
+             : 0;
 }
 
 bool WorkerSupervisor::HasPendingStarts() const {
@@ -634,6 +705,8 @@
   report.worker_reachable = this->IsWorkerReachable();
   report.is_complete = this->IsComplete(now);
   report.can_start = this->LeaseDeadline(now).has_value();
+  report.restart_lease =
+      std::max(this->restart_lease_end - now, core::Duration());
   report.speed = this->speed;
   if (!this->runs.empty() && this->last_listing_at != core::TimePoint()) {
     report.progress_age = now - this->last_listing_at;
@@ -641,7 +714,7 @@
   for (const auto& [key, run] : this->runs) {
     report.active.push_back(run.active);
   }
-  for (const auto& [key, until] : this->late_starts) {
+  for (const auto& [key, late] : this->late_starts) {
     if (!this->runs.contains(key)) {
       ActiveRun listed;
       listed.key = key;
@@ -678,8 +751,8 @@
 
 void WorkerSupervisor::ListWhileStartsAreOpen(const RunKey& key,
                                               const Run& run) {
-  if (run.open_starts > 0) {
-    this->late_starts[key] = run.last_start_sent + kMaxCallDelay;
+  if (run.OpenStarts() > 0) {
+    this->late_starts[key] = {run.OpenStarts(), run.last_start_sent};
   }
 }
 
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -1,6 +1,7 @@
 // State of an agent: its worker, the runs there, and the planner's orders.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -113,8 +114,11 @@
                       std::uint64_t sequence,
                       std::int64_t worker_clock_ms,
                       core::TimePoint now);
-  /// Handles the deregistration of the worker; its runs have ended.
-  void OnDeparture(const WorkerId& id);
+  /// Handles a deregistration, which names no incarnation. Returns true if it
+  /// is that of the present one, which is known to be draining; its runs have
+  /// ended then. Otherwise it may be a late one of a former incarnation and is
+  /// ignored.
+  bool OnDeparture(const WorkerId& id);
   /// Handles the planner's answer, which arrived at `received`, to a report
   /// that was sent at `sent`. Ignores answers of an older epoch or session.
   void OnReportAnswer(const ReportAnswer& answer,
@@ -151,7 +155,9 @@
                  core::TimePoint sent,
                  core::TimePoint now);
   /// Returns the stops to send now and marks them as sent: those of runs whose
-  /// start was not answered, and earlier stops whose run has not ended yet.
+  /// start was not answered, and earlier stops whose run has not ended yet. Of
+  /// a restarted worker, whose lease may outlast the term, all runs are stopped
+  /// before the term ends.
   std::vector<StopCall> DueStops(core::TimePoint now);
   /// Returns the starts to send again and marks them as sent. Starting a run is
   /// idempotent, so the answer to the repeated start replaces a lost answer.
@@ -178,8 +184,10 @@
   void OnTick(core::TimePoint now);
   /// Returns whether the term that the planner granted is still valid.
   bool HasTerm(core::TimePoint now) const { return now < this->term_end; }
-  /// Returns the number of the last end that the planner has acknowledged; the
-  /// worker may forget this end and all earlier ones.
+  /// Returns the number of the last end that the planner has acknowledged, so
+  /// that the worker may forget this end and all earlier ones. Returns 0 unless
+  /// the worker has listed such ends since: another incarnation, which numbers
+  /// its ends anew, must not receive it.
   std::uint64_t Acknowledged() const;
   const std::optional<WorkerDescription>& Worker() const {
     return this->worker;
@@ -220,10 +228,19 @@
     bool uncertain = false;
     StartOrder order;
     int start_attempts = 0;
-    /// Starts that have been sent and neither answered nor, as far as known,
-    /// carried out, and when the latest start was sent.
-    int open_starts = 0;
+    /// Starts that have been sent and answered, and when the latest was sent.
+    int sent_starts = 0;
+    int answered_starts = 0;
     core::TimePoint last_start_sent;
+    /// The worker has listed the run.
+    bool was_listed = false;
+
+    /// Returns the number of starts that may still be carried out. One of those
+    /// that began a listed run may be the one that was answered.
+    int OpenStarts() const {
+      return this->sent_starts -
+             std::max(this->answered_starts, this->was_listed ? 1 : 0);
+    }
     bool start_due = false;
     /// Worker clock and time of the answer that determined the state. The
     /// absence of the run proves nothing in an older listing, or in the answer
@@ -244,6 +261,8 @@
   /// Takes the epoch and session of a message that is not outdated. When the
   /// planner has counted this agent as lost, starts without an answer are
   /// stopped and not sent again, since it may have started the runs elsewhere.
+  /// With a new epoch they are not sent again either: the token of the epoch
+  /// would carry them past the poll that completes the lists.
   void EnterSession(core::SchedulingEpoch new_epoch, SessionNumber new_session);
   /// Takes the evacuations of a message that is not outdated, unless those of a
   /// later store version are known. Orders that an earlier message announced as
@@ -256,6 +275,12 @@
            this->evacuations.data_centres.contains(this->worker->data_centre);
   }
   std::optional<std::int64_t> LeaseDeadline(core::TimePoint now) const;
+  /// Records that a call for a former incarnation may have extended the lease
+  /// of the present one until now.
+  void RecordRestartLease(core::TimePoint now);
+  /// Marks all runs as stopping if the term is about to end and the worker may
+  /// hold a lease that lasts longer. The planner may start them elsewhere then.
+  void StopRunsThatOutlastTheTerm(core::TimePoint now);
   /// Counts a poll without a usable answer, and drops all runs once all leases
   /// have expired.
   void RecordFailedPoll(core::TimePoint now);
@@ -312,6 +337,9 @@
   void MergeRunning(const WorkerListing& listing, core::TimePoint now);
   void RecordEnds(const WorkerListing& listing);
   void RemoveMissingRuns(const WorkerListing& listing, core::TimePoint sent);
+  /// Returns whether another incarnation than the known one has taken its
+  /// place.
+  bool IsSuperseded() const { return this->superseding_born_wall_ms != 0; }
   /// Returns whether `identity` is the incarnation that the agent knows of.
   bool IsPresentWorker(const WorkerIdentity& identity) const {
     return this->worker && this->worker->identity == identity;
@@ -330,22 +358,29 @@
   core::TimePoint term_end;
   /// When all leases that this process requested from the worker have expired.
   core::TimePoint leases_expired_at;
+  /// Longest lease that the worker accepts, as far as known.
+  core::Duration max_worker_lease = kMaxWorkerLease;
+  /// When a lease has expired that calls for a former incarnation requested
+  /// from the present one.
+  core::TimePoint restart_lease_end;
   /// When all leases and starts that were requested before the session, by
   /// earlier processes of this agent or from an earlier incarnation of the
   /// worker, have expired.
   core::TimePoint earlier_calls_limit;
   int failed_polls = 0;
-  /// Refused polls since the latest poll with another result, and when the
-  /// first of them was sent.
+  /// Refused polls, one after the other, since the latest poll with another
+  /// result; when the first of them was sent, and when the last was handled.
   int refused_polls = 0;
   core::TimePoint first_refusal_sent;
+  core::TimePoint last_refusal_at;
   std::optional<WorkerDescription> worker;
   /// Latest incarnation that this process has known of.
   WorkerIdentity latest_worker;
   /// Number of restarts of the worker during the session.
   std::uint64_t worker_restarts = 0;
-  /// A later incarnation than `worker` has answered a poll.
-  bool is_superseded = false;
+  /// Start time of another incarnation that has answered a poll after `worker`
+  /// answered one; 0 if there is none.
+  std::int64_t superseding_born_wall_ms = 0;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
   /// the agent received that reading.
@@ -361,11 +396,17 @@
   core::TimePoint last_listing_at;
   FencingToken last_listing_fence;
   std::map<RunKey, Run> runs;
-  /// Runs that are over, with the time until which a start of them that had no
-  /// answer may be carried out by a later incarnation of the worker.
-  std::map<RunKey, core::TimePoint> late_starts;
+  /// Open starts of a run that is over. A later incarnation of the worker may
+  /// carry them out.
+  struct LateStarts {
+    int count = 0;
+    core::TimePoint last_sent;
+  };
+  std::map<RunKey, LateStarts> late_starts;
   std::map<std::uint64_t, RunEnd> ends;
   std::uint64_t acknowledged = 0;
+  /// The latest listing contained acknowledged ends.
+  bool lists_acknowledged_ends = false;
   std::deque<Rejection> rejections;
   std::vector<RemovedRun> removed_runs;
   EvacuationState evacuations;
