Hold the ports of the entries in hosted_entry_test while it runs

Cause: the test asked for a free port by listening on port 0 and closing the socket at once, six times, and told the numbers to the entries. Nothing held a port until its entry listened, so it could be drawn again for the other entry or go to another process. An entry whose port is taken ends at once with "cannot listen on ..."; the product is right there and is unchanged. The test sent each `explain` to the missing entry for 10 s.

Now a bound socket that does not listen holds each port, below the range that Linux chooses from. No check is removed or relaxed; added are a case about the reserved ports, and checks that both entries still run at the end, which print their logs.

--- a/tests/hosted_entry_test.cc
+++ b/tests/hosted_entry_test.cc
@@ -1,9 +1,16 @@
 // An entry on a hosting platform, as a separate process, with odd entries in
 // the platform's store.
+#include <sys/socket.h>
+
 #include <QDir>
+#include <QTcpSocket>
 #include <QTemporaryDir>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <deque>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 
 #include "modules/model/testing/odd_json.h"
@@ -21,13 +28,41 @@
 
 constexpr core::Duration kLimit = core::Duration::Seconds(10);
 
-/// A free port of loopback.
-std::uint16_t FreePort() {
-  auto server = wire::HttpServer::Listen(
-      "127.0.0.1", 0, wire::HttpServerLimits(),
-      [](const wire::HttpRequest&, const wire::HttpResponder&) {});
-  BOOST_REQUIRE(server.has_value());
-  return (*server)->Port();
+/// A port of loopback on which a process can listen that is told its number.
+/// It lies below the range from which Linux by default takes the ports of
+/// connections and of servers that ask for any port, and outside that of
+/// `review::FreePort`, so none of them gets it. A socket that does not listen
+/// holds it, so that it is reserved only once.
+class ReservedPort {
+ public:
+  ReservedPort() {
+    constexpr int kFirst = 10000;
+    constexpr int kLast = 19999;
+    constexpr int kMaxAttempts = 1000;
+    std::random_device device;
+    std::uniform_int_distribution<std::uint16_t> any(kFirst, kLast);
+    bool is_bound = false;
+    for (int i = 0; i < kMaxAttempts && !is_bound; ++i) {
+      is_bound =
+          this->socket.bind(QHostAddress(QHostAddress::LocalHost), any(device),
+                            QAbstractSocket::DontShareAddress);
+    }
+    BOOST_REQUIRE(is_bound);
+    // From now on a server may listen on the port. Before, the option would
+    // have let two sockets reserve the same port.
+    const int enabled = 1;
+    BOOST_REQUIRE(
+        ::setsockopt(static_cast<int>(this->socket.socketDescriptor()),
+                     SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled)) == 0);
+  }
+  std::uint16_t Number() const { return this->socket.localPort(); }
+
+ private:
+  QTcpSocket socket;
+};
+
+wire::HttpServer::Handler IgnoreRequests() {
+  return [](const wire::HttpRequest&, const wire::HttpResponder&) {};
 }
 
 /// Returns the status of a GET request, or 0 without a response.
@@ -49,9 +84,9 @@
 
 /// Ports of an entry that runs as a separate process.
 struct EntryPorts {
-  std::uint16_t callers = FreePort();
-  std::uint16_t readiness = FreePort();
-  std::uint16_t internal = FreePort();
+  ReservedPort callers;
+  ReservedPort readiness;
+  ReservedPort internal;
 };
 
 /// Writes the settings of an entry.
@@ -67,9 +102,9 @@
                 R"(","data_centre":"d","address":"127.0.0.1",
         "entries":[],"min_store_lease_ms":1000,"max_worker_lease_ms":6000,
         "stop_grace_s":6,"caller_endpoint":)" +
-                address(ports.callers) +
-                ",\"readiness_endpoint\":" + address(ports.readiness) +
-                ",\"internal_endpoint\":" + address(ports.internal) +
+                address(ports.callers.Number()) +
+                ",\"readiness_endpoint\":" + address(ports.readiness.Number()) +
+                ",\"internal_endpoint\":" + address(ports.internal.Number()) +
                 ",\"store_endpoint\":" + address(store.Endpoint().port) + "}");
 }
 
@@ -77,6 +112,30 @@
 
 BOOST_AUTO_TEST_SUITE(HostedEntryTest)
 
+// Guards against an entry of these tests that cannot listen, because one of its
+// ports is also that of another endpoint or of a server of another test.
+BOOST_AUTO_TEST_CASE(ReservedPortsAreGivenToNoOtherSocket) {
+  // Enough that draws without reservation would repeat some port almost
+  // certainly: from 10000 ports, or from the 7000 that Linux chooses from when
+  // a server asks for any.
+  constexpr int kPorts = 400;
+  std::deque<ReservedPort> ports(kPorts);
+  std::set<std::uint16_t> reserved;
+  for (const ReservedPort& port : ports) {
+    reserved.insert(port.Number());
+  }
+  BOOST_TEST(reserved.size() == kPorts);
+  for (const std::uint16_t port : reserved) {
+    const auto any = wire::HttpServer::Listen(
+        "127.0.0.1", 0, wire::HttpServerLimits(), IgnoreRequests());
+    BOOST_REQUIRE(any.has_value());
+    BOOST_TEST(!reserved.contains((*any)->Port()));
+    const auto told = wire::HttpServer::Listen(
+        "127.0.0.1", port, wire::HttpServerLimits(), IgnoreRequests());
+    BOOST_TEST(told.has_value(), (told ? "" : told.error().message));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEntryOutlivesOddEntriesAndFollowsLaterChanges) {
   StoreStandIn store;
   int number = 0;
@@ -97,10 +156,10 @@
                      folder.filePath("entry.log").toStdString());
   const auto finds_queue = [&ports](const std::string& host) {
     constexpr int kUnknownKey = 401;
-    return StatusOf(ports.callers, "/q/", host) == kUnknownKey;
+    return StatusOf(ports.callers.Number(), "/q/", host) == kUnknownKey;
   };
   BOOST_TEST(WaitUntil([&] { return finds_queue("first.example"); }, kLimit));
-  BOOST_TEST(StatusOf(ports.readiness, "/-/ready", "n") == 200);
+  BOOST_TEST(StatusOf(ports.readiness.Number(), "/-/ready", "n") == 200);
   BOOST_TEST(WaitUntil([&store] { return store.Contains("owner"); }, kLimit));
   for (const std::string& odd : model::testing::OddValues()) {
     store.PutConfigurationText(odd);
@@ -139,8 +198,8 @@
                                const std::string& value) {
     ChildProcess command(
         "hemlockdoor",
-        {"explain", "--entry", "127.0.0.1:" + std::to_string(ports.internal),
-         option, value},
+        {"explain", "--entry",
+         "127.0.0.1:" + std::to_string(ports.internal.Number()), option, value},
         path("explain.log"));
     return command.WaitForExit(kLimit).value_or(-1);
   };
@@ -163,6 +222,8 @@
   BOOST_TEST(
       test_support::ReadFile(path("explain.log")).find("unknown queue") !=
       std::string::npos);
+  BOOST_TEST(first.IsRunning(), test_support::ReadFile(path("first.log")));
+  BOOST_TEST(second.IsRunning(), test_support::ReadFile(path("second.log")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
