Explore calls and announcements of a worker's former process

Cause: the exploration knew only late starts that survive a restart of a worker, so the other calls under way at that moment were not judged by what the wire carries.

Change: six functions, each with a generator of its own, add to a drawn scenario crashes in series, late announcements, calls that reach the next process, late polls, refused polls, and workers that drain and whose deregistration is late. The case NoCallForAFormerProcessBreaksARule plays them. The scenarios of earlier cases stay as they are.

The witness now keeps an end `done` by run and process of the worker. It took the acknowledgement of an end on the present process for that of the end of the same run on the former one, which nobody had noted, and so called a start between the two a violation. It still counts each end that is acknowledged.

--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -54,6 +54,19 @@
   return false;
 }
 
+/// Returns the scenario of the seed with all that can befall a worker that
+/// restarts.
+Scenario DrawRestarts(std::uint64_t seed) {
+  Scenario scenario = DrawScenario(seed);
+  AddRestartSeries(scenario);
+  AddLateAnnouncements(scenario);
+  AddHeldCalls(scenario);
+  AddLatePolls(scenario);
+  AddRefusedPolls(scenario);
+  AddDepartures(scenario);
+  return scenario;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(BatchExplorationTest)
@@ -86,6 +99,22 @@
   BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
 }
 
+// The same faults while workers restart in series, and calls, announcements and
+// deregistrations meant for or sent by a former process arrive afterwards.
+// Guards against runs that are given up although a process of the worker runs
+// them.
+BOOST_AUTO_TEST_CASE(NoCallForAFormerProcessBreaksARule) {
+  const std::uint64_t first = FromEnvironment("HEMLOCKDOOR_SEED", kDefaultSeed);
+  const std::uint64_t runs =
+      FromEnvironment("HEMLOCKDOOR_EXPLORATION_RUNS", kDefaultRuns);
+  int failures = 0;
+  std::uint64_t played = 0;
+  for (; played < runs && failures < kMaxFailures; ++played) {
+    failures += Check(DrawRestarts(first + played)) ? 0 : 1;
+  }
+  BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
+}
+
 // Seeds that fail without the agents' guard: a cut holds up orders, and they
 // arrive after the agent has learned of the evacuation. A change to
 // DrawScenario or AddEvacuations turns them into others.
--- a/tests/exploration/scenario.cc
+++ b/tests/exploration/scenario.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <map>
 #include <random>
 #include <string_view>
@@ -48,9 +49,23 @@
     KindOfFault{FaultKind::kWorkerReborn, "worker crashes", 100, 4000},
     // The store client notices a silent watch and reads again within this time.
     KindOfFault{FaultKind::kWatchLost, "watch lost", 300, 3500},
+    KindOfFault{FaultKind::kPollsLate, "polls carried out late", 300, 3000},
+    KindOfFault{FaultKind::kWorkerDrains, "worker drains and restarts", 200,
+                1500},
 };
-/// Kinds that `DrawFault` draws: all but the last, which `AddEvacuations` adds.
-constexpr auto kDrawnKinds = static_cast<std::int64_t>(kKinds.size()) - 1;
+/// Kinds that `DrawFault` draws: all before `kWatchLost`. That one and the
+/// later ones are added to a drawn scenario.
+constexpr std::int64_t kDrawnKinds = 10;
+static_assert(kKinds[kDrawnKinds].kind == FaultKind::kWatchLost);
+
+/// Offsets of the seeds of what is added to a drawn scenario, one for each
+/// function, so that none changes what the others draw.
+constexpr std::uint64_t kRestartSeriesSeed = 2'000'000'011;
+constexpr std::uint64_t kLateAnnouncementsSeed = 3'000'000'019;
+constexpr std::uint64_t kHeldCallsSeed = 4'000'000'007;
+constexpr std::uint64_t kLatePollsSeed = 5'000'000'029;
+constexpr std::uint64_t kRefusedPollsSeed = 6'000'000'001;
+constexpr std::uint64_t kDeparturesSeed = 7'000'000'001;
 
 const KindOfFault& KindOf(const Fault& fault) {
   return *std::find_if(
@@ -109,6 +124,53 @@
   return fault;
 }
 
+/// Returns a time near the begin, the end or the middle of a fault.
+Duration DrawNear(Draw& draw, const Fault& fault) {
+  const std::int64_t begin = fault.at.InMilliseconds();
+  const std::int64_t end = begin + fault.length.InMilliseconds();
+  const std::int64_t offset = draw.Between(-kNearMs, kNearMs);
+  std::int64_t at = draw.Between(begin, end);
+  switch (draw.Between(0, 2)) {
+    case 0:
+      at = begin + offset;
+      break;
+    case 1:
+      at = end + offset;
+      break;
+    default:
+      break;
+  }
+  return Duration::Milliseconds(std::max(at, kFirstFaultMs));
+}
+
+/// Returns a fault of the kind, of a usual length, near `other` and of the same
+/// agent.
+Fault DrawBeside(Draw& draw, FaultKind kind, const Fault& other) {
+  Fault fault;
+  fault.kind = kind;
+  fault.agent = other.agent;
+  fault.at = DrawNear(draw, other);
+  const KindOfFault& bounds = KindOf(fault);
+  fault.length = Duration::Milliseconds(
+      draw.Between(bounds.shortest_ms, bounds.longest_ms));
+  return fault;
+}
+
+const Fault& DrawOne(Draw& draw, const std::vector<Fault>& faults) {
+  const auto count = static_cast<std::int64_t>(faults.size());
+  return faults[static_cast<std::size_t>(draw.Between(0, count - 1))];
+}
+
+/// Returns one of the crashes, or any fault if there is none.
+Fault DrawCrash(Draw& draw, const std::vector<Fault>& faults) {
+  std::vector<Fault> crashes;
+  std::copy_if(faults.begin(), faults.end(), std::back_inserter(crashes),
+               [](const Fault& fault) {
+                 return fault.kind == FaultKind::kWorkerReborn;
+               });
+  return DrawOne(draw, crashes.empty() ? faults : crashes);
+}
+
 }  // namespace
 
 Scenario DrawScenario(std::uint64_t seed) {
@@ -175,6 +237,91 @@
   }
 }
 
+void AddRestartSeries(Scenario& scenario) {
+  constexpr std::int64_t kFewestCrashes = 2;
+  constexpr std::int64_t kMostCrashes = 4;
+  constexpr std::int64_t kShortestMs = 100;
+  constexpr std::int64_t kLongestMs = 1500;
+  constexpr std::int64_t kLongestUpMs = 2500;
+  constexpr std::int64_t kMostJobs = 4;
+  constexpr std::array kBeside = {
+      FaultKind::kAgentPause, FaultKind::kAgentRestart, FaultKind::kPlannerKill,
+      FaultKind::kStartsLate, FaultKind::kAgentCut};
+  Draw draw(scenario.seed + kRestartSeriesSeed);
+  const Fault anchor = DrawOne(draw, scenario.faults);
+  Duration at = DrawNear(draw, anchor);
+  const std::int64_t crashes = draw.Between(kFewestCrashes, kMostCrashes);
+  for (std::int64_t i = 0; i < crashes; ++i) {
+    Fault crash;
+    crash.kind = FaultKind::kWorkerReborn;
+    crash.agent = anchor.agent;
+    crash.at = at;
+    crash.length =
+        Duration::Milliseconds(draw.Between(kShortestMs, kLongestMs));
+    scenario.faults.push_back(crash);
+    at = at + crash.length +
+         Duration::Milliseconds(draw.Between(kShortestMs, kLongestUpMs));
+    const std::int64_t jobs = draw.Between(0, kMostJobs);
+    for (std::int64_t j = 0; j < jobs; ++j) {
+      PlannedJob job;
+      job.at = DrawNear(draw, crash);
+      job.tasks = static_cast<int>(draw.Between(1, 3));
+      job.run_time = Duration::Milliseconds(draw.Between(200, 6000));
+      scenario.jobs.push_back(job);
+    }
+    if (draw.Between(0, 2) == 0) {
+      const auto kind = kBeside[static_cast<std::size_t>(
+          draw.Between(0, static_cast<std::int64_t>(kBeside.size()) - 1))];
+      scenario.faults.push_back(DrawBeside(draw, kind, crash));
+    }
+  }
+}
+
+void AddLateAnnouncements(Scenario& scenario) {
+  constexpr std::int64_t kLatestFirstMs = 1200;
+  constexpr std::int64_t kLatestMs = 2000;
+  Draw draw(scenario.seed + kLateAnnouncementsSeed);
+  scenario.restarts.first_announcement =
+      Duration::Milliseconds(draw.Between(0, kLatestFirstMs));
+  if (draw.Between(0, 3) > 0) {
+    scenario.restarts.late_announcements =
+        Duration::Milliseconds(draw.Between(1, kLatestMs));
+  }
+}
+
+void AddHeldCalls(Scenario& scenario) {
+  Draw draw(scenario.seed + kHeldCallsSeed);
+  scenario.restarts.holds_calls = draw.Between(0, 3) > 0;
+}
+
+void AddLatePolls(Scenario& scenario) {
+  constexpr std::int64_t kMost = 2;
+  Draw draw(scenario.seed + kLatePollsSeed);
+  const std::int64_t count = draw.Between(0, kMost);
+  for (std::int64_t i = 0; i < count; ++i) {
+    scenario.faults.push_back(DrawBeside(draw, FaultKind::kPollsLate,
+                                         DrawCrash(draw, scenario.faults)));
+  }
+}
+
+void AddRefusedPolls(Scenario& scenario) {
+  Draw draw(scenario.seed + kRefusedPollsSeed);
+  scenario.restarts.refuses_polls = draw.Between(0, 3) > 0;
+}
+
+void AddDepartures(Scenario& scenario) {
+  constexpr std::int64_t kMost = 2;
+  constexpr std::int64_t kLatestMs = 2000;
+  Draw draw(scenario.seed + kDeparturesSeed);
+  const std::int64_t count = draw.Between(0, kMost);
+  for (std::int64_t i = 0; i < count; ++i) {
+    scenario.faults.push_back(DrawBeside(draw, FaultKind::kWorkerDrains,
+                                         DrawOne(draw, scenario.faults)));
+  }
+  scenario.restarts.late_departures =
+      Duration::Milliseconds(draw.Between(0, kLatestMs));
+}
+
 std::string Describe(const Scenario& scenario) {
   std::multimap<Duration, std::string> lines;
   for (std::size_t i = 0; i < scenario.jobs.size(); ++i) {
@@ -199,6 +346,18 @@
   }
   std::string text = "seed " + std::to_string(scenario.seed) + ", " +
                      std::to_string(scenario.agents) + " agents\n";
+  const RestartBehaviour& restarts = scenario.restarts;
+  const auto add_bound = [&text](std::string_view what, Duration bound) {
+    if (bound > Duration()) {
+      text += std::string(what) + " up to " +
+              std::to_string(bound.InMilliseconds()) + " ms late\n";
+    }
+  };
+  add_bound("first announcements", restarts.first_announcement);
+  add_bound("announcements", restarts.late_announcements);
+  add_bound("deregistrations", restarts.late_departures);
+  text += restarts.holds_calls ? "calls reach the next process\n" : "";
+  text += restarts.refuses_polls ? "polls are refused\n" : "";
   for (const auto& [at, line] : lines) {
     text += std::to_string(at.InMilliseconds()) + " ms: " + line + "\n";
   }
@@ -222,6 +381,18 @@
   shorten(&Scenario::faults);
   shorten(&Scenario::evacuations);
   shorten(&Scenario::jobs);
+  const auto reset = [&scenario, &fails](auto member) {
+    Scenario shorter = scenario;
+    shorter.restarts.*member = {};
+    if (fails(shorter)) {
+      scenario = std::move(shorter);
+    }
+  };
+  reset(&RestartBehaviour::first_announcement);
+  reset(&RestartBehaviour::late_announcements);
+  reset(&RestartBehaviour::late_departures);
+  reset(&RestartBehaviour::holds_calls);
+  reset(&RestartBehaviour::refuses_polls);
   return scenario;
 }
 
--- a/tests/exploration/scenario.h
+++ b/tests/exploration/scenario.h
@@ -22,6 +22,9 @@
   kWorkerLost,    ///< The worker is gone for good.
   kWorkerReborn,  ///< The worker crashes; `length` later a new one announces.
   kWatchLost,     ///< Entries learn of changes only from a later listing.
+  kPollsLate,     ///< The worker answers no polls and carries them out later.
+  /// The worker drains for `length`, ends, deregisters, and a new one starts.
+  kWorkerDrains,
 };
 
 struct Fault {
@@ -46,6 +49,22 @@
   core::Duration run_time;
 };
 
+/// How calls and announcements meet a worker that restarts. All off: a new
+/// process announces itself at once, and no message outlives its process.
+struct RestartBehaviour {
+  /// The first announcement of a process comes up to this long after its start.
+  core::Duration first_announcement;
+  /// Announcements may arrive up to this late, also those of an ended process.
+  core::Duration late_announcements;
+  /// Deregistrations of a drained process may arrive up to this late.
+  core::Duration late_departures;
+  /// Some calls that find no process, or are sent shortly before its end, are
+  /// carried out by the next one.
+  bool holds_calls = false;
+  /// Polls are refused at once while the worker is down and not dark.
+  bool refuses_polls = false;
+};
+
 struct Scenario {
   /// Seed of the delays of messages.
   std::uint64_t seed = 0;
@@ -53,6 +72,7 @@
   std::vector<PlannedJob> jobs;
   std::vector<Fault> faults;
   std::vector<PlannedEvacuation> evacuations;
+  RestartBehaviour restarts;
 };
 
 /// Number of data centres. Agent number n is in data centre n modulo this.
@@ -67,11 +87,26 @@
 /// tend to come with a fault.
 void AddEvacuations(Scenario& scenario);
 
+/// Adds two to four crashes of one worker in series, near other faults of its
+/// agent, and jobs that come with them.
+void AddRestartSeries(Scenario& scenario);
+/// Lets announcements come late, also those of an ended process of a worker.
+void AddLateAnnouncements(Scenario& scenario);
+/// Lets calls for a process of a worker be carried out by the next one.
+void AddHeldCalls(Scenario& scenario);
+/// Adds times in which polls are carried out late, near crashes of workers.
+void AddLatePolls(Scenario& scenario);
+/// Lets polls be refused at once while the worker is down and not dark.
+void AddRefusedPolls(Scenario& scenario);
+/// Adds workers that drain and start anew, and lets their deregistrations
+/// arrive late.
+void AddDepartures(Scenario& scenario);
+
 /// Returns the scenario as text, an event a line, in the order of their times.
 std::string Describe(const Scenario& scenario);
 
-/// Removes faults, evacuations and jobs as long as `fails` returns true for the
-/// rest.
+/// Removes faults, evacuations, jobs and the behaviour at restarts as long as
+/// `fails` returns true for the rest.
 Scenario Shorten(Scenario scenario,
                  const std::function<bool(const Scenario&)>& fails);
 
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -29,6 +29,13 @@
 /// twice the time before.
 constexpr Duration kFirstResend = Duration::Milliseconds(200);
 constexpr std::size_t kProgressLimit = 15;
+/// A call that is sent up to this long before the worker's crash may be held up
+/// until the next process is there.
+constexpr Duration kHeldBeforeCrash = Duration::Milliseconds(50);
+/// Held calls arrive within this time after the start of the next process.
+constexpr std::int64_t kHeldArrivalMs = 300;
+constexpr std::int64_t kEarliestLateCallMs = 100;
+constexpr std::int64_t kLatestLateCallMs = 4000;
 /// Time after the last fault by which all jobs must have ended.
 constexpr Duration kRecovery = Duration::Seconds(40);
 /// Time for which a run goes on after the last job has ended, since starts may
@@ -207,6 +214,12 @@
     case FaultKind::kStartsLate:
       agent.starts_late_until = end;
       break;
+    case FaultKind::kPollsLate:
+      agent.polls_late_until = std::max(agent.polls_late_until, end);
+      break;
+    case FaultKind::kWorkerDrains:
+      this->DrainWorker(index, fault.length);
+      break;
     case FaultKind::kWorkerLost:
     case FaultKind::kWorkerReborn: {
       const auto alive = std::count_if(
@@ -216,19 +229,90 @@
       if (!agent.worker || (for_good && alive == 1)) {
         break;
       }
-      this->Note("the worker of " + agent.id.Text() + " is gone");
-      agent.worker->Crash();
-      agent.worker.reset();
-      agent.is_dark = Between(0, 1) == 0;
-      if (!for_good) {
-        this->queue.After(fault.length,
-                          [this, index] { this->StartWorker(index); });
+      if (for_good) {
+        this->EndWorker(index, std::nullopt);
+      } else {
+        this->EndWorker(index, fault.length);
       }
       break;
     }
   }
 }
 
+void Simulation::EndWorker(int index, std::optional<Duration> gap) {
+  Agent& agent = this->AgentAt(index);
+  this->Note("the worker of " + agent.id.Text() + " is gone");
+  const Duration late = this->scenario.restarts.late_announcements;
+  if (late > Duration() && Between(0, 1) == 0) {
+    this->SendAnnouncement(index,
+                           Milliseconds(Between(0, late.InMilliseconds())));
+  }
+  agent.worker->Crash();
+  agent.worker.reset();
+  agent.is_dark = Between(0, 1) == 0;
+  if (gap) {
+    this->queue.After(*gap, [this, index] { this->StartWorker(index); });
+  }
+}
+
+void Simulation::DrainWorker(int index, Duration length) {
+  Agent& agent = this->AgentAt(index);
+  if (!agent.worker) {
+    return;
+  }
+  constexpr std::int64_t kShortestGapMs = 100;
+  constexpr std::int64_t kLongestGapMs = 1500;
+  this->Note("the worker of " + agent.id.Text() + " drains");
+  agent.worker->Drain(length);
+  this->SendAnnouncement(index, this->MessageDelay());
+  const Duration gap = Milliseconds(Between(kShortestGapMs, kLongestGapMs));
+  const Duration departure = Milliseconds(
+      Between(1, 1 + this->scenario.restarts.late_departures.InMilliseconds()));
+  this->queue.After(length, [this, index, gap, departure,
+                             drained = agent.worker->Identity()] {
+    const Agent& each = this->AgentAt(index);
+    if (!each.worker || each.worker->Identity() != drained) {
+      return;
+    }
+    this->EndWorker(index, gap);
+    this->queue.After(departure, [this, index, id = drained.id] {
+      this->InProcess(index, this->AgentAt(index).process, [this, index, id] {
+        this->Note(id.Text() + " is deregistered");
+        this->AgentAt(index).supervisor->OnDeparture(id);
+      });
+    });
+  });
+}
+
+bool Simulation::IsHeldUp(int index) {
+  if (!this->scenario.restarts.holds_calls) {
+    return false;
+  }
+  const bool ends_soon = std::any_of(
+      this->scenario.faults.begin(), this->scenario.faults.end(),
+      [this, index](const Fault& fault) {
+        const core::TimePoint at = this->begin + fault.at;
+        return fault.kind == FaultKind::kWorkerReborn && fault.agent == index &&
+               at > this->Now() && at <= this->Now() + kHeldBeforeCrash;
+      });
+  const Agent& agent = this->AgentAt(index);
+  if (agent.worker) {
+    return ends_soon && Between(0, 1) == 0;
+  }
+  // A refused call is over, so most calls are held only by a dark worker.
+  return Between(0, agent.is_dark ? 1 : 3) == 0;
+}
+
+void Simulation::SendCall(int index,
+                          Duration delay,
+                          std::function<void()> arrive) {
+  if (this->IsHeldUp(index)) {
+    this->AgentAt(index).held_calls.push_back(std::move(arrive));
+    return;
+  }
+  this->queue.After(delay, std::move(arrive));
+}
+
 void Simulation::StartAgentProcess(int index) {
   Agent& agent = this->AgentAt(index);
   ++agent.process;
@@ -253,8 +337,29 @@
                      this->Now().InMilliseconds()},
       core::DataCentreId(DataCentreName(index)), drift, this->Now(),
       this->witness);
+  this->Note("the worker of " + agent.id.Text() + " starts, born " +
+             std::to_string(this->Now().InMilliseconds()));
+  // Numbers of announcements start anew with each process.
+  agent.announcements = 0;
+  for (std::function<void()>& call : std::exchange(agent.held_calls, {})) {
+    this->queue.After(Milliseconds(Between(0, kHeldArrivalMs)),
+                      std::move(call));
+  }
   this->TickWorker(index);
-  this->Announce(index);
+  const std::int64_t latest =
+      this->scenario.restarts.first_announcement.InMilliseconds();
+  const bool is_first = this->Now() == this->begin;
+  if (latest == 0 || is_first) {
+    this->Announce(index);
+    return;
+  }
+  this->queue.After(Milliseconds(Between(0, latest)),
+                    [this, index, started = agent.worker->Identity()] {
+                      const Agent& each = this->AgentAt(index);
+                      if (each.worker && each.worker->Identity() == started) {
+                        this->Announce(index);
+                      }
+                    });
 }
 
 void Simulation::SubmitJob(std::size_t index) {
@@ -460,11 +565,30 @@
   if (worker == nullptr) {
     return;
   }
+  const std::int64_t late =
+      this->scenario.restarts.late_announcements.InMilliseconds();
+  constexpr std::int64_t kOneIn = 4;
+  const bool is_late = late > 0 && Between(1, kOneIn) == 1;
+  this->SendAnnouncement(
+      index, is_late ? Milliseconds(Between(0, late)) : this->MessageDelay());
+  this->queue.After(kAnnouncementPeriod, [this, index, worker] {
+    if (this->AgentAt(index).worker.get() == worker) {
+      this->Announce(index);
+    }
+  });
+}
+
+void Simulation::SendAnnouncement(int index, Duration delay) {
+  Agent& agent = this->AgentAt(index);
   const std::uint64_t number = ++agent.announcements;
-  const std::int64_t clock = worker->ClockAt(this->Now());
-  this->queue.After(this->MessageDelay(), [this, index, process = agent.process,
-                                           number, clock,
-                                           description = worker->Describe()] {
+  const std::int64_t clock = agent.worker->ClockAt(this->Now());
+  // A late announcement reaches whatever process of the agent is there.
+  const bool is_held = this->scenario.restarts.late_announcements > Duration();
+  this->queue.After(delay, [this, index, is_held, sent_to = agent.process,
+                            number, clock,
+                            description = agent.worker->Describe()] {
+    const std::uint64_t process =
+        is_held ? this->AgentAt(index).process : sent_to;
     this->InProcess(index, process, [this, index, number, clock, description] {
       WorkerSupervisor& supervisor = *this->AgentAt(index).supervisor;
       const FencingToken before = supervisor.Fence();
@@ -474,11 +598,6 @@
       }
     });
   });
-  this->queue.After(kAnnouncementPeriod, [this, index, worker] {
-    if (this->AgentAt(index).worker.get() == worker) {
-      this->Announce(index);
-    }
-  });
 }
 
 void Simulation::TickPlanner(std::uint64_t own_term) {
@@ -642,12 +761,10 @@
     answer({StartResult::kUnknown, RejectReason::kInvalid, 0});
   });
   const bool is_late = this->Now() < agent.starts_late_until;
-  constexpr std::int64_t kEarliestLateMs = 100;
-  constexpr std::int64_t kLatestLateMs = 4000;
   const Duration delay =
-      is_late ? Milliseconds(Between(kEarliestLateMs, kLatestLateMs))
+      is_late ? Milliseconds(Between(kEarliestLateCallMs, kLatestLateCallMs))
               : this->MessageDelay();
-  this->queue.After(delay, [this, index, call, is_late, answer] {
+  this->SendCall(index, delay, [this, index, call, is_late, answer] {
     const Agent& each = this->AgentAt(index);
     const StartReply refused{StartResult::kRejected, RejectReason::kNoWorker,
                              0};
@@ -688,7 +805,7 @@
                     });
   };
   this->queue.After(kCallTimeout, [answer] { answer(std::nullopt); });
-  this->queue.After(this->MessageDelay(), [this, index, call, answer] {
+  this->SendCall(index, this->MessageDelay(), [this, index, call, answer] {
     const Agent& each = this->AgentAt(index);
     if (!each.worker || each.worker->Identity().id != call.worker.id) {
       return;
@@ -717,6 +834,8 @@
       each.next_poll = this->Now() + kPollInterval;
       if (listing) {
         each.supervisor->OnListing(*listing, sent, this->Now());
+      } else if (listing.error().code == core::ErrorCode::kNotFound) {
+        each.supervisor->OnPollRefused(sent, this->Now());
       } else if (listing.error().code != core::ErrorCode::kStale) {
         each.supervisor->OnPollFailed(this->Now());
       }
@@ -725,23 +844,34 @@
   const core::Error no_answer{core::ErrorCode::kTimeout, "no answer", {}};
   this->queue.After(kCallTimeout,
                     [answer, no_answer] { answer(tl::unexpected(no_answer)); });
-  this->queue.After(
-      this->MessageDelay(),
-      [this, index, answer, no_answer, fence = supervisor.Fence(),
+  const bool is_late = this->Now() < agent.polls_late_until;
+  const core::Error refused{this->scenario.restarts.refuses_polls
+                                ? core::ErrorCode::kNotFound
+                                : core::ErrorCode::kTimeout,
+                            "refused",
+                            {}};
+  const Duration delay =
+      is_late ? Milliseconds(Between(kEarliestLateCallMs, kLatestLateCallMs))
+              : this->MessageDelay();
+  this->SendCall(
+      index, delay,
+      [this, index, is_late, answer, refused, fence = supervisor.Fence(),
        expected = supervisor.Worker()->identity,
        acknowledged = supervisor.Acknowledged(),
        deadline = supervisor.BeginPoll(this->Now())] {
         const Agent& each = this->AgentAt(index);
         if (!each.worker || each.worker->Identity().id != expected.id) {
-          if (!each.is_dark) {
-            answer(tl::unexpected(no_answer));
+          if (!each.is_dark && !is_late) {
+            answer(tl::unexpected(refused));
           }
           return;
         }
         const core::Expected<WorkerListing> listing =
             each.worker->Hold(fence, acknowledged, deadline, this->Now());
-        this->queue.After(this->MessageDelay(),
-                          [answer, listing] { answer(listing); });
+        if (!is_late) {
+          this->queue.After(this->MessageDelay(),
+                            [answer, listing] { answer(listing); });
+        }
       });
 }
 
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -71,6 +71,9 @@
     std::unique_ptr<WorkerModel> worker;
     std::uint64_t announcements = 0;
     core::TimePoint starts_late_until;
+    core::TimePoint polls_late_until;
+    /// Calls that the next process of the worker carries out.
+    std::vector<std::function<void()>> held_calls;
     /// Calls to a worker that is gone get no answer, rather than an error.
     bool is_dark = false;
   };
@@ -121,6 +124,17 @@
   void TickAgent(int agent, std::uint64_t process);
   void TickWorker(int agent);
   void Announce(int agent);
+  /// Delivers the present description of the worker to the agent's process.
+  void SendAnnouncement(int agent, core::Duration delay);
+  /// The worker's process ends; `gap` later a new one starts, if given.
+  void EndWorker(int agent, std::optional<core::Duration> gap);
+  /// The worker ends after its drain, and deregisters.
+  void DrainWorker(int agent, core::Duration length);
+  /// Returns whether a call of the agent that is sent now is carried out by the
+  /// next process of the worker.
+  bool IsHeldUp(int agent);
+  /// Has a call carried out when it arrives, or by the next process.
+  void SendCall(int agent, core::Duration delay, std::function<void()> arrive);
   void TickPlanner(std::uint64_t term);
   void Report(int agent);
   void SendOrders(const AgentOrders& orders, std::uint64_t term);
--- a/tests/exploration/witness.cc
+++ b/tests/exploration/witness.cc
@@ -30,15 +30,18 @@
   this->tasks[key.task].active.erase({key.run, worker});
 }
 
-void Witness::OnDone(const RunKey& key, core::TimePoint now) {
+void Witness::OnDone(const RunKey& key,
+                     const WorkerIdentity& worker,
+                     core::TimePoint now) {
   this->Note(now, "run " + std::to_string(key.run) + " of " +
                       key.task.ToText() + " is done");
-  this->tasks[key.task].done.emplace(key.run, now);
+  this->tasks[key.task].done.emplace(std::pair(key.run, worker), now);
 }
 
-void Witness::OnDoneAcknowledged(const RunKey& key) {
+void Witness::OnDoneAcknowledged(const RunKey& key,
+                                 const WorkerIdentity& worker) {
   TaskHistory& history = this->tasks[key.task];
-  const auto done = history.done.find(key.run);
+  const auto done = history.done.find({key.run, worker});
   if (done != history.done.end() &&
       (!history.finished || done->second < *history.finished)) {
     history.finished = done->second;
--- a/tests/exploration/witness.h
+++ b/tests/exploration/witness.h
@@ -22,10 +22,13 @@
                core::TimePoint now);
   /// The run is over, for whatever reason.
   void OnOver(const RunKey& key, const WorkerIdentity& worker);
-  void OnDone(const RunKey& key, core::TimePoint now);
-  /// The system has acknowledged the end `done` of the run, and the lease has
-  /// not expired in between.
-  void OnDoneAcknowledged(const RunKey& key);
+  void OnDone(const RunKey& key,
+              const WorkerIdentity& worker,
+              core::TimePoint now);
+  /// The system has acknowledged the end `done` of the run on the worker, and
+  /// the lease has not expired in between. An end of the same run on another
+  /// incarnation of the worker is another end.
+  void OnDoneAcknowledged(const RunKey& key, const WorkerIdentity& worker);
   /// Starts on the worker later than `from` are violations until `AllowStarts`.
   void ForbidStarts(const WorkerId& worker, core::TimePoint from) {
     this->forbidden_from[worker] = from;
@@ -44,7 +47,7 @@
   struct TaskHistory {
     std::set<std::pair<std::int64_t, WorkerIdentity>> active;
     std::vector<core::TimePoint> starts;
-    std::map<std::int64_t, core::TimePoint> done;
+    std::map<std::pair<std::int64_t, WorkerIdentity>, core::TimePoint> done;
     /// The earliest acknowledged end.
     std::optional<core::TimePoint> finished;
   };
--- a/tests/exploration/worker_model.cc
+++ b/tests/exploration/worker_model.cc
@@ -35,6 +35,10 @@
   WorkerDescription description = testing::MakeWorker(this->identity.id.Text());
   description.identity = this->identity;
   description.data_centre = this->data_centre;
+  if (this->drains_for) {
+    description.state = WorkerState::kDraining;
+    description.remaining = *this->drains_for;
+  }
   return description;
 }
 
@@ -106,7 +110,10 @@
     const RunEnd& end = this->ends.begin()->second;
     const bool counts = end.number > this->last_end_before_expiry;
     if (end.kind == RunEndKind::kDone && counts) {
-      this->witness.OnDoneAcknowledged(end.key);
+      this->witness.Note(now, "run " + std::to_string(end.key.run) + " of " +
+                                  end.key.task.ToText() + " done is noted by " +
+                                  this->identity.id.Text());
+      this->witness.OnDoneAcknowledged(end.key, this->identity);
     }
     this->ends.erase(this->ends.begin());
   }
@@ -127,6 +134,10 @@
   return listing;
 }
 
+void WorkerModel::Drain(core::Duration remaining) {
+  this->drains_for = remaining;
+}
+
 void WorkerModel::Advance(core::TimePoint now) {
   const std::int64_t clock = this->ClockAt(now);
   std::vector<std::pair<RunKey, RunEndKind>> over;
@@ -166,7 +177,7 @@
   this->ends[this->last_end] = {this->last_end, key, kind, {}};
   this->witness.OnOver(key, this->identity);
   if (kind == RunEndKind::kDone) {
-    this->witness.OnDone(key, now);
+    this->witness.OnDone(key, this->identity, now);
   } else {
     this->witness.Note(now, "run " + std::to_string(key.run) + " of " +
                                 key.task.ToText() + " ends " + NameOf(kind));
--- a/tests/exploration/worker_model.h
+++ b/tests/exploration/worker_model.h
@@ -41,6 +41,8 @@
                                      std::uint64_t acknowledged,
                                      std::optional<std::int64_t> deadline_ms,
                                      core::TimePoint now);
+  /// The worker describes itself as draining from now on.
+  void Drain(core::Duration remaining);
   /// Ends runs that have finished or whose lease has expired.
   void Advance(core::TimePoint now);
   /// The worker ends, and all runs with it.
@@ -61,6 +63,7 @@
   core::DataCentreId data_centre;
   std::int64_t drift_per_mille;
   core::TimePoint born;
+  std::optional<core::Duration> drains_for;
   Witness& witness;
   FencingToken fence;
   std::int64_t lease_ms = 0;
