Acknowledge ends only by a recent listing

Cause: an agent that was paused polled with the number that it had before, and the next process of the worker forgot an end of its own.

Change: the number is sent only within 1.5 s of a listing that shows acknowledged ends, and not after a failed poll. A poll that is carried out late can still carry it to the next process.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -18,6 +18,9 @@
 /// it. Workers take up to 0.9 s for a stop.
 constexpr core::Duration kStopBeforeTermEnd =
     core::Duration::Milliseconds(1200);
+/// Age of the latest listing up to which ends are acknowledged. A poll waits
+/// for up to one second.
+constexpr core::Duration kMaxListingAge = core::Duration::Milliseconds(1500);
 /// Number of times a start is sent before the agent sends a stop instead. With
 /// the timeout of the worker port, all attempts take about two seconds, which
 /// is less than the shortest time for which a gang member waits for the other
@@ -663,10 +666,10 @@
          (this->term_end - this->clock_read_at).InMilliseconds();
 }
 
-std::uint64_t WorkerSupervisor::Acknowledged() const {
-  return this->lists_acknowledged_ends && !this->IsSuperseded()
-             ? this->acknowledged
-             : 0;
+std::uint64_t WorkerSupervisor::Acknowledged(core::TimePoint now) const {
+  const bool is_present = !this->IsSuperseded() && this->failed_polls == 0 &&
+                          now < this->last_listing_at + kMaxListingAge;
+  return this->lists_acknowledged_ends && is_present ? this->acknowledged : 0;
 }
 
 bool WorkerSupervisor::HasPendingStarts() const {
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -186,9 +186,10 @@
   bool HasTerm(core::TimePoint now) const { return now < this->term_end; }
   /// Returns the number of the last end that the planner has acknowledged, so
   /// that the worker may forget this end and all earlier ones. Returns 0 unless
-  /// the worker has listed such ends since: another incarnation, which numbers
-  /// its ends anew, must not receive it.
-  std::uint64_t Acknowledged() const;
+  /// the worker has listed such ends in its answer to the latest poll, not long
+  /// ago: another incarnation, which numbers its ends anew, must not receive
+  /// it.
+  std::uint64_t Acknowledged(core::TimePoint now) const;
   const std::optional<WorkerDescription>& Worker() const {
     return this->worker;
   }
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -628,23 +628,25 @@
   WorkerListing listing{700, 1000, {}, {}};
   listing.ends = {{1, kRun, RunEndKind::kDone, ""}};
   supervisor.OnListing(listing, At(1190), At(1200));
-  BOOST_TEST(supervisor.Acknowledged() == 0U);
+  BOOST_TEST(supervisor.Acknowledged(At(1200)) == 0U);
   ReportAnswer answer = MakeAnswer(MakeWorker("w1"));
   answer.acknowledged = 1;
   supervisor.OnReportAnswer(answer, At(1210), At(1220));
-  BOOST_TEST(supervisor.Acknowledged() == 1U);
+  BOOST_TEST(supervisor.Acknowledged(At(1220)) == 1U);
   // The poll with the number was lost.
   listing.worker_clock_ms = 800;
   supervisor.OnListing(listing, At(1290), At(1300));
-  BOOST_TEST(supervisor.Acknowledged() == 1U);
+  BOOST_TEST(supervisor.Acknowledged(At(1300)) == 1U);
   BOOST_TEST(supervisor.MakeReport(At(1300)).ends.empty());
   supervisor.OnListing({900, 1000, {}, {}}, At(1390), At(1400));
-  BOOST_TEST(supervisor.Acknowledged() == 0U);
+  BOOST_TEST(supervisor.Acknowledged(At(1400)) == 0U);
   answer.acknowledged = 2;
   supervisor.OnReportAnswer(answer, At(1410), At(1420));
-  BOOST_TEST(supervisor.Acknowledged() == 2U);
+  BOOST_TEST(supervisor.Acknowledged(At(1420)) == 2U);
+  // The process was paused since the listing.
+  BOOST_TEST(supervisor.Acknowledged(At(3000)) == 0U);
   supervisor.OnListing({10, 2000, {}, {}}, At(1430), At(1440));
-  BOOST_TEST(supervisor.Acknowledged() == 0U);
+  BOOST_TEST(supervisor.Acknowledged(At(1440)) == 0U);
 }
 
 // Guards against TWICE: the answer to the first start was lost, a listing shows
--- a/modules/batch/process/agent_service.h
+++ b/modules/batch/process/agent_service.h
@@ -382,9 +382,9 @@
     PollCall poll;
     poll.fence = this->supervisor.Fence();
     poll.worker = worker->identity;
-    poll.acknowledged = this->supervisor.Acknowledged();
-    poll.deadline_ms = this->supervisor.BeginPoll(core::Clock::Now());
     const core::TimePoint sent = core::Clock::Now();
+    poll.acknowledged = this->supervisor.Acknowledged(sent);
+    poll.deadline_ms = this->supervisor.BeginPoll(sent);
     const bool may_wait = this->supervisor.IsWorkerReachable() &&
                           this->supervisor.IsComplete(sent);
     poll.wait = may_wait ? wait : core::Duration();
@@ -551,9 +551,10 @@
                    {{"event", "planner_found"}});
     }
     const FencingToken before = this->supervisor.Fence();
-    const std::uint64_t acknowledged = this->supervisor.Acknowledged();
-    this->supervisor.OnReportAnswer(answer, sent, core::Clock::Now());
-    if (this->supervisor.Acknowledged() != acknowledged) {
+    const core::TimePoint now = core::Clock::Now();
+    const std::uint64_t acknowledged = this->supervisor.Acknowledged(now);
+    this->supervisor.OnReportAnswer(answer, sent, now);
+    if (this->supervisor.Acknowledged(now) != acknowledged) {
       this->next_poll = core::Clock::Now();
     }
     this->AddEntries(answer.entries);
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -857,7 +857,7 @@
       index, delay,
       [this, index, is_late, answer, refused, fence = supervisor.Fence(),
        expected = supervisor.Worker()->identity,
-       acknowledged = supervisor.Acknowledged(),
+       acknowledged = supervisor.Acknowledged(this->Now()),
        deadline = supervisor.BeginPoll(this->Now())] {
         const Agent& each = this->AgentAt(index);
         if (!each.worker || each.worker->Identity().id != expected.id) {
