--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -147,6 +147,33 @@
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 ENVIRONMENT "${filter}")
 endfunction()
 
+# hemlockdoor_soak_tests(FOLDER): one test program for each FOLDER/*_test.cc; the
+# other sources in FOLDER and the stand-ins in review/support are shared. They
+# run the built programs, whose folder they get as HEMLOCKDOOR_BIN.
+function(hemlockdoor_soak_tests folder)
+  file(GLOB tests CONFIGURE_DEPENDS ${folder}/*_test.cc)
+  file(GLOB support CONFIGURE_DEPENDS ${folder}/*.cc review/support/*.cc)
+  list(FILTER support EXCLUDE REGEX "_test\\.cc$")
+  add_library(hemlockdoor_soak_support STATIC ${support}
+    tests/support/qt_test_main.cc)
+  target_compile_definitions(hemlockdoor_soak_support PUBLIC
+    BOOST_TEST_DYN_LINK)
+  target_link_libraries(hemlockdoor_soak_support PUBLIC hemlockdoor_options
+    Qt6::Core Qt6::Network Boost::unit_test_framework)
+  hemlockdoor_precompile(hemlockdoor_soak_support qt)
+  foreach(test ${tests})
+    get_filename_component(name ${test} NAME_WE)
+    add_executable(${name} ${test})
+    target_link_libraries(${name} PRIVATE hemlockdoor_soak_support)
+    add_dependencies(${name} hemlockdoor)
+    add_test(NAME ${name} COMMAND ${name})
+    hemlockdoor_known_red_filter(${name} filter)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300
+      ENVIRONMENT "HEMLOCKDOOR_BIN=${CMAKE_BINARY_DIR};${filter}")
+    hemlockdoor_disable_known_red(${name})
+  endforeach()
+endfunction()
+
 # hemlockdoor_measures(FOLDER): programs that print figures from running
 # processes; they use the test support but are no tests.
 function(hemlockdoor_measures folder)
