Open copies of a start hold back the task, not the room of the worker

Cause: a run that is over but stays listed for an open copy of its start counted as occupying its worker.

Change: such a run is reported as over; the planner does not start the task elsewhere, counts no resources for it and orders no stop.

Test: AnOpenCopyOfAStartHoldsBackItsTaskOnly.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -721,6 +721,7 @@
     if (!this->runs.contains(key)) {
       ActiveRun listed;
       listed.key = key;
+      listed.is_over = true;
       report.active.push_back(listed);
     }
   }
--- a/modules/batch/model/messages.cc
+++ b/modules/batch/model/messages.cc
@@ -130,6 +130,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ActiveRun,
                                                 key,
                                                 confirmed,
+                                                is_over,
                                                 checkpoint,
                                                 percent,
                                                 still,
--- a/modules/batch/model/messages.h
+++ b/modules/batch/model/messages.h
@@ -32,11 +32,14 @@
   core::Duration cold_left;
 };
 
-/// A run that occupies capacity on a worker.
+/// A run that is or may be on a worker.
 struct ActiveRun {
   RunKey key;
   /// False until the worker has confirmed the start.
   bool confirmed = false;
+  /// The run is over and occupies nothing, but a copy of its start had no
+  /// answer and may begin it anew on a later incarnation of the worker.
+  bool is_over = false;
   /// Latest known checkpoint; empty if there is none.
   std::string checkpoint;
   /// Progress from 0 to 100.
--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -32,6 +32,9 @@
   bool sent = false;
   /// The worker has confirmed the start.
   bool confirmed = false;
+  /// The run is over, but a copy of its start may begin it anew; see
+  /// `ActiveRun::is_over`.
+  bool is_over = false;
   /// The start was sent to an earlier process of the agent, which did not
   /// confirm it, so the worker may still carry it out.
   bool in_doubt = false;
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -563,6 +563,10 @@
     const auto found = this->jobs.find(task.job);
     Unit* unit =
         found == this->jobs.end() ? nullptr : found->second.FindUnit(task);
+    if (active.is_over &&
+        (unit == nullptr || unit->phase == UnitPhase::kDone)) {
+      continue;
+    }
     if (unit == nullptr) {
       orphan_runs[active.key] = Resources();
       continue;
@@ -598,6 +602,7 @@
       member = std::prev(unit->members.end());
     }
     member->confirmed = active.confirmed;
+    member->is_over = active.is_over;
     if (active.confirmed && member->in_doubt) {
       member->in_doubt = false;
       member->batch = 0;
@@ -1026,7 +1031,7 @@
       }
       for (const UnitMember& member : unit.members) {
         const auto found = this->fleet.find(member.agent);
-        if (found != this->fleet.end()) {
+        if (found != this->fleet.end() && !member.is_over) {
           found->second.used = found->second.used + need;
           found->second.measuring_runs +=
               unit.size == 1 && this->ShowsSpeed(job, unit, member) ? 1 : 0;
@@ -1334,7 +1339,8 @@
           const bool start_due =
               !member->sent && !view.needs_probe && !this->starts_withheld;
           const bool stop_due = member->sent && !member->in_doubt &&
-                                member->stop_requested && may_repeat;
+                                !member->is_over && member->stop_requested &&
+                                may_repeat;
           if (revocation_due) {
             batches[member->agent].revoked_starts.push_back(key);
             member->batch = number;
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -459,6 +459,32 @@
   BOOST_TEST(!fleet.planner.TakeMembersWrite()->front().long_leases);
 }
 
+// Guards against TWICE, and against capacity that stands idle: a stopped run of
+// which a copy of the start is open holds back its task, not its room.
+BOOST_AUTO_TEST_CASE(AnOpenCopyOfAStartHoldsBackItsTaskOnly) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  const core::JobId job("j");
+  fleet.planner.AddJob(MakeJob("j", {MakeStep(1, kSmall)}), fleet.now);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  const RunKey key = fleet.Active().front().second;
+  AgentReport& report = fleet.ReportOf("w1");
+  fleet.End("w1", key, RunEndKind::kStopped);
+  ActiveRun over;
+  over.key = key;
+  over.is_over = true;
+  report.active.push_back(over);
+  BOOST_TEST(ReportFromText(ToText(report))->active.front().is_over);
+  fleet.Advance(3000);
+  const AgentView& view = fleet.planner.Agents().at(report.agent);
+  BOOST_TEST(view.used.accelerators == 0);
+  BOOST_TEST(fleet.planner.Jobs().at(job).units.front().highest_run == key.run);
+  report.active.clear();
+  fleet.Advance(1000);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 1U);
+  BOOST_TEST(fleet.Active().front().second.run > key.run);
+}
+
 // The agent tells a planner that does not know of the restart.
 BOOST_AUTO_TEST_CASE(AnAgentStatesTheLeaseOfItsRestartedWorker) {
   SimulatedFleet fleet({MakeWorker("w1")});
