Do not reserve faster workers that are free now

What callers would see: LOST, a task that never starts though workers are free.

Cause: a unit that would end late looks for faster workers worth waiting for. The search does not leave out the workers that the placement avoids, so it found one that was free, reserved it, and did so again at each decision.

Change: only workers that become free later are waited for.

--- a/modules/batch/planner/planner_preemption.cc
+++ b/modules/batch/planner/planner_preemption.cc
@@ -142,7 +142,11 @@
   const std::optional<Reservation> faster =
       FindReservation(this->fleet, request, this->Releases(now),
                       this->LatestWorthwhileWait(job, unit, now));
-  if (!faster || faster->end + kMinGainOfWait > end) {
+  // Workers that are free now were passed over by the placement. A reservation
+  // of them would be renewed at each decision and never used.
+  const bool is_worth_waiting =
+      faster && faster->start > now && faster->end + kMinGainOfWait <= end;
+  if (!is_worth_waiting) {
     return false;
   }
   this->Reserve(job, unit, faster->agents);
