Keep an agent without a worker in the member list while starts are open

Cause: an agent whose worker has left was taken out of the member list although a copy of a start could reach the next process of the worker. The next planner did not wait for it.

Change: it stays while it lists runs.

Evidence: AnAgentStaysAMemberWhileACopyOfAStartIsOpen.

--- a/modules/batch/planner/fleet.h
+++ b/modules/batch/planner/fleet.h
@@ -57,6 +57,9 @@
   /// The lists of the latest report covered everything on the worker, in the
   /// present session.
   bool is_complete = false;
+  /// The latest report listed runs, or copies of starts that may still begin
+  /// some.
+  bool lists_runs = false;
   /// The agent reported that it can set the lease of the runs it starts.
   bool can_start = false;
   /// The agent is sent starts only as a stored member, so that the next planner
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -557,6 +557,7 @@
 void Planner::ApplyActiveRuns(AgentView& view,
                               const AgentReport& report,
                               core::TimePoint now) {
+  view.lists_runs = !report.active.empty();
   std::map<RunKey, Resources> orphan_runs;
   for (const ActiveRun& active : report.active) {
     const TaskName& task = active.key.task;
@@ -749,8 +750,10 @@
   bool changed = false;
   for (auto& [agent, view] : this->fleet) {
     // An agent without a worker has no runs, and gets starts again only once it
-    // is back in the stored list.
-    const bool has_no_worker = view.is_complete && !view.worker;
+    // is back in the stored list. It stays while a copy of a start may reach a
+    // later incarnation of the worker.
+    const bool has_no_worker =
+        view.is_complete && !view.worker && !view.lists_runs;
     const bool is_gone = view.is_lost || has_no_worker;
     if (!is_gone) {
       members.push_back({view.agent, view.endpoint, view.has_long_leases});
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -485,6 +485,26 @@
   BOOST_TEST(fleet.Active().front().second.run > key.run);
 }
 
+// Guards against TWICE after a change of the planner: the next planner waits
+// for members only, and the worker may come back and be reached by a late
+// start.
+BOOST_AUTO_TEST_CASE(AnAgentStaysAMemberWhileACopyOfAStartIsOpen) {
+  SimulatedFleet fleet({MakeWorker("w1")});
+  AgentReport& report = fleet.ReportOf("w1");
+  ActiveRun over;
+  over.key = {{core::JobId("j"), 0, 0, 0}, 1};
+  over.is_over = true;
+  report.active.push_back(over);
+  report.worker.reset();
+  fleet.ReportAll();
+  BOOST_TEST(!fleet.planner.TakeMembersWrite().has_value());
+  report.active.clear();
+  fleet.ReportAll();
+  const auto members = fleet.planner.TakeMembersWrite();
+  BOOST_REQUIRE(members);
+  BOOST_TEST(members->empty());
+}
+
 // The agent tells a planner that does not know of the restart.
 BOOST_AUTO_TEST_CASE(AnAgentStatesTheLeaseOfItsRestartedWorker) {
   SimulatedFleet fleet({MakeWorker("w1")});
