--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -115,6 +115,14 @@
   BOOST_TEST_MESSAGE("played " << played << " seeds from " << first);
 }
 
+// Copies of a start, and polls, that reach a later process of the worker while
+// its agent is paused or has restarted.
+BOOST_AUTO_TEST_CASE(LateCallsDoNotPassAPausedOrRestartedAgent) {
+  for (const std::uint64_t seed : {497, 1925, 2029, 20261699}) {
+    BOOST_TEST(Check(DrawRestarts(seed)));
+  }
+}
+
 // Seeds that fail without the agents' guard: a cut holds up orders, and they
 // arrive after the agent has learned of the evacuation. A change to
 // DrawScenario or AddEvacuations turns them into others.
