Tell a late answer of the former process from one of the next

What callers would see: a worker that gets no work, and whose runs lapse.

Cause: the change that accepts a process with an earlier start time took the answer to a poll from before the announcement of the present process, handled after it, for that of a later process, and nothing took that back.

Change: only polls that were sent after the announcement count, and the next answer of the known process corrects the belief.

Evidence: ALateAnswerOfTheFormerProcessDoesNotReplaceTheNextOne.

--- a/modules/batch/agent/worker_supervisor.cc
+++ b/modules/batch/agent/worker_supervisor.cc
@@ -99,6 +99,7 @@
     this->RecordRestartLease(now);
   }
   this->latest_worker = description.identity;
+  this->announced_at = now;
   this->superseding_born_wall_ms = 0;
   // A crash ends all runs. A start without an answer may still arrive at the
   // new incarnation, so it stays in the list and is stopped there too.
@@ -376,14 +377,18 @@
     // may have been set back.
     const bool has_replaced =
         listing.born_wall_ms > this->worker->identity.born_wall_ms ||
-        sent > this->last_listing_at;
+        sent > std::max(this->last_listing_at, this->announced_at);
     if (has_replaced) {
+      this->superseding_sent = sent;
       this->unreported_change =
           this->unreported_change || !this->IsSuperseded();
       this->superseding_born_wall_ms = listing.born_wall_ms;
     }
     return;
   }
+  if (sent > this->superseding_sent) {
+    this->superseding_born_wall_ms = 0;
+  }
   this->unreported_change = this->unreported_change || this->failed_polls > 0;
   this->failed_polls = 0;
   this->refused_polls = 0;
--- a/modules/batch/agent/worker_supervisor.h
+++ b/modules/batch/agent/worker_supervisor.h
@@ -379,9 +379,13 @@
   WorkerIdentity latest_worker;
   /// Number of restarts of the worker during the session.
   std::uint64_t worker_restarts = 0;
-  /// Start time of another incarnation that has answered a poll after `worker`
-  /// answered one; 0 if there is none.
+  /// When `worker` was announced first.
+  core::TimePoint announced_at;
+  /// Start time of another incarnation that has answered a poll which was sent
+  /// after `worker` was announced and answered one; 0 if there is none. And
+  /// when that poll was sent.
   std::int64_t superseding_born_wall_ms = 0;
+  core::TimePoint superseding_sent;
   std::uint64_t announcement = 0;
   /// Highest known reading of the worker's clock, and the local time at which
   /// the agent received that reading.
--- a/modules/batch/agent/worker_supervisor_test.cc
+++ b/modules/batch/agent/worker_supervisor_test.cc
@@ -767,6 +767,22 @@
   BOOST_TEST(steady.DueStops(At(5900)).empty());
 }
 
+// Guards against a worker that gets no work: a paused agent handles the answer
+// of the former process after the announcement of the present one.
+BOOST_AUTO_TEST_CASE(ALateAnswerOfTheFormerProcessDoesNotReplaceTheNextOne) {
+  WorkerSupervisor supervisor = MakeReady();
+  supervisor.OnAnnouncement(MakeRestarted(), 1, 5, At(1200));
+  supervisor.OnListing({690, 1000, {}, {}}, At(1190), At(1201));
+  BOOST_TEST(supervisor.MakeReport(At(1201)).can_start);
+  // Should another answer be mistaken for that of a later process, the next
+  // answer of the known one corrects it.
+  supervisor.OnListing({10, 3000, {}, {}}, At(1195), At(1202));
+  BOOST_TEST(!supervisor.MakeReport(At(1202)).can_start);
+  supervisor.OnListing({20, 2000, {}, {}, supervisor.Fence()}, At(1210),
+                       At(1215));
+  BOOST_TEST(supervisor.MakeReport(At(1215)).can_start);
+}
+
 // Guards against TWICE: the second refusal is that of a poll from before the
 // worker was back and confirmed the run.
 BOOST_AUTO_TEST_CASE(RefusedPollsDoNotEndRunsThatWereConfirmedLater) {
