--- a/modules/batch/batch.h
+++ b/modules/batch/batch.h
@@ -15,6 +15,7 @@
 #include "modules/batch/planner/planner.h"
 #include "modules/batch/planner/room_summary.h"
 #include "modules/batch/process/agent_service.h"
+#include "modules/batch/process/configuration_status.h"
 #include "modules/batch/process/configuration_watch.h"
 #include "modules/batch/process/entry_service.h"
 #include "modules/batch/process/evacuation_watch.h"
--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "modules/batch/model/configuration.h"
+#include "modules/batch/process/configuration_status.h"
 #include "modules/batch/process/evacuation_watch.h"
 #include "modules/core/core.h"
 #include "modules/observe/observe.h"
@@ -60,7 +61,8 @@
                            : operator_keys.all),
         decode(std::move(decoder)),
         on_change(std::move(change_handler)),
-        on_evacuations(std::move(evacuations_handler)) {
+        on_evacuations(std::move(evacuations_handler)),
+        read_until(core::Clock::Now()) {
     if (!operator_keys.evacuations.empty()) {
       this->evacuations.emplace(operator_keys.evacuations);
     }
@@ -75,6 +77,8 @@
   /// again. The timer calls this; a request that is the first event after a
   /// pause calls it through `WhenConfirmed`.
   void OnTick(core::TimePoint now) {
+    observe::ProcessMetrics().SetConfiguration(this->Status(now).version,
+                                               this->Status(now).age);
     const bool was_paused =
         this->last_tick && now >= *this->last_tick + kPauseThreshold;
     this->last_tick = now;
@@ -128,6 +132,13 @@
   /// Returns the active configuration, or nullptr before the first one is read.
   std::shared_ptr<const Configuration> Current() const { return this->current; }
 
+  /// Returns how recent the active configuration is. Before the first answer of
+  /// the store, the age is the time since construction.
+  ConfigurationStatus Status(core::TimePoint now) const {
+    return {this->current ? this->current->version : 0,
+            now - this->KnownUntil(now), this->source};
+  }
+
  private:
   static constexpr core::Duration kRetryDelay =
       core::Duration::Milliseconds(250);
@@ -139,6 +150,18 @@
   static constexpr core::Duration kMaxUnconfirmed =
       core::Duration::Milliseconds(1000);
 
+  /// Returns the time up to which all changes are known.
+  core::TimePoint KnownUntil(core::TimePoint now) const {
+    if (!this->watch) {
+      return this->read_until;
+    }
+    if constexpr (requires { this->adapter.WatchedUntil(*this->watch); }) {
+      return std::max(this->read_until,
+                      this->adapter.WatchedUntil(*this->watch));
+    }
+    return now;
+  }
+
   void Confirm() {
     this->unconfirmed = false;
     for (const std::function<void()>& use : std::exchange(this->waiting, {})) {
@@ -148,21 +171,24 @@
 
   void Read() {
     const std::uint64_t number = ++this->last_read;
+    const core::TimePoint sent_at = core::Clock::Now();
     this->adapter.List(
         this->watched_prefix,
-        [this, number](const core::Expected<store::Listing>& listing) {
+        [this, number, sent_at](const core::Expected<store::Listing>& listing) {
           if (!listing) {
-            this->HandleFailure(listing.error());
+            this->HandleFailure("read", listing.error());
             return;
           }
+          this->LogRegained();
           this->OnRead(*listing, number);
+          this->read_until = std::max(this->read_until, sent_at);
         });
   }
 
   void OnRead(const store::Listing& listing, std::uint64_t number) {
     for (const store::KeyValue& item : listing.items) {
       if (item.key == this->key) {
-        this->Apply(item.value);
+        this->Apply(item.value, "store read");
       }
     }
     this->confirmed_read = std::max(this->confirmed_read, number);
@@ -181,14 +207,14 @@
         this->watched_prefix, revision.Next(),
         [this](const core::Expected<std::vector<store::WatchEvent>>& events) {
           if (!events) {
+            this->read_until = this->KnownUntil(core::Clock::Now());
             this->watch.reset();
-            this->HandleFailure(events.error());
+            this->HandleFailure("watch", events.error());
             return;
           }
-          this->failing = false;
           for (const store::WatchEvent& event : *events) {
             if (event.value && event.key == this->key) {
-              this->Apply(*event.value);
+              this->Apply(*event.value, "store watch");
             }
           }
           this->ApplyEvacuationEvents(*events);
@@ -211,19 +237,31 @@
     }
   }
 
-  void HandleFailure(const core::Error& error) {
-    if (!this->failing) {
-      observe::Log(observe::LogLevel::kWarn,
-                   "configuration not read or watch lost, trying again: " +
-                       error.message,
-                   {}, {{"event", "configuration_lost"}});
+  void LogRegained() {
+    if (this->failures == 0) {
+      return;
     }
-    this->failing = true;
+    const core::Duration age = this->Status(core::Clock::Now()).age;
+    observe::Log(observe::LogLevel::kInfo, "the store answers again", {},
+                 {{"event", "configuration_regained"},
+                  {"failures", std::to_string(this->failures)},
+                  {"age_ms", std::to_string(age.InMilliseconds())}});
+    this->failures = 0;
+  }
+
+  /// `operation` is what failed: "read" or "watch".
+  void HandleFailure(const char* operation, const core::Error& error) {
+    const ConfigurationStatus status = this->Status(core::Clock::Now());
+    std::vector<observe::LogField> fields = LogFieldsOf(status);
+    fields.push_back({"event", "configuration_read_failed"});
+    fields.push_back({"operation", operation});
+    observe::Log(observe::LogLevel::kWarn, error.message, {}, fields);
+    observe::ProcessMetrics().CountConfigurationReadFailure(operation);
+    this->failures += 1;
     wire::RunLater(&this->context, kRetryDelay, [this] { this->Read(); });
   }
 
-  void Apply(const std::string& text) {
-    this->failing = false;
+  void Apply(const std::string& text, const std::string& text_source) {
     core::Expected<Configuration> decoded = this->decode(text);
     if (!decoded) {
       observe::Log(
@@ -235,9 +273,13 @@
     if (this->current && decoded->version <= this->current->version) {
       return;
     }
+    const core::Duration age = this->Status(core::Clock::Now()).age;
     observe::Log(observe::LogLevel::kInfo, "configuration applied", {},
                  {{"event", "configuration_applied"},
-                  {"version", std::to_string(decoded->version)}});
+                  {"version", std::to_string(decoded->version)},
+                  {"source", text_source},
+                  {"previous_age_ms", std::to_string(age.InMilliseconds())}});
+    this->source = text_source;
     this->current = std::make_shared<const Configuration>(std::move(*decoded));
     this->on_change(this->current);
   }
@@ -258,8 +300,13 @@
   std::uint64_t confirmed_read = 0;
   std::uint64_t required_read = 1;
   std::shared_ptr<const Configuration> current;
+  std::string source = "none";
+  /// Failed reads and watches since the latest successful read.
+  int failures = 0;
   std::optional<store::WatchId> watch;
-  bool failing = false;
+  /// All changes up to this time are known from reads and from watches that
+  /// have ended.
+  core::TimePoint read_until;
   std::optional<core::TimePoint> last_tick;
   /// The configuration has not been read since a pause of this process.
   bool unconfirmed = false;
--- a/modules/observe/metrics/metrics.cc
+++ b/modules/observe/metrics/metrics.cc
@@ -223,6 +223,21 @@
               "hemlockdoor_runs_removed_total",
               "Runs that this agent no longer lists although its worker has "
               "not stated their end, by reason.")};
+  GaugeFamily configuration_version{
+      Gauge(registry,
+            "hemlockdoor_configuration_version",
+            "Version of the configuration that this process uses; 0 before "
+            "the first one.")};
+  GaugeFamily configuration_age{
+      Gauge(registry,
+            "hemlockdoor_configuration_age_seconds",
+            "Time since the configuration in use was certainly the newest "
+            "one.")};
+  CounterFamily configuration_failures{
+      Counter(registry,
+              "hemlockdoor_configuration_read_failures_total",
+              "Reads and watches of the configuration that failed, by "
+              "operation.")};
   GaugeFamily waiting_jobs{
       Gauge(registry,
             "hemlockdoor_waiting_jobs",
@@ -431,6 +446,19 @@
   this->state->evacuated_refusals.Get({}, {}).Increment();
 }
 
+void Metrics::SetConfiguration(std::uint64_t version, core::Duration age) {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->configuration_version.Get({}, {}).Set(
+      static_cast<double>(version));
+  this->state->configuration_age.Get({}, {}).Set(Seconds(age));
+}
+
+void Metrics::CountConfigurationReadFailure(const std::string& operation) {
+  const std::lock_guard<std::mutex> lock(this->state->mutex);
+  this->state->configuration_failures.Get({{"operation", operation}}, {})
+      .Increment();
+}
+
 void Metrics::CountRemovedRun(const std::string& reason) {
   const std::lock_guard<std::mutex> lock(this->state->mutex);
   this->state->removed_runs.Get({{kReason, reason}}, {}).Increment();
--- a/modules/observe/metrics/metrics.h
+++ b/modules/observe/metrics/metrics.h
@@ -106,6 +106,11 @@
                       core::Duration longest_beside_free_room);
   /// A start that an agent refused because its data centre is evacuated.
   void CountStartRefusedEvacuated();
+  /// Version of the configuration in use, and how long ago it was certainly the
+  /// newest one.
+  void SetConfiguration(std::uint64_t version, core::Duration age);
+  /// A failed read or watch ("read", "watch") of the configuration.
+  void CountConfigurationReadFailure(const std::string& operation);
   /// A run that an agent no longer lists although its worker has not stated its
   /// end.
   void CountRemovedRun(const std::string& reason);
--- a/modules/observe/metrics/metrics_test.cc
+++ b/modules/observe/metrics/metrics_test.cc
@@ -125,6 +125,17 @@
   BOOST_TEST(resident < 4096 * kMebibyte);
 }
 
+BOOST_AUTO_TEST_CASE(ConfigurationShowsItsVersionAndAge) {
+  Metrics metrics;
+  metrics.SetConfiguration(52, core::Duration::Milliseconds(3500));
+  metrics.CountConfigurationReadFailure("watch");
+  BOOST_TEST(Has(metrics, "hemlockdoor_configuration_version 52"));
+  BOOST_TEST(Has(metrics, "hemlockdoor_configuration_age_seconds 3.5"));
+  BOOST_TEST(Has(
+      metrics,
+      R"(hemlockdoor_configuration_read_failures_total{operation="watch"} 1)"));
+}
+
 // Guards against a reason that stays on the dashboard after its jobs have
 // started.
 BOOST_AUTO_TEST_CASE(WaitingJobsAreReplaced) {
--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -84,10 +84,12 @@
                                " is larger than the call accepts");
   }
   if (exchange.timed_out) {
-    return core::MakeError(core::ErrorCode::kTimeout,
-                           "no complete response from " +
-                               reply->url().authority().toStdString() +
-                               " within the time limit of the call");
+    const std::string peer = reply->url().authority().toStdString();
+    return core::MakeError(
+        core::ErrorCode::kTimeout,
+        (exchange.sent ? "no complete response from " + peer
+                       : "no connection to send the request to " + peer) +
+            " within the time limit of the call");
   }
   // Qt error codes from ContentAccessDenied (201) up stand for HTTP statuses,
   // which this client reports as responses.
