Test that entries use a changed configuration in time; red

Real entries with links that can go silent, an operator who changes the configuration and callers who find out which version each entry uses. As seen by the users: "refused with 404 as an older version says".

On the present code both cases fail. One that is cut off for 10 s answers 401 and 404 by version 1 up to the end, since it does not look at the age of its configuration.

--- /dev/null
+++ b/tests/soak/configuration_lag_test.cc
@@ -0,0 +1,63 @@
+// Entries that learn of a change of the configuration late, or answer by an
+// older one. Environment: HEMLOCKDOOR_BIN, the folder of the program.
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <string>
+
+#include "tests/soak/configuration_rig.h"
+
+namespace hemlockdoor::soak {
+
+namespace {
+
+constexpr int kEntries = 3;
+/// An entry that a change has not reached.
+constexpr int kLate = 1;
+/// Time from the request of a caller to its answer.
+constexpr std::int64_t kCallerMs = 300;
+
+void RequireNoViolation(ConfigurationRig& rig) {
+  const std::string violations = rig.Violations();
+  const std::string logs = violations.empty() ? "" : rig.KeepLogs();
+  BOOST_TEST(violations.empty(), violations + "logs: " + logs);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationLagTest)
+
+// The store does not answer one entry and serves the others and the operator.
+BOOST_AUTO_TEST_CASE(AnEntryThatTheStoreDoesNotAnswerFollowsItsPeers) {
+  ConfigurationRig rig(kEntries);
+  rig.Start();
+  rig.StoreLink(kLate).SetState(LinkState::kMute);
+  for (int change = 0; change < 8; ++change) {
+    rig.ChangeConfiguration();
+    BOOST_TEST(rig.AwaitNewestVersion(ConfigurationRig::kBoundMs + kCallerMs),
+               "change " << change << " is not in force everywhere in time");
+    constexpr std::int64_t kPauseMs = 400;
+    review::Run(kPauseMs);
+  }
+  RequireNoViolation(rig);
+}
+
+// Guards against an attempt to connect from before the end of a partition that
+// keeps later calls waiting.
+BOOST_AUTO_TEST_CASE(AnEntryUsesTheNewestVersionRightAfterALongPartition) {
+  ConfigurationRig rig(kEntries);
+  rig.Start();
+  // The other entries know the planner's own address, which has no link.
+  rig.SetAllLinks(rig.PlannerIndex(), LinkState::kCut);
+  for (int second = 0; second < 10; ++second) {
+    constexpr std::int64_t kSecondMs = 1000;
+    rig.ChangeConfiguration();
+    review::Run(kSecondMs);
+  }
+  rig.OpenAllLinks();
+  BOOST_TEST(rig.AwaitNewestVersion(ConfigurationRig::kBoundMs));
+  RequireNoViolation(rig);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hemlockdoor::soak
--- /dev/null
+++ b/tests/soak/configuration_rig.cc
@@ -0,0 +1,229 @@
+#include "tests/soak/configuration_rig.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hemlockdoor::soak {
+
+namespace {
+
+using review::NowMs;
+
+constexpr int kAskPeriodMs = 150;
+constexpr int kAnswerLimitMs = 3000;
+constexpr std::uint64_t kKeptVersions = 4;
+constexpr int kUnknownKey = 401;
+constexpr int kNotFound = 404;
+constexpr const char* kHost = "jobs.example";
+/// Key and queue that the deployment itself uses.
+constexpr const char* kLastingKey = "key-of-tenant-a";
+
+std::string EntryName(int index) {
+  return "edge-" + std::to_string(index + 1);
+}
+
+std::string RouteOf(std::uint64_t version) {
+  return "/v" + std::to_string(version) + "/";
+}
+
+std::string KeyOf(std::uint64_t version) {
+  return "key-" + std::to_string(version);
+}
+
+std::pair<std::string, std::uint16_t> SplitEndpoint(const std::string& text) {
+  const std::size_t colon = text.find(':');
+  return {text.substr(0, colon),
+          static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)))};
+}
+
+}  // namespace
+
+ConfigurationRig::ConfigurationRig(int count)
+    : entry_count(count), deployment({count, 1}, this->folder.Path()) {
+  std::vector<std::pair<std::string, std::uint16_t>> internal;
+  for (int i = 0; i < count; ++i) {
+    const nlohmann::json settings = this->folder.Settings(EntryName(i));
+    internal.push_back(SplitEndpoint(settings["internal_endpoint"]));
+    this->callers.push_back(SplitEndpoint(settings["caller_endpoint"]));
+  }
+  for (int i = 0; i < count; ++i) {
+    nlohmann::json settings = this->folder.Settings(EntryName(i));
+    const auto [address, port] = SplitEndpoint(settings["store_endpoint"]);
+    this->store_links[i] = std::make_unique<NetworkLink>(address, port);
+    settings["store_endpoint"] = this->store_links[i]->Endpoint();
+    settings["entries"] = nlohmann::json::array();
+    for (int j = 0; j < count; ++j) {
+      if (i == j) {
+        continue;
+      }
+      const auto& [peer_address, peer_port] =
+          internal.at(static_cast<std::size_t>(j));
+      auto& link = this->peer_links[{i, j}];
+      link = std::make_unique<NetworkLink>(peer_address, peer_port);
+      settings["entries"].push_back(link->Endpoint());
+    }
+    this->folder.WriteSettings(EntryName(i), settings);
+  }
+}
+
+void ConfigurationRig::Start() {
+  this->deployment.Start();
+  this->acknowledged_ms[1] = NowMs();
+  QObject::connect(&this->timer, &QTimer::timeout, this,
+                   [this] { this->AskAll(); });
+  this->timer.start(kAskPeriodMs);
+}
+
+void ConfigurationRig::SetAllLinks(int entry, LinkState state) {
+  this->StoreLink(entry).SetState(state);
+  for (const auto& [ends, link] : this->peer_links) {
+    if (ends.first == entry || ends.second == entry) {
+      link->SetState(state);
+    }
+  }
+}
+
+void ConfigurationRig::OpenAllLinks() {
+  for (int i = 0; i < this->entry_count; ++i) {
+    this->SetAllLinks(i, LinkState::kOpen);
+  }
+}
+
+void ConfigurationRig::ChangeConfiguration() {
+  ++this->version;
+  this->deployment.store->Put("op/config", this->Configuration());
+  this->acknowledged_ms[this->version] = NowMs();
+  this->deployment.record.Line("configuration version " +
+                               std::to_string(this->version));
+}
+
+std::string ConfigurationRig::Configuration() const {
+  const auto queue = [](const std::string& name, const std::string& prefix) {
+    return nlohmann::json{
+        {"name", name},       {"host", kHost},      {"prefix", prefix},
+        {"kind", "unsafe"},   {"timeoutMs", 3000},  {"sloMs", 1000},
+        {"priority", 1},      {"service", "drive"}, {"maxAttempts", 3},
+        {"slackFactor", 3.0}, {"public", false}};
+  };
+  nlohmann::json routes = nlohmann::json::array({queue("queue", "/queue/")});
+  nlohmann::json keys = nlohmann::json::array({kLastingKey});
+  const std::uint64_t first =
+      this->version > kKeptVersions ? this->version - kKeptVersions + 1 : 2;
+  for (std::uint64_t each = first; each <= this->version; ++each) {
+    routes.push_back(queue("v" + std::to_string(each), RouteOf(each)));
+    keys.push_back(KeyOf(each));
+  }
+  return nlohmann::json{
+      {"version", this->version},
+      {"routes", routes},
+      {"services", nlohmann::json::array({{{"name", "drive"},
+                                           {"healthPath", "/health"},
+                                           {"maxConns", 64},
+                                           {"rejectsOverload", false},
+                                           {"standby", false}}})},
+      {"limits", {{"maxBodyBytes", 262144}}},
+      {"tenants", nlohmann::json::array({{{"name", "tenant-a"},
+                                          {"apiKeys", keys},
+                                          {"guaranteed", {{"gpu", 8}}}}})}}
+      .dump();
+}
+
+std::uint64_t ConfigurationRig::VersionOlderThan(std::int64_t length_ms) const {
+  std::uint64_t found = 0;
+  for (const auto& [each, time_ms] : this->acknowledged_ms) {
+    if (time_ms + length_ms < NowMs()) {
+      found = each;
+    }
+  }
+  return found;
+}
+
+void ConfigurationRig::AskAll() {
+  // A request without a key is refused as unknown only on a route that exists,
+  // and one for no job's id as not found only if its key is known. Neither
+  // needs the planner.
+  for (int entry = 0; entry < this->entry_count; ++entry) {
+    if (!this->Entry(entry).IsRunning()) {
+      continue;
+    }
+    this->Ask(entry,
+              {"newest route", RouteOf(this->version), "", 0, kUnknownKey},
+              this->version);
+    const std::uint64_t due = this->VersionOlderThan(kBoundMs);
+    if (due > 1) {
+      this->Ask(entry, {"added route", RouteOf(due), "", kNotFound, 0}, due);
+      this->Ask(entry, {"added key", "/queue/x", KeyOf(due), kUnknownKey, 0},
+                due);
+    }
+    if (due > kKeptVersions + 1) {
+      this->Ask(
+          entry,
+          {"dropped route", RouteOf(due - kKeptVersions), "", kUnknownKey, 0},
+          due);
+    }
+    const std::uint64_t overdue = this->VersionOlderThan(kBoundMs + kGraceMs);
+    if (overdue > kKeptVersions + 1) {
+      this->Ask(entry,
+                {"withdrawn key", "/queue/x", KeyOf(overdue - kKeptVersions),
+                 kNotFound, 0},
+                overdue);
+    }
+  }
+}
+
+void ConfigurationRig::Ask(int entry,
+                           const Probe& probe,
+                           std::uint64_t probed_version) {
+  review::Request request;
+  request.method = "GET";
+  request.path = probe.path;
+  request.headers["Host"] = kHost;
+  request.headers["X-Hemlockdoor-Key"] = probe.key;
+  const auto& [address, port] =
+      this->callers.at(static_cast<std::size_t>(entry));
+  const std::int64_t sent_ms = NowMs();
+  review::SendCall(
+      this, address, port, request, kAnswerLimitMs,
+      [this, entry, probe, probed_version, sent_ms](int status,
+                                                    const std::string& body) {
+        if (status == probe.newer_status && status != 0) {
+          this->seen_versions[entry] =
+              std::max(this->seen_versions[entry], probed_version);
+        }
+        // Later versions may have dropped what this one added.
+        const bool may_be_dropped =
+            probe.name.starts_with("added") &&
+            this->version >= probed_version + kKeptVersions;
+        if (status == probe.older_status && status != 0 && !may_be_dropped) {
+          const std::string line =
+              "CONFIG: " + EntryName(entry) + " answers " +
+              std::to_string(status) + " " + body + " for the " + probe.name +
+              " of version " + std::to_string(probed_version) +
+              ", acknowledged " +
+              std::to_string(sent_ms -
+                             this->acknowledged_ms.at(probed_version)) +
+              " ms before the request";
+          this->deployment.record.Line(line);
+          this->violations += line + "\n";
+        }
+      });
+}
+
+bool ConfigurationRig::AwaitNewestVersion(std::int64_t limit_ms) {
+  return review::RunUntil(
+      [this] {
+        for (int i = 0; i < this->entry_count; ++i) {
+          if (this->seen_versions[i] != this->version) {
+            return false;
+          }
+        }
+        return true;
+      },
+      limit_ms);
+}
+
+std::string ConfigurationRig::KeepLogs() {
+  this->folder.Keep();
+  return this->folder.Path();
+}
+
+}  // namespace hemlockdoor::soak
--- a/tests/soak/play_folder.cc
+++ b/tests/soak/play_folder.cc
@@ -66,16 +66,25 @@
   return logs;
 }
 
-nlohmann::json PlayFolder::Settings(const std::string& process) const {
-  for (const fs::path& log : this->Logs()) {
-    if (log.stem() == process) {
-      std::ifstream file(log.parent_path() / process);
-      return nlohmann::json::parse(file);
+fs::path PlayFolder::SettingsFile(const std::string& process) const {
+  for (const auto& item : fs::recursive_directory_iterator(this->Path())) {
+    if (item.path().filename() == process) {
+      return item.path();
     }
   }
   throw std::runtime_error("no settings of " + process);
 }
 
+nlohmann::json PlayFolder::Settings(const std::string& process) const {
+  std::ifstream file(this->SettingsFile(process));
+  return nlohmann::json::parse(file);
+}
+
+void PlayFolder::WriteSettings(const std::string& process,
+                               const nlohmann::json& settings) const {
+  std::ofstream(this->SettingsFile(process)) << settings.dump(1);
+}
+
 std::vector<std::string> PlayFolder::RecordLines(
     const std::string& part) const {
   std::vector<std::string> lines =
--- a/tests/soak/play_folder.h
+++ b/tests/soak/play_folder.h
@@ -23,6 +23,9 @@
   std::string Path() const { return this->folder.path().toStdString(); }
   /// Returns the settings of a process.
   nlohmann::json Settings(const std::string& process) const;
+  /// Replaces the settings of a process, which reads them when it starts.
+  void WriteSettings(const std::string& process,
+                     const nlohmann::json& settings) const;
   /// Returns the lines of the record that contain `part`.
   std::vector<std::string> RecordLines(const std::string& part) const;
   /// Returns what the logs say of the runs of the named tasks and jobs: their
@@ -34,6 +37,7 @@
 
  private:
   std::vector<std::filesystem::path> Logs() const;
+  std::filesystem::path SettingsFile(const std::string& process) const;
   QTemporaryDir folder;
 };
 
