Do not let calls wait for connections of a call that timed out

Seen by callers: CONFIG.

Cause: when a call is given up before it has a connection, Qt keeps the attempt, and later calls to the endpoint wait for it, while the kernel repeats it after 1, 3, 7 and 15 s. In the same way each idle connection that has gone silent costs one call its whole time. State of the connection pool outlives the deadline of the call that made it.

Change: after a timeout, calls to the endpoint use new connections. While it is unreachable they share a manager with other such endpoints, which is replaced, and its attempts closed, once a call on it has timed out; other endpoints keep their connections. All users of HttpClient have it: agents and their workers, entries, planner, relays, store adapters. HttpStream has a manager for each stream and was not affected.

HttpClientTest, on the code before: a call 0 ms after the end of a partition fails in 3 of 3 partitions, and two calls after one on a silent connection fail.

--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <QHostAddress>
 #include <QNetworkAccessManager>
-#include <QNetworkProxy>
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <QTimer>
@@ -11,6 +10,7 @@
 #include <cstring>
 #include <utility>
 
+#include "modules/wire/client/connection_pool.h"
 #include "modules/wire/client/network_request.h"
 
 namespace hemlockdoor::wire {
@@ -183,9 +183,7 @@
 
 class HttpClient::Backend : public QObject {
  public:
-  Backend() { this->manager.setProxy(QNetworkProxy::NoProxy); }
-
-  QNetworkAccessManager manager;
+  detail::ConnectionPool pool;
   std::uint64_t bytes_moved = 0;
 };
 
@@ -199,15 +197,21 @@
 
 void HttpClient::Send(const HttpCall& call, Done done) {
   Backend* owner = this->backend.get();
-  const QNetworkRequest request = detail::ToNetworkRequest(call);
+  QNetworkRequest request = detail::ToNetworkRequest(call);
+  const detail::ConnectionPool::Connections connections =
+      owner->pool.Acquire(call.endpoint);
+  if (connections.group != 0) {
+    // Without TLS, Qt uses this name only to tell connections apart.
+    request.setPeerVerifyName(QString::number(connections.group));
+  }
   QNetworkReply* reply = nullptr;
   if (call.single_send) {
     auto* body = new SingleReadBody(call.body, owner);
-    reply = owner->manager.sendCustomRequest(
+    reply = connections.manager->sendCustomRequest(
         request, detail::MethodName(call.method), body);
     body->setParent(reply);
   } else {
-    reply = owner->manager.sendCustomRequest(
+    reply = connections.manager->sendCustomRequest(
         request, detail::MethodName(call.method),
         QByteArray::fromStdString(call.body));
   }
@@ -229,14 +233,19 @@
     exchange->timed_out = true;
     reply->abort();
   });
-  QObject::connect(reply, &QNetworkReply::finished, owner,
-                   [owner, reply, exchange, callback = std::move(done)] {
-                     core::Expected<HttpResponse> response =
-                         ToResponse(reply, *exchange);
-                     owner->bytes_moved += response ? response->body.size() : 0;
-                     reply->deleteLater();
-                     callback(std::move(response));
-                   });
+  QObject::connect(
+      reply, &QNetworkReply::finished, owner,
+      [owner, reply, exchange, connections, endpoint = call.endpoint,
+       callback = std::move(done)] {
+        owner->pool.Release(endpoint, connections,
+                            exchange->timed_out
+                                ? detail::ConnectionPool::CallEnd::kTimedOut
+                                : detail::ConnectionPool::CallEnd::kAnswered);
+        core::Expected<HttpResponse> response = ToResponse(reply, *exchange);
+        owner->bytes_moved += response ? response->body.size() : 0;
+        reply->deleteLater();
+        callback(std::move(response));
+      });
   timer->start(static_cast<int>(call.timeout.InMilliseconds()));
 }
 
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -50,7 +50,8 @@
 
 /// Sends requests from the thread that owns the client. Qt runs at most six
 /// exchanges with one endpoint at a time, so a long-running call (a watch, a
-/// long poll) needs a client of its own.
+/// long poll) needs a client of its own. After a call has timed out, later
+/// calls to its endpoint use new connections.
 class HttpClient {
  public:
   /// Receives the response or an error. A response with any HTTP status counts
--- a/modules/wire/client/http_client_test.cc
+++ b/modules/wire/client/http_client_test.cc
@@ -1,11 +1,14 @@
 #include "modules/wire/client/http_client.h"
 
+#include <QDir>
 #include <QEventLoop>
 #include <QTcpServer>
 #include <QTcpSocket>
 #include <QTimer>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include "modules/wire/server/http_server.h"
 
@@ -57,10 +60,157 @@
   QTcpServer server;
 };
 
+/// A peer behind a path that is cut without a sign: attempts to connect hang,
+/// since the queue of the listener is full, and the kernel repeats them after
+/// 1, 3 and 7 seconds.
+class PeerBehindAPartition {
+ public:
+  PeerBehindAPartition() {
+    this->server.setListenBacklogSize(kBacklog);
+    this->server.listen(QHostAddress::LocalHost);
+    QObject::connect(&this->server, &QTcpServer::newConnection, [this] {
+      while (QTcpSocket* socket = this->server.nextPendingConnection()) {
+        ++this->connections;
+        QObject::connect(socket, &QTcpSocket::readyRead, [socket] {
+          socket->readAll();
+          socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        });
+      }
+    });
+  }
+
+  void Cut() {
+    this->server.pauseAccepting();
+    for (int i = 0; i < 2 * kBacklog; ++i) {
+      this->fillers.push_back(std::make_unique<QTcpSocket>());
+      this->fillers.back()->connectToHost(QHostAddress::LocalHost,
+                                          this->server.serverPort());
+    }
+    Run(core::Duration::Milliseconds(50));
+  }
+  void Repair() {
+    this->fillers.clear();
+    this->server.resumeAccepting();
+  }
+  /// Stops answering on the connections that are open.
+  void SilenceConnections() {
+    for (QTcpSocket* socket : this->server.findChildren<QTcpSocket*>()) {
+      socket->disconnect();
+    }
+  }
+  int ConnectionCount() const { return this->connections; }
+  HttpCall Call(core::Duration timeout) const {
+    HttpCall call;
+    call.endpoint = {"127.0.0.1", this->server.serverPort()};
+    call.timeout = timeout;
+    return call;
+  }
+
+ private:
+  static constexpr int kBacklog = 4;
+
+  static void Run(core::Duration length) {
+    QEventLoop loop;
+    QTimer::singleShot(static_cast<int>(length.InMilliseconds()), &loop,
+                       &QEventLoop::quit);
+    loop.exec();
+  }
+
+  QTcpServer server;
+  int connections = 0;
+  std::vector<std::unique_ptr<QTcpSocket>> fillers;
+};
+
+/// Shorter than the time after which the kernel repeats an attempt to connect.
+constexpr core::Duration kShortTimeout = core::Duration::Milliseconds(300);
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpClientTest)
 
+// Guards against a call that waits for an attempt to connect that a former call
+// began while the path was cut.
+BOOST_AUTO_TEST_CASE(ACallAfterAPartitionDoesNotWaitForAnEarlierAttempt) {
+  PeerBehindAPartition peer;
+  HttpClient client;
+  for (int partition = 0; partition < 3; ++partition) {
+    BOOST_TEST_CONTEXT("partition " << partition) {
+      BOOST_TEST(SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+      peer.Cut();
+      // Also the connections from before the partition are silent.
+      peer.SilenceConnections();
+      for (int call = 0; call < 3; ++call) {
+        BOOST_TEST(!SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+      }
+      peer.Repair();
+      BOOST_TEST(SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+    }
+  }
+}
+
+// Guards against calls that each use up their time on one of several
+// connections that have gone silent together.
+BOOST_AUTO_TEST_CASE(OneTimeoutIsEnoughToLeaveSilentConnections) {
+  PeerBehindAPartition peer;
+  HttpClient client;
+  constexpr int kConnections = 5;
+  int ended = 0;
+  QEventLoop loop;
+  for (int i = 0; i < kConnections; ++i) {
+    client.Send(peer.Call(kShortTimeout), [&](const Answer& answer) {
+      BOOST_TEST(answer.has_value());
+      if (++ended == kConnections) {
+        loop.quit();
+      }
+    });
+  }
+  loop.exec();
+  peer.SilenceConnections();
+  BOOST_TEST(!SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+  BOOST_TEST(SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+  BOOST_TEST(SendAndWait(client, peer.Call(kShortTimeout)).has_value());
+}
+
+// Guards against connections and threads that pile up while a peer cannot be
+// reached.
+BOOST_AUTO_TEST_CASE(AnUnreachablePeerUsesFewThreadsAndSockets) {
+  const auto count_entries = [](const char* folder) {
+    return QDir(folder)
+        .entryList(QDir::AllEntries | QDir::System | QDir::NoDotAndDotDot)
+        .size();
+  };
+  PeerBehindAPartition lost;
+  HttpClient client;
+  BOOST_TEST(SendAndWait(client, lost.Call(kShortTimeout)).has_value());
+  lost.Cut();
+  lost.SilenceConnections();
+  const auto threads = count_entries("/proc/self/task");
+  const auto files = count_entries("/proc/self/fd");
+  constexpr int kCalls = 20;
+  for (int call = 0; call < kCalls; ++call) {
+    BOOST_TEST(!SendAndWait(client, lost.Call(core::Duration::Milliseconds(20)))
+                    .has_value());
+  }
+  BOOST_TEST(count_entries("/proc/self/task") <= threads + 3);
+  // Each thread has an event loop with up to three descriptors.
+  BOOST_TEST(count_entries("/proc/self/fd") <= files + 12);
+}
+
+// Guards against a peer that cannot be reached and costs the others their
+// connections.
+BOOST_AUTO_TEST_CASE(AnUnreachablePeerDoesNotAffectOthers) {
+  PeerBehindAPartition lost;
+  PeerBehindAPartition sound;
+  HttpClient client;
+  lost.Cut();
+  BOOST_TEST(SendAndWait(client, sound.Call(kShortTimeout)).has_value());
+  for (int call = 0; call < 3; ++call) {
+    BOOST_TEST(!SendAndWait(client, lost.Call(kShortTimeout)).has_value());
+    BOOST_TEST(SendAndWait(client, sound.Call(kShortTimeout)).has_value());
+  }
+  BOOST_TEST(sound.ConnectionCount() == 1);
+}
+
 // Guards against Qt sending a request again after the peer has received it and
 // closed the connection. The peer would start the same work several times.
 BOOST_AUTO_TEST_CASE(SingleSendPutsTheRequestOnTheWireOnce) {
