Let entries pass the operators' configuration on to each other

Between two attempts up to ten reads were not sent at all, since another call had failed within 200 ms. An entry that the store answers with silence needs 2.1 s to give up its watch, and then reads and watches in turn.

Cause: each entry depends on its own path to the store, or on that of one peer that it happens to ask, for what every entry needs in bounded time.

Change: an entry that learns of a change tells its peers; one that is behind asks for the content. A message has the store's version up to which its sender knows all changes and for how long, so that withdrawn keys and ended evacuations pass on as well as additions, and the age of the configuration is known also behind a peer. Evacuations are not confirmed by peers.

--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "modules/batch/model/configuration.h"
+#include "modules/batch/model/operator_snapshot.h"
 #include "modules/batch/process/configuration_status.h"
 #include "modules/batch/process/evacuation_watch.h"
 #include "modules/core/core.h"
@@ -38,7 +40,8 @@
 /// version replaces the active configuration; lower or equal versions and
 /// configurations that cannot be decoded are ignored. After an error the key is
 /// read and watched again until the store answers. Where evacuations are
-/// supported, one watch covers them too.
+/// supported, one watch covers them too. Entries that know more contribute
+/// through `OnPeerAnswer`.
 template <store::KeyValueStore Store>
 class ConfigurationWatch {
  public:
@@ -59,6 +62,7 @@
         watched_prefix(operator_keys.evacuations.empty()
                            ? operator_keys.configuration
                            : operator_keys.all),
+        evacuation_prefix(operator_keys.evacuations),
         decode(std::move(decoder)),
         on_change(std::move(change_handler)),
         on_evacuations(std::move(evacuations_handler)),
@@ -93,6 +97,7 @@
                  {{"event", "configuration_unconfirmed"},
                   {"version", std::to_string(this->current->version)}});
     this->unconfirmed = true;
+    this->resumed_at = now;
     if (!this->evacuations) {
       this->Read();
     }
@@ -138,6 +143,31 @@
     return {this->current ? this->current->version : 0,
             now - this->KnownUntil(now), this->source};
   }
+  /// Returns the upper bound on the time since all changes were known from the
+  /// store itself.
+  core::Duration AgeAtStore(core::TimePoint now) const {
+    return now - this->KnownFromStoreUntil(now);
+  }
+
+  /// Returns what is known of the operators' keys.
+  const OperatorSnapshot& Snapshot() const { return this->snapshot; }
+
+  /// Takes the answer of another entry to a call that was sent at `sent_at`.
+  void OnPeerAnswer(const SnapshotAnswer& answer, core::TimePoint sent_at) {
+    if (answer.summary.revision == store::ModRevision()) {
+      return;
+    }
+    if (answer.content && this->snapshot.OnSnapshot(*answer.content)) {
+      this->ApplyListing(answer.content->ToListing(),
+                         "peer " + answer.summary.endpoint);
+    }
+    this->confirmed_by_peer_until =
+        std::max(this->confirmed_by_peer_until, sent_at - answer.summary.age);
+    if (this->unconfirmed &&
+        this->confirmed_by_peer_until >= this->resumed_at) {
+      this->Confirm();
+    }
+  }
 
  private:
   static constexpr core::Duration kRetryDelay =
@@ -152,6 +182,10 @@
 
   /// Returns the time up to which all changes are known.
   core::TimePoint KnownUntil(core::TimePoint now) const {
+    return std::max(this->KnownFromStoreUntil(now),
+                    this->confirmed_by_peer_until);
+  }
+  core::TimePoint KnownFromStoreUntil(core::TimePoint now) const {
     if (!this->watch) {
       return this->read_until;
     }
@@ -186,17 +220,37 @@
   }
 
   void OnRead(const store::Listing& listing, std::uint64_t number) {
+    store::Listing relevant;
+    relevant.revision = listing.revision;
+    std::copy_if(listing.items.begin(), listing.items.end(),
+                 std::back_inserter(relevant.items),
+                 [this](const store::KeyValue& item) {
+                   return this->IsRelevant(item.key);
+                 });
+    this->snapshot.OnSnapshot(OperatorSnapshot(relevant));
+    this->confirmed_read = std::max(this->confirmed_read, number);
+    this->ApplyListing(relevant, "store read");
+    this->Confirm();
+    this->Watch(listing.revision);
+  }
+
+  /// Returns whether the key holds the configuration or an evacuation.
+  bool IsRelevant(const std::string& item_key) const {
+    return item_key == this->key ||
+           (this->evacuations && item_key.starts_with(this->evacuation_prefix));
+  }
+
+  /// `listing_source` is where the listing came from, for logs.
+  void ApplyListing(const store::Listing& listing,
+                    const std::string& listing_source) {
     for (const store::KeyValue& item : listing.items) {
       if (item.key == this->key) {
-        this->Apply(item.value, "store read");
+        this->Apply(item.value, listing_source);
       }
     }
-    this->confirmed_read = std::max(this->confirmed_read, number);
     if (this->evacuations && this->evacuations->OnListing(listing)) {
       this->on_evacuations(this->evacuations->State());
     }
-    this->Confirm();
-    this->Watch(listing.revision);
   }
 
   void Watch(store::ModRevision revision) {
@@ -213,6 +267,9 @@
             return;
           }
           for (const store::WatchEvent& event : *events) {
+            if (this->IsRelevant(event.key)) {
+              this->snapshot.OnEvent(event);
+            }
             if (event.value && event.key == this->key) {
               this->Apply(*event.value, "store watch");
             }
@@ -288,6 +345,7 @@
   std::string key;
   /// The key of the configuration, or a prefix of it.
   std::string watched_prefix;
+  std::string evacuation_prefix;
   Decode decode;
   OnChange on_change;
   OnEvacuations on_evacuations;
@@ -299,6 +357,7 @@
   std::uint64_t last_read = 0;
   std::uint64_t confirmed_read = 0;
   std::uint64_t required_read = 1;
+  OperatorSnapshot snapshot;
   std::shared_ptr<const Configuration> current;
   std::string source = "none";
   /// Failed reads and watches since the latest successful read.
@@ -307,9 +366,13 @@
   /// All changes up to this time are known from reads and from watches that
   /// have ended.
   core::TimePoint read_until;
+  /// All changes up to this time are known from other entries.
+  core::TimePoint confirmed_by_peer_until;
   std::optional<core::TimePoint> last_tick;
   /// The configuration has not been read since a pause of this process.
   bool unconfirmed = false;
+  /// End of the latest pause.
+  core::TimePoint resumed_at;
   /// Requests that wait for `Confirm`.
   std::vector<std::function<void()>> waiting;
   QTimer timer;
--- a/modules/batch/process/configuration_watch_test.cc
+++ b/modules/batch/process/configuration_watch_test.cc
@@ -161,6 +161,105 @@
   BOOST_TEST(WaitFor([&] { return watched.state.data_centres.empty(); }));
 }
 
+/// The answer of an entry that read `text` at `revision` and has known for
+/// `age` that nothing is newer.
+SnapshotAnswer PeerAnswer(const std::string& text,
+                          std::uint64_t revision,
+                          core::Duration age) {
+  SnapshotAnswer answer;
+  answer.summary = {"127.0.0.1:1", store::ModRevision(revision), age, {}};
+  answer.content.emplace(
+      store::Listing{{{kKey, text, store::ModRevision(revision)}},
+                     store::ModRevision(revision)});
+  return answer;
+}
+
+BOOST_AUTO_TEST_CASE(AVersionIsTakenFromAPeerAndNeverReplacedByAnOlderOne) {
+  Watched watched;
+  const core::TimePoint now = core::Clock::Now();
+  const std::uint64_t revision = watched.watch.Snapshot().Revision().Number();
+  watched.watch.OnPeerAnswer(PeerAnswer("3", revision + 2, {}), now);
+  BOOST_TEST(watched.Version() == 3U);
+  BOOST_TEST(watched.watch.Status(now).source == "peer 127.0.0.1:1");
+  watched.watch.OnPeerAnswer(PeerAnswer("2", revision + 1, {}), now);
+  BOOST_TEST(watched.Version() == 3U);
+}
+
+/// A store whose watch has delivered all changes up to a given time.
+class StoreWithLateWatch : public store::MemoryStore {
+ public:
+  core::TimePoint WatchedUntil(store::WatchId /*watch*/) const {
+    return this->watched_until;
+  }
+  core::TimePoint watched_until;
+};
+
+BOOST_AUTO_TEST_CASE(TheAgeIsThatOfTheMostRecentConfirmation) {
+  StoreWithLateWatch store;
+  store.DriveByTimer();
+  store.Commit({{}, {{kKey, "1", std::nullopt}}}, [](const auto&) {});
+  ConfigurationWatch<StoreWithLateWatch> watch(
+      store, {kKey, {}, {}}, Decode, [](const auto&) {}, [](const auto&) {});
+  BOOST_REQUIRE(WaitFor([&watch] { return watch.Current() != nullptr; }));
+  const core::TimePoint start =
+      core::Clock::Now() + core::Duration::Seconds(10);
+  const auto age_ms = [&watch, start](std::int64_t after_ms) {
+    return watch.Status(start + core::Duration::Milliseconds(after_ms))
+        .age.InMilliseconds();
+  };
+  BOOST_TEST(age_ms(0) >= 10'000);
+  store.watched_until = start;
+  BOOST_TEST(age_ms(3000) == 3000);
+  // Another entry knew 200 ms before the call that nothing is newer.
+  watch.OnPeerAnswer(PeerAnswer("1", 1, core::Duration::Milliseconds(200)),
+                     start + core::Duration::Milliseconds(2000));
+  BOOST_TEST(age_ms(3000) == 1200);
+  BOOST_TEST(watch.AgeAtStore(start + core::Duration::Milliseconds(3000))
+                 .InMilliseconds() == 3000);
+  // One that has read nothing confirms nothing.
+  watch.OnPeerAnswer(PeerAnswer("1", 0, {}),
+                     start + core::Duration::Milliseconds(3000));
+  BOOST_TEST(age_ms(3000) == 1200);
+}
+
+// After a pause without the store, a peer confirms the configuration for the
+// requests that wait, unless its knowledge is from before the end of the pause.
+BOOST_AUTO_TEST_CASE(APeerConfirmsTheConfigurationAfterAPause) {
+  Watched watched;
+  store::MemoryStoreFaults faults;
+  faults.down = true;
+  watched.store.SetFaults(faults);
+  const core::TimePoint resumed_at =
+      core::Clock::Now() + core::Duration::Seconds(5);
+  watched.watch.OnTick(core::Clock::Now());
+  bool used = false;
+  watched.watch.WhenConfirmed(resumed_at, [&used] { used = true; });
+  const core::Duration late = core::Duration::Milliseconds(100);
+  watched.watch.OnPeerAnswer(PeerAnswer("1", 1, late * 2), resumed_at + late);
+  BOOST_TEST(!used);
+  watched.watch.OnPeerAnswer(PeerAnswer("1", 1, late), resumed_at + late);
+  BOOST_TEST(used);
+}
+
+// The planner's own reads confirm evacuations; a peer may only add to them.
+BOOST_AUTO_TEST_CASE(AnEvacuationIsTakenFromAPeerButNotConfirmedByIt) {
+  WatchedEvacuations watched;
+  BOOST_REQUIRE(WaitFor([&watched] {
+    return watched.watch.AreEvacuationsConfirmed(core::Clock::Now());
+  }));
+  store::MemoryStoreFaults faults;
+  faults.down = true;
+  watched.store.SetFaults(faults);
+  watched.watch.RequireEvacuations();
+  SnapshotAnswer answer = PeerAnswer("1", 100, {});
+  answer.content.emplace(
+      store::Listing{{{"operators/evacuate/a", "{}", store::ModRevision(99)}},
+                     store::ModRevision(100)});
+  watched.watch.OnPeerAnswer(answer, core::Clock::Now());
+  BOOST_TEST(watched.state.data_centres.contains(core::DataCentreId("a")));
+  BOOST_TEST(!watched.watch.AreEvacuationsConfirmed(core::Clock::Now()));
+}
+
 // The deployments without evacuations must not see another store call.
 BOOST_AUTO_TEST_CASE(WithoutAPrefixEvacuationKeysAreNeitherReadNorWatched) {
   store::MemoryStore store;
--- a/modules/batch/process/internal_api.h
+++ b/modules/batch/process/internal_api.h
@@ -16,6 +16,10 @@
 /// Entry to planner: queries the number of waiting jobs in the queue `?NAME`.
 inline constexpr const char* kWaiting = "/internal/v1/batch/waiting";
 
+/// Entry to entry: a `SnapshotSummary`, answered by a `SnapshotAnswer`.
+inline constexpr const char* kConfiguration =
+    "/internal/v1/batch/configuration";
+
 /// Operator to entry, and entry to planner: an `ExplainRequest`, answered by an
 /// `Explanation`. A refusal has a body with "detail" and, if a field of the
 /// request is the cause, "path".
