Count no age from the start of an entry

An entry took its own start for a time up to which it knew all changes. One that had just started, and had learned an old version from another entry, told its peers that nothing was newer, and one of these refused by that version 2.1 s after the next one had been acknowledged. Such an entry now knows nothing before the first answer of the store or of a peer; ConfigurationWatchTest/AStartConfirmsNothing is new (not run on the code before).

--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -66,7 +66,7 @@
         decode(std::move(decoder)),
         on_change(std::move(change_handler)),
         on_evacuations(std::move(evacuations_handler)),
-        read_until(core::Clock::Now()) {
+        started_at(core::Clock::Now()) {
     if (!operator_keys.evacuations.empty()) {
       this->evacuations.emplace(operator_keys.evacuations);
     }
@@ -140,8 +140,10 @@
   /// Returns how recent the active configuration is. Before the first answer of
   /// the store, the age is the time since construction.
   ConfigurationStatus Status(core::TimePoint now) const {
+    const core::TimePoint known_until = this->KnownUntil(now);
     return {this->current ? this->current->version : 0,
-            now - this->KnownUntil(now), this->source};
+            now - (known_until == kNever ? this->started_at : known_until),
+            this->source};
   }
   /// Returns the upper bound on the time since all changes were known from the
   /// store itself.
@@ -177,10 +179,14 @@
   /// machine needs for the work between two ticks.
   static constexpr core::Duration kPauseThreshold =
       core::Duration::Milliseconds(1500);
+  /// Before any time of the clock.
+  static constexpr core::TimePoint kNever =
+      core::TimePoint::FromMilliseconds(std::int64_t{-1} << 60);
   static constexpr core::Duration kMaxUnconfirmed =
       core::Duration::Milliseconds(1000);
 
-  /// Returns the time up to which all changes are known.
+  /// Returns the time up to which all changes are known, or kNever before the
+  /// first answer of the store or a peer.
   core::TimePoint KnownUntil(core::TimePoint now) const {
     return std::max(this->KnownFromStoreUntil(now),
                     this->confirmed_by_peer_until);
@@ -190,8 +196,9 @@
       return this->read_until;
     }
     if constexpr (requires { this->adapter.WatchedUntil(*this->watch); }) {
-      return std::max(this->read_until,
-                      this->adapter.WatchedUntil(*this->watch));
+      return std::max(
+          this->read_until,
+          this->adapter.WatchedUntil(*this->watch).value_or(kNever));
     }
     return now;
   }
@@ -261,7 +268,7 @@
         this->watched_prefix, revision.Next(),
         [this](const core::Expected<std::vector<store::WatchEvent>>& events) {
           if (!events) {
-            this->read_until = this->KnownUntil(core::Clock::Now());
+            this->read_until = this->KnownFromStoreUntil(core::Clock::Now());
             this->watch.reset();
             this->HandleFailure("watch", events.error());
             return;
@@ -365,9 +372,10 @@
   std::optional<store::WatchId> watch;
   /// All changes up to this time are known from reads and from watches that
   /// have ended.
-  core::TimePoint read_until;
+  core::TimePoint read_until = kNever;
   /// All changes up to this time are known from other entries.
-  core::TimePoint confirmed_by_peer_until;
+  core::TimePoint confirmed_by_peer_until = kNever;
+  core::TimePoint started_at;
   std::optional<core::TimePoint> last_tick;
   /// The configuration has not been read since a pause of this process.
   bool unconfirmed = false;
--- a/modules/batch/process/configuration_watch_test.cc
+++ b/modules/batch/process/configuration_watch_test.cc
@@ -188,10 +188,10 @@
 /// A store whose watch has delivered all changes up to a given time.
 class StoreWithLateWatch : public store::MemoryStore {
  public:
-  core::TimePoint WatchedUntil(store::WatchId /*watch*/) const {
+  std::optional<core::TimePoint> WatchedUntil(store::WatchId /*watch*/) const {
     return this->watched_until;
   }
-  core::TimePoint watched_until;
+  std::optional<core::TimePoint> watched_until;
 };
 
 BOOST_AUTO_TEST_CASE(TheAgeIsThatOfTheMostRecentConfirmation) {
@@ -222,6 +222,22 @@
   BOOST_TEST(age_ms(3000) == 1200);
 }
 
+// Guards against an entry that has just started, learns an old version from
+// another entry, and tells others that nothing is newer.
+BOOST_AUTO_TEST_CASE(AStartConfirmsNothing) {
+  store::MemoryStore store;
+  store.DriveByTimer();
+  store::MemoryStoreFaults faults;
+  faults.down = true;
+  store.SetFaults(faults);
+  ConfigurationWatch<store::MemoryStore> watch(
+      store, {kKey, {}, {}}, Decode, [](const auto&) {}, [](const auto&) {});
+  const core::TimePoint now = core::Clock::Now();
+  watch.OnPeerAnswer(PeerAnswer("1", 1, core::Duration::Seconds(8)), now);
+  BOOST_TEST(watch.Current()->version == 1U);
+  BOOST_TEST(watch.Status(now).age.InMilliseconds() == 8000);
+}
+
 // After a pause without the store, a peer confirms the configuration for the
 // requests that wait, unless its knowledge is from before the end of the pause.
 BOOST_AUTO_TEST_CASE(APeerConfirmsTheConfigurationAfterAPause) {
