Soak of entries that follow the configuration

Callers, one of them on a connection that lasts, judge each answer by the versions that had been acknowledged; after the last fault all entries have to use the newest one.

The draws moved from the soak of restarted workers, unchanged.

--- a/tests/soak/configuration_rig.cc
+++ b/tests/soak/configuration_rig.cc
@@ -44,6 +44,8 @@
     const nlohmann::json settings = this->folder.Settings(EntryName(i));
     internal.push_back(SplitEndpoint(settings["internal_endpoint"]));
     this->callers.push_back(SplitEndpoint(settings["caller_endpoint"]));
+    this->lasting_callers[i] = std::make_unique<LastingCaller>(
+        this->callers.back().first, this->callers.back().second);
   }
   for (int i = 0; i < count; ++i) {
     nlohmann::json settings = this->folder.Settings(EntryName(i));
@@ -150,7 +152,8 @@
               this->version);
     const std::uint64_t due = this->VersionOlderThan(kBoundMs);
     if (due > 1) {
-      this->Ask(entry, {"added route", RouteOf(due), "", kNotFound, 0}, due);
+      this->Ask(entry, {"added route", RouteOf(due), "", kNotFound, 0}, due,
+                true);
       this->Ask(entry, {"added key", "/queue/x", KeyOf(due), kUnknownKey, 0},
                 due);
     }
@@ -172,40 +175,54 @@
 
 void ConfigurationRig::Ask(int entry,
                            const Probe& probe,
-                           std::uint64_t probed_version) {
+                           std::uint64_t probed_version,
+                           bool on_lasting_connection) {
   review::Request request;
   request.method = "GET";
   request.path = probe.path;
   request.headers["Host"] = kHost;
   request.headers["X-Hemlockdoor-Key"] = probe.key;
+  const auto done = [this, entry, probe, probed_version, sent_ms = NowMs()](
+                        int status, const std::string& body) {
+    this->Judge(entry, probe, probed_version, sent_ms,
+                std::to_string(status) + " " + body, status);
+  };
+  if (on_lasting_connection) {
+    this->lasting_callers.at(entry)->Send(request, done);
+    return;
+  }
   const auto& [address, port] =
       this->callers.at(static_cast<std::size_t>(entry));
-  const std::int64_t sent_ms = NowMs();
-  review::SendCall(
-      this, address, port, request, kAnswerLimitMs,
-      [this, entry, probe, probed_version, sent_ms](int status,
-                                                    const std::string& body) {
-        if (status == probe.newer_status && status != 0) {
-          this->seen_versions[entry] =
-              std::max(this->seen_versions[entry], probed_version);
-        }
-        // Later versions may have dropped what this one added.
-        const bool may_be_dropped =
-            probe.name.starts_with("added") &&
-            this->version >= probed_version + kKeptVersions;
-        if (status == probe.older_status && status != 0 && !may_be_dropped) {
-          const std::string line =
-              "CONFIG: " + EntryName(entry) + " answers " +
-              std::to_string(status) + " " + body + " for the " + probe.name +
-              " of version " + std::to_string(probed_version) +
-              ", acknowledged " +
-              std::to_string(sent_ms -
-                             this->acknowledged_ms.at(probed_version)) +
-              " ms before the request";
-          this->deployment.record.Line(line);
-          this->violations += line + "\n";
-        }
-      });
+  review::SendCall(this, address, port, request, kAnswerLimitMs, done);
+}
+
+void ConfigurationRig::Judge(int entry,
+                             const Probe& probe,
+                             std::uint64_t probed_version,
+                             std::int64_t sent_ms,
+                             const std::string& answer,
+                             int status) {
+  if (status == review::kNoAnswer) {
+    return;
+  }
+  if (status == probe.newer_status) {
+    this->seen_versions[entry] =
+        std::max(this->seen_versions[entry], probed_version);
+  }
+  // Later versions may have dropped what this one added.
+  const bool may_be_dropped = probe.name.starts_with("added") &&
+                              this->version >= probed_version + kKeptVersions;
+  if (status != probe.older_status || may_be_dropped) {
+    return;
+  }
+  const std::int64_t late_ms =
+      sent_ms - this->acknowledged_ms.at(probed_version);
+  const std::string line = "CONFIG: " + EntryName(entry) + " answers " +
+                           answer + " for the " + probe.name + " of version " +
+                           std::to_string(probed_version) + ", acknowledged " +
+                           std::to_string(late_ms) + " ms before the request";
+  this->deployment.record.Line(line);
+  this->violations += line + "\n";
 }
 
 bool ConfigurationRig::AwaitNewestVersion(std::int64_t limit_ms) {
--- a/tests/soak/configuration_rig.h
+++ b/tests/soak/configuration_rig.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "review/support/deployment.h"
+#include "tests/soak/lasting_caller.h"
 #include "tests/soak/network_link.h"
 #include "tests/soak/play_folder.h"
 
@@ -40,6 +41,10 @@
   int PlannerIndex() const {
     return static_cast<int>(this->deployment.Planner());
   }
+  /// The link between two entries.
+  NetworkLink& PeerLink(int from, int to) {
+    return *this->peer_links.at({from, to});
+  }
   /// The link from an entry to the store.
   NetworkLink& StoreLink(int entry) { return *this->store_links.at(entry); }
   /// Sets all links of an entry: to the store, to other entries and from them.
@@ -76,7 +81,18 @@
 
   std::string Configuration() const;
   void AskAll();
-  void Ask(int entry, const Probe& probe, std::uint64_t probed_version);
+  /// Asks on a connection of its own, or on the one that lasts.
+  void Ask(int entry,
+           const Probe& probe,
+           std::uint64_t probed_version,
+           bool on_lasting_connection = false);
+  /// Notes an answer that only an older version allows.
+  void Judge(int entry,
+             const Probe& probe,
+             std::uint64_t probed_version,
+             std::int64_t sent_ms,
+             const std::string& answer,
+             int status);
   /// Newest version that was acknowledged more than `length_ms` ago; 0 if none.
   std::uint64_t VersionOlderThan(std::int64_t length_ms) const;
 
@@ -88,6 +104,7 @@
   std::map<std::pair<int, int>, std::unique_ptr<NetworkLink>> peer_links;
   /// Address and port of each entry for callers.
   std::vector<std::pair<std::string, std::uint16_t>> callers;
+  std::map<int, std::unique_ptr<LastingCaller>> lasting_callers;
   std::uint64_t version = 1;
   /// When each version was acknowledged.
   std::map<std::uint64_t, std::int64_t> acknowledged_ms;
--- a/tests/soak/worker_restart_soak_test.cc
+++ b/tests/soak/worker_restart_soak_test.cc
@@ -16,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <stdexcept>
 #include <string>
@@ -24,6 +23,7 @@
 
 #include "review/support/checks.h"
 #include "review/support/deployment.h"
+#include "tests/soak/dice.h"
 #include "tests/soak/play_folder.h"
 #include "tests/soak/worker_host.h"
 #include "tests/support/environment.h"
@@ -47,12 +47,6 @@
 constexpr std::uint64_t kMostFaults = 1000;
 constexpr int kJobCpu = 4000;
 
-/// Inclusive range of a draw.
-struct Range {
-  int low;
-  int high;
-};
-
 constexpr Range kAgents{3, 6};
 constexpr Range kTasks{1, 3};
 constexpr Range kRunMs{1000, 6000};
@@ -68,20 +62,6 @@
 constexpr int kLateAnswerPercent = 10;
 constexpr int kNoAnswerPercent = 6;
 
-class Dice {
- public:
-  explicit Dice(std::uint64_t seed) : engine(seed) {}
-  int Draw(Range range) {
-    return range.low +
-           static_cast<int>(this->engine() % static_cast<std::uint64_t>(
-                                                 range.high - range.low + 1));
-  }
-  bool Chance(int percent) { return this->Draw({1, 100}) <= percent; }
-
- private:
-  std::mt19937_64 engine;
-};
-
 /// One seed, from the start of the processes to the checks.
 class Play {
  public:
