Log the same failed read of the configuration once in two seconds

In an outage an entry reads again each 250 ms, and most lines said the same. The count of failures is in the line, and the metric counts all.

--- a/modules/batch/process/configuration_watch.h
+++ b/modules/batch/process/configuration_watch.h
@@ -81,8 +81,8 @@
   /// again. The timer calls this; a request that is the first event after a
   /// pause calls it through `WhenConfirmed`.
   void OnTick(core::TimePoint now) {
-    observe::ProcessMetrics().SetConfiguration(this->Status(now).version,
-                                               this->Status(now).age);
+    const ConfigurationStatus status = this->Status(now);
+    observe::ProcessMetrics().SetConfiguration(status.version, status.age);
     const bool was_paused =
         this->last_tick && now >= *this->last_tick + kPauseThreshold;
     this->last_tick = now;
@@ -179,6 +179,9 @@
   /// machine needs for the work between two ticks.
   static constexpr core::Duration kPauseThreshold =
       core::Duration::Milliseconds(1500);
+  /// Failures for the same reason are logged once in this time.
+  static constexpr core::Duration kFailureLogPeriod =
+      core::Duration::Milliseconds(2000);
   /// Before any time of the clock.
   static constexpr core::TimePoint kNever =
       core::TimePoint::FromMilliseconds(std::int64_t{-1} << 60);
@@ -315,13 +318,19 @@
 
   /// `operation` is what failed: "read" or "watch".
   void HandleFailure(const char* operation, const core::Error& error) {
-    const ConfigurationStatus status = this->Status(core::Clock::Now());
-    std::vector<observe::LogField> fields = LogFieldsOf(status);
-    fields.push_back({"event", "configuration_read_failed"});
-    fields.push_back({"operation", operation});
-    observe::Log(observe::LogLevel::kWarn, error.message, {}, fields);
     observe::ProcessMetrics().CountConfigurationReadFailure(operation);
     this->failures += 1;
+    const core::TimePoint now = core::Clock::Now();
+    if (error.message != this->logged_failure ||
+        now >= this->failure_logged_at + kFailureLogPeriod) {
+      this->logged_failure = error.message;
+      this->failure_logged_at = now;
+      std::vector<observe::LogField> fields = LogFieldsOf(this->Status(now));
+      fields.push_back({"event", "configuration_read_failed"});
+      fields.push_back({"operation", operation});
+      fields.push_back({"failures", std::to_string(this->failures)});
+      observe::Log(observe::LogLevel::kWarn, error.message, {}, fields);
+    }
     wire::RunLater(&this->context, kRetryDelay, [this] { this->Read(); });
   }
 
@@ -369,6 +378,9 @@
   std::string source = "none";
   /// Failed reads and watches since the latest successful read.
   int failures = 0;
+  /// Message of the failure that was logged last, and when.
+  std::string logged_failure;
+  core::TimePoint failure_logged_at;
   std::optional<store::WatchId> watch;
   /// All changes up to this time are known from reads and from watches that
   /// have ended.
