--- a/modules/batch/process/configuration_exchange.cc
+++ b/modules/batch/process/configuration_exchange.cc
@@ -46,9 +46,17 @@
   }
 }
 
+std::vector<std::string> ConfigurationExchange::Callers() const {
+  std::vector<std::string> endpoints;
+  for (const auto& [caller, called_at] : this->callers) {
+    endpoints.push_back(caller);
+  }
+  return endpoints;
+}
+
 std::vector<std::string> ConfigurationExchange::AllPeers() const {
   std::vector<std::string> all = this->peers();
-  for (const auto& [caller, called_at] : this->callers) {
+  for (const std::string& caller : this->Callers()) {
     if (std::find(all.begin(), all.end(), caller) == all.end()) {
       all.push_back(caller);
     }
--- a/modules/batch/process/configuration_exchange.h
+++ b/modules/batch/process/configuration_exchange.h
@@ -48,6 +48,9 @@
 
   /// Tells the peers of a change. Calls shortly after each other are combined.
   void NotifyPeers();
+  /// Returns the internal endpoints of entries that have called in the last ten
+  /// minutes.
+  std::vector<std::string> Callers() const;
   /// Answers a peer. Returns false, without an answer, for other requests.
   bool HandlePeer(const wire::HttpRequest& request,
                   const wire::HttpResponder& responder);
