--- a/tests/soak/configuration_rig.cc
+++ b/tests/soak/configuration_rig.cc
@@ -1,6 +1,8 @@
 #include "tests/soak/configuration_rig.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+
+#include "platform/testing/operator_configuration.h"
 
 namespace hemlockdoor::soak {
 
@@ -16,13 +18,18 @@
 constexpr const char* kHost = "jobs.example";
 /// Key and queue that the deployment itself uses.
 constexpr const char* kLastingKey = "key-of-tenant-a";
+constexpr const char* kLastingQueue = "queue";
 
 std::string EntryName(int index) {
   return "edge-" + std::to_string(index + 1);
 }
 
-std::string RouteOf(std::uint64_t version) {
-  return "/v" + std::to_string(version) + "/";
+std::string QueueOf(std::uint64_t version) {
+  return "v" + std::to_string(version);
+}
+
+std::string PathOf(std::uint64_t version) {
+  return "/" + QueueOf(version) + "/";
 }
 
 std::string KeyOf(std::uint64_t version) {
@@ -92,41 +99,27 @@
 
 void ConfigurationRig::ChangeConfiguration() {
   ++this->version;
-  this->deployment.store->Put("op/config", this->Configuration());
+  this->deployment.store->Put(platform::testing::kConfigurationKey,
+                              this->Configuration());
   this->acknowledged_ms[this->version] = NowMs();
   this->deployment.record.Line("configuration version " +
                                std::to_string(this->version));
 }
 
 std::string ConfigurationRig::Configuration() const {
-  const auto queue = [](const std::string& name, const std::string& prefix) {
-    return nlohmann::json{
-        {"name", name},       {"host", kHost},      {"prefix", prefix},
-        {"kind", "unsafe"},   {"timeoutMs", 3000},  {"sloMs", 1000},
-        {"priority", 1},      {"service", "drive"}, {"maxAttempts", 3},
-        {"slackFactor", 3.0}, {"public", false}};
-  };
-  nlohmann::json routes = nlohmann::json::array({queue("queue", "/queue/")});
-  nlohmann::json keys = nlohmann::json::array({kLastingKey});
+  platform::testing::OperatorConfiguration configuration;
+  configuration.version = this->version;
+  configuration.host = kHost;
+  configuration.service = "drive";
+  configuration.queues = {kLastingQueue};
+  configuration.keys = {kLastingKey};
   const std::uint64_t first =
       this->version > kKeptVersions ? this->version - kKeptVersions + 1 : 2;
   for (std::uint64_t each = first; each <= this->version; ++each) {
-    routes.push_back(queue("v" + std::to_string(each), RouteOf(each)));
-    keys.push_back(KeyOf(each));
+    configuration.queues.push_back(QueueOf(each));
+    configuration.keys.push_back(KeyOf(each));
   }
-  return nlohmann::json{
-      {"version", this->version},
-      {"routes", routes},
-      {"services", nlohmann::json::array({{{"name", "drive"},
-                                           {"healthPath", "/health"},
-                                           {"maxConns", 64},
-                                           {"rejectsOverload", false},
-                                           {"standby", false}}})},
-      {"limits", {{"maxBodyBytes", 262144}}},
-      {"tenants", nlohmann::json::array({{{"name", "tenant-a"},
-                                          {"apiKeys", keys},
-                                          {"guaranteed", {{"gpu", 8}}}}})}}
-      .dump();
+  return platform::testing::ToText(configuration);
 }
 
 std::uint64_t ConfigurationRig::VersionOlderThan(std::int64_t length_ms) const {
@@ -148,11 +141,11 @@
       continue;
     }
     this->Ask(entry,
-              {"newest route", RouteOf(this->version), "", 0, kUnknownKey},
+              {"newest route", PathOf(this->version), "", 0, kUnknownKey},
               this->version);
     const std::uint64_t due = this->VersionOlderThan(kBoundMs);
     if (due > 1) {
-      this->Ask(entry, {"added route", RouteOf(due), "", kNotFound, 0}, due,
+      this->Ask(entry, {"added route", PathOf(due), "", kNotFound, 0}, due,
                 true);
       this->Ask(entry, {"added key", "/queue/x", KeyOf(due), kUnknownKey, 0},
                 due);
@@ -160,7 +153,7 @@
     if (due > kKeptVersions + 1) {
       this->Ask(
           entry,
-          {"dropped route", RouteOf(due - kKeptVersions), "", kUnknownKey, 0},
+          {"dropped route", PathOf(due - kKeptVersions), "", kUnknownKey, 0},
           due);
     }
     const std::uint64_t overdue = this->VersionOlderThan(kBoundMs + kGraceMs);
@@ -181,7 +174,7 @@
   request.method = "GET";
   request.path = probe.path;
   request.headers["Host"] = kHost;
-  request.headers["X-Hemlockdoor-Key"] = probe.key;
+  request.headers[platform::testing::kCallerKeyHeader] = probe.key;
   const auto done = [this, entry, probe, probed_version, sent_ms = NowMs()](
                         int status, const std::string& body) {
     this->Judge(entry, probe, probed_version, sent_ms,
