--- a/tests/soak/configuration_soak_test.cc
+++ b/tests/soak/configuration_soak_test.cc
@@ -8,17 +8,15 @@
 // does not, so a failing seed may pass when it is played again.
 #include <signal.h>
 
-#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
-#include <cstdio>
-#include <map>
 #include <string>
 
 #include "tests/soak/configuration_rig.h"
 #include "tests/soak/dice.h"
-#include "tests/support/environment.h"
+#include "tests/soak/fault_log.h"
+#include "tests/soak/seeded_plays.h"
 
 namespace hemlockdoor::soak {
 
@@ -56,7 +54,7 @@
       review::Run(this->dice.Draw(kFaultPauseMs));
       this->InjectFault();
     }
-    review::Run(std::max<std::int64_t>(0, this->last_repair_ms - NowMs()));
+    this->faults.AwaitEnd();
     this->rig.OpenAllLinks();
     const bool is_up_to_date =
         this->rig.AwaitNewestVersion(ConfigurationRig::kBoundMs + kStartMs);
@@ -70,12 +68,9 @@
   }
 
   std::string Summary() const {
-    std::string text = std::to_string(this->rig.EntryCount()) + " entries, " +
-                       std::to_string(this->rig.NewestVersion()) + " versions;";
-    for (const auto& [name, count] : this->fault_counts) {
-      text += " " + name + "=" + std::to_string(count);
-    }
-    return text;
+    return std::to_string(this->rig.EntryCount()) + " entries, " +
+           std::to_string(this->rig.NewestVersion()) + " versions;" +
+           this->faults.ToText();
   }
 
  private:
@@ -100,7 +95,7 @@
     } else if (kind <= 95) {
       this->Restart(entry, this->dice.Chance(50) ? SIGKILL : SIGTERM);
     } else {
-      this->Count("reload", 0);
+      this->faults.Add("reload", 0);
       this->rig.Entry(entry).Signal(SIGHUP);
     }
   }
@@ -112,7 +107,7 @@
                                                    "store_reset", "store_cut"};
     const auto index = static_cast<std::size_t>(this->dice.Draw({0, 3}));
     const int length_ms = this->dice.Draw(kStoreTroubleMs);
-    this->Count(kNames.at(index), length_ms);
+    this->faults.Add(kNames.at(index), length_ms);
     this->rig.StoreLink(entry).SetState(kStates.at(index));
     review::Later(&this->rig, length_ms, [this, entry] {
       this->rig.StoreLink(entry).SetState(LinkState::kOpen);
@@ -121,7 +116,7 @@
 
   void Partition(int entry) {
     const int length_ms = this->dice.Draw(kPartitionMs);
-    this->Count("partition", length_ms);
+    this->faults.Add("partition", length_ms);
     this->rig.SetAllLinks(entry, LinkState::kCut);
     review::Later(&this->rig, length_ms, [this, entry] {
       this->rig.SetAllLinks(entry, LinkState::kOpen);
@@ -130,7 +125,7 @@
 
   void Pause(int entry) {
     const int length_ms = this->dice.Draw(kPausedMs);
-    this->Count("paused", length_ms);
+    this->faults.Add("paused", length_ms);
     this->rig.Entry(entry).Signal(SIGSTOP);
     review::Later(&this->rig, length_ms,
                   [this, entry] { this->rig.Entry(entry).Signal(SIGCONT); });
@@ -143,20 +138,14 @@
     // A process that stops gracefully serves callers for some seconds.
     constexpr int kStopMs = 6000;
     const int down_ms = this->dice.Draw(kDownMs);
-    this->Count(signal == SIGKILL ? "killed" : "stopped",
-                down_ms + (signal == SIGKILL ? 0 : kStopMs));
+    this->faults.Add(signal == SIGKILL ? "killed" : "stopped",
+                     down_ms + (signal == SIGKILL ? 0 : kStopMs));
     this->rig.Entry(entry).Restart(&this->rig, signal, down_ms);
   }
 
-  void Count(const std::string& name, int length_ms) {
-    ++this->fault_counts[name];
-    this->last_repair_ms = std::max(this->last_repair_ms, NowMs() + length_ms);
-  }
-
   Dice dice;
   ConfigurationRig rig;
-  std::map<std::string, int> fault_counts;
-  std::int64_t last_repair_ms = 0;
+  FaultLog faults;
 };
 
 }  // namespace
@@ -164,24 +153,7 @@
 BOOST_AUTO_TEST_SUITE(ConfigurationSoakTest)
 
 BOOST_AUTO_TEST_CASE(NoEntryAnswersByAnOlderVersion) {
-  const std::uint64_t first =
-      test_support::FromEnvironment("HEMLOCKDOOR_SEED", kDefaultSeed);
-  const std::uint64_t runs =
-      test_support::FromEnvironment("HEMLOCKDOOR_SOAK_RUNS", kDefaultRuns);
-  for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-    const std::int64_t begin = NowMs();
-    BOOST_TEST_CONTEXT("seed " << seed) {
-      ConfigurationPlay play(seed);
-      const std::string fault = play.Run();
-      BOOST_TEST(fault.empty(), fault);
-      std::printf("seed %llu: %s in %lld ms; %s\n",
-                  static_cast<unsigned long long>(seed),
-                  fault.empty() ? "passed" : "FAILED",
-                  static_cast<long long>(NowMs() - begin),
-                  play.Summary().c_str());
-      std::fflush(stdout);
-    }
-  }
+  PlaySeeds<ConfigurationPlay>(kDefaultSeed, kDefaultRuns);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/worker_restart_soak_test.cc
+++ b/tests/soak/worker_restart_soak_test.cc
@@ -8,13 +8,11 @@
 // does not, so a failing seed may pass when it is played again.
 #include <signal.h>
 
-#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <cstdio>
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <stdexcept>
@@ -24,9 +22,10 @@
 #include "review/support/checks.h"
 #include "review/support/deployment.h"
 #include "tests/soak/dice.h"
+#include "tests/soak/fault_log.h"
 #include "tests/soak/play_folder.h"
+#include "tests/soak/seeded_plays.h"
 #include "tests/soak/worker_host.h"
-#include "tests/support/environment.h"
 
 namespace hemlockdoor::soak {
 
@@ -86,13 +85,8 @@
     this->folder.Keep();
     return report;
   }
-  std::size_t JobCount() const { return this->jobs.size(); }
-  std::string Faults() const {
-    std::string text;
-    for (const auto& [name, count] : this->fault_counts) {
-      text += " " + name + "=" + std::to_string(count);
-    }
-    return text;
+  std::string Summary() const {
+    return std::to_string(this->jobs.size()) + " jobs;" + this->faults.ToText();
   }
 
  private:
@@ -165,7 +159,7 @@
       this->InjectFault(dice);
     }
     this->faults_on = false;
-    review::Run(std::max<std::int64_t>(0, this->faults_end_ms - NowMs()));
+    this->faults.AwaitEnd();
   }
 
   void SubmitUntil(std::int64_t end) {
@@ -207,8 +201,8 @@
     const bool keeps_listening = dice.Chance(50);
     const int down_ms = dice.Draw(kWorkerDownMs);
     const int delay_ms = dice.Draw(kAnnouncementDelayMs);
-    this->Count(keeps_listening ? "worker_crash_backlog" : "worker_crash",
-                down_ms + delay_ms);
+    this->faults.Add(keeps_listening ? "worker_crash_backlog" : "worker_crash",
+                     down_ms + delay_ms);
     host.Crash(keeps_listening);
     Later(&this->deployment, down_ms,
           [&host, delay_ms] { host.Start(delay_ms); });
@@ -216,7 +210,7 @@
 
   void PauseAgent(review::Process& agent, Dice& dice) {
     const int paused_ms = dice.Draw(kAgentPausedMs);
-    this->Count("agent_paused", paused_ms);
+    this->faults.Add("agent_paused", paused_ms);
     agent.Signal(SIGSTOP);
     Later(&this->deployment, paused_ms, [&agent] { agent.Signal(SIGCONT); });
   }
@@ -228,15 +222,10 @@
       return;
     }
     const int down_ms = dice.Draw(kProcessDownMs);
-    this->Count(name, down_ms);
+    this->faults.Add(name, down_ms);
     process.Restart(&this->deployment, SIGKILL, down_ms);
   }
 
-  void Count(const std::string& name, int length_ms) {
-    ++this->fault_counts[name];
-    this->faults_end_ms = std::max(this->faults_end_ms, NowMs() + length_ms);
-  }
-
   /// Leaves in `open_jobs` the accepted jobs that have not ended in time.
   void AwaitJobs() {
     for (const auto& job : this->jobs) {
@@ -284,9 +273,8 @@
   std::vector<std::unique_ptr<WorkerHost>> hosts;
   std::vector<std::shared_ptr<review::Submission>> jobs;
   std::set<std::string> open_jobs;
-  std::map<std::string, int> fault_counts;
+  FaultLog faults;
   bool faults_on = false;
-  std::int64_t faults_end_ms = 0;
 };
 
 }  // namespace
@@ -294,24 +282,7 @@
 BOOST_AUTO_TEST_SUITE(WorkerRestartSoakTest)
 
 BOOST_AUTO_TEST_CASE(RestartedWorkersRunNoTaskTwice) {
-  const std::uint64_t first =
-      test_support::FromEnvironment("HEMLOCKDOOR_SEED", kDefaultSeed);
-  const std::uint64_t runs =
-      test_support::FromEnvironment("HEMLOCKDOOR_SOAK_RUNS", kDefaultRuns);
-  for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-    const std::int64_t begin = NowMs();
-    BOOST_TEST_CONTEXT("seed " << seed) {
-      Play play(seed);
-      const std::string fault = play.Run();
-      BOOST_TEST(fault.empty(), fault);
-      std::printf("seed %llu: %s in %lld ms; %zu jobs;%s\n",
-                  static_cast<unsigned long long>(seed),
-                  fault.empty() ? "passed" : "FAILED",
-                  static_cast<long long>(NowMs() - begin), play.JobCount(),
-                  play.Faults().c_str());
-      std::fflush(stdout);
-    }
-  }
+  PlaySeeds<Play>(kDefaultSeed, kDefaultRuns);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
