--- a/tests/soak/configuration_rig.h
+++ b/tests/soak/configuration_rig.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <QObject>
+#include <QTimer>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -41,10 +42,6 @@
   int PlannerIndex() const {
     return static_cast<int>(this->deployment.Planner());
   }
-  /// The link between two entries.
-  NetworkLink& PeerLink(int from, int to) {
-    return *this->peer_links.at({from, to});
-  }
   /// The link from an entry to the store.
   NetworkLink& StoreLink(int entry) { return *this->store_links.at(entry); }
   /// Sets all links of an entry: to the store, to other entries and from them.
@@ -55,12 +52,8 @@
   void ChangeConfiguration();
   std::uint64_t NewestVersion() const { return this->version; }
 
-  /// Returns whether the entry has shown that it uses the newest version.
-  bool UsesNewestVersion(int entry) const {
-    return this->seen_versions.at(entry) == this->version;
-  }
-  /// Runs until all entries use the newest version; false if they do not within
-  /// `limit_ms`.
+  /// Runs until all entries have shown that they use the newest version; false
+  /// if they do not within `limit_ms`.
   bool AwaitNewestVersion(std::int64_t limit_ms);
 
   /// What was noted; empty if no answer was wrong.
