--- a/tests/soak/lasting_caller.cc
+++ b/tests/soak/lasting_caller.cc
@@ -22,6 +22,11 @@
   QObject::connect(&this->socket, &QTcpSocket::disconnected, this, lose);
 }
 
+LastingCaller::~LastingCaller() {
+  // The socket reports its end when it is destroyed, after `pending`.
+  this->socket.disconnect(this);
+}
+
 void LastingCaller::Send(const review::Request& request, Done done) {
   if (this->pending) {
     return;
--- a/tests/soak/lasting_caller.h
+++ b/tests/soak/lasting_caller.h
@@ -18,6 +18,10 @@
   using Done = std::function<void(int status, std::string body)>;
 
   LastingCaller(std::string address, std::uint16_t port);
+  /// Does not call the `done` of a request that is awaited.
+  ~LastingCaller() override;
+  LastingCaller(const LastingCaller&) = delete;
+  LastingCaller& operator=(const LastingCaller&) = delete;
 
   /// Sends a request, unless the answer to the former one is awaited. `done`
   /// gets the status, or `review::kNoAnswer`.
--- a/tests/soak/network_link.cc
+++ b/tests/soak/network_link.cc
@@ -113,6 +113,9 @@
 }
 
 void NetworkLink::OnClientBytes(QTcpSocket* client, QTcpSocket* target) {
+  if (!client->isOpen()) {
+    return;
+  }
   if (client->property(kIsDead).toBool()) {
     client->readAll();
     return;
@@ -128,6 +131,9 @@
 }
 
 void NetworkLink::OnTargetBytes(QTcpSocket* client, QTcpSocket* target) {
+  if (!client->isOpen() || !target->isOpen()) {
+    return;
+  }
   if (client->property(kIsDead).toBool()) {
     target->readAll();
   } else if (this->state == LinkState::kOpen) {
