Failing test: a large configuration does not reach an entry behind a slow link

Callers saw 404 for routes of a version acknowledged over 3 s before (users' record).

The test limits what one entry receives to 10 Mbit/s and changes a configuration of 4,200 routes eight times at different moments of its watch.

--- a/tests/soak/configuration_lag_test.cc
+++ b/tests/soak/configuration_lag_test.cc
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr int kEntries = 3;
+/// Routes of a configuration of about 1 MB in the store's encoding.
+constexpr int kManyRoutes = 4200;
+/// A link of 10 Mbit/s.
+constexpr std::int64_t kSlowLinkBytesPerSecond = 1'250'000;
 /// An entry that a change has not reached.
 constexpr int kLate = 1;
 /// Time from the request of a caller to its answer.
@@ -62,6 +66,24 @@
   }
 }
 
+// Guards against transfers of a large configuration that are given up and begun
+// anew for ever. A single entry learns from nobody else.
+BOOST_AUTO_TEST_CASE(ALargeConfigurationReachesAnEntryBehindASlowLink) {
+  ConfigurationRig rig(1);
+  rig.Start();
+  rig.LimitBandwidth(rig.PlannerIndex(), kSlowLinkBytesPerSecond);
+  rig.SetFurtherRoutes(kManyRoutes);
+  for (int change = 0; change < 8; ++change) {
+    rig.ChangeConfiguration();
+    BOOST_TEST(rig.AwaitNewestVersion(ConfigurationRig::kBoundMs + kCallerMs),
+               "change " << change << " is not in force in time");
+    // A change may come at any moment of the entry's wait for the next one.
+    constexpr std::int64_t kPauseStepMs = 150;
+    review::Run(kPauseStepMs * (change + 3));
+  }
+  RequireNoViolation(rig);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hemlockdoor::soak
--- a/tests/soak/configuration_rig.cc
+++ b/tests/soak/configuration_rig.cc
@@ -1,6 +1,8 @@
 #include "tests/soak/configuration_rig.h"
 
+#include <QString>
 #include <algorithm>
+#include <random>
 
 #include "platform/testing/operator_configuration.h"
 
@@ -36,6 +38,13 @@
   return "key-" + std::to_string(version);
 }
 
+/// Returns a name without a pattern, like those that operators' tools draw.
+std::string DrawnName(int number) {
+  constexpr int kBase = 36;
+  std::mt19937 random(static_cast<std::mt19937::result_type>(number));
+  return QString::number(random(), kBase).toStdString();
+}
+
 std::pair<std::string, std::uint16_t> SplitEndpoint(const std::string& text) {
   const std::size_t colon = text.find(':');
   return {text.substr(0, colon),
@@ -97,6 +106,18 @@
   }
 }
 
+void ConfigurationRig::LimitBandwidth(int entry,
+                                      std::int64_t bytes_per_second) {
+  this->bandwidths[entry] = std::make_unique<LinkBandwidth>(bytes_per_second);
+  LinkBandwidth& shared = *this->bandwidths[entry];
+  this->StoreLink(entry).SetBandwidth(shared);
+  for (const auto& [ends, link] : this->peer_links) {
+    if (ends.first == entry) {
+      link->SetBandwidth(shared);
+    }
+  }
+}
+
 void ConfigurationRig::ChangeConfiguration() {
   ++this->version;
   this->deployment.store->Put(platform::testing::kConfigurationKey,
@@ -119,6 +140,9 @@
     configuration.queues.push_back(QueueOf(each));
     configuration.keys.push_back(KeyOf(each));
   }
+  for (int number = 0; number < this->further_routes; ++number) {
+    configuration.queues.push_back(DrawnName(number));
+  }
   return platform::testing::ToText(configuration);
 }
 
--- a/tests/soak/configuration_rig.h
+++ b/tests/soak/configuration_rig.h
@@ -48,6 +48,10 @@
   void SetAllLinks(int entry, LinkState state);
   /// Opens all links.
   void OpenAllLinks();
+  /// Limits what an entry receives from the store and the entries together.
+  void LimitBandwidth(int entry, std::int64_t bytes_per_second);
+  /// Sets the number of further routes of the versions to come.
+  void SetFurtherRoutes(int count) { this->further_routes = count; }
   /// Writes the next version as the operator.
   void ChangeConfiguration();
   std::uint64_t NewestVersion() const { return this->version; }
@@ -92,6 +96,7 @@
   int entry_count;
   PlayFolder folder;
   review::Deployment deployment;
+  std::map<int, std::unique_ptr<LinkBandwidth>> bandwidths;
   std::map<int, std::unique_ptr<NetworkLink>> store_links;
   /// By the entries from and to which they lead.
   std::map<std::pair<int, int>, std::unique_ptr<NetworkLink>> peer_links;
@@ -99,6 +104,7 @@
   std::vector<std::pair<std::string, std::uint16_t>> callers;
   std::map<int, std::unique_ptr<LastingCaller>> lasting_callers;
   std::uint64_t version = 1;
+  int further_routes = 0;
   /// When each version was acknowledged.
   std::map<std::uint64_t, std::int64_t> acknowledged_ms;
   std::map<int, std::uint64_t> seen_versions;
--- a/tests/soak/network_link.cc
+++ b/tests/soak/network_link.cc
@@ -136,6 +136,8 @@
   }
   if (client->property(kIsDead).toBool()) {
     target->readAll();
+  } else if (this->state == LinkState::kOpen && this->bandwidth != nullptr) {
+    this->bandwidth->Pass(client, target->readAll());
   } else if (this->state == LinkState::kOpen) {
     client->write(target->readAll());
   }
--- a/tests/soak/network_link.h
+++ b/tests/soak/network_link.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "tests/soak/link_bandwidth.h"
+
 namespace hemlockdoor::soak {
 
 /// What a link does with connections and requests.
@@ -36,6 +38,9 @@
   std::string Endpoint() const;
   void SetState(LinkState new_state);
   LinkState State() const { return this->state; }
+  /// From now on what the target sends passes through `shared`, which must
+  /// outlive this link.
+  void SetBandwidth(LinkBandwidth& shared) { this->bandwidth = &shared; }
 
  private:
   /// Connections that the listener keeps waiting; further attempts hang.
@@ -49,6 +54,8 @@
   std::string target_address;
   std::uint16_t target_port;
   LinkState state = LinkState::kOpen;
+  /// nullptr while the bandwidth is not limited.
+  LinkBandwidth* bandwidth = nullptr;
   QTcpServer server;
   /// Connections that fill the listener's queue while the link is cut.
   std::vector<std::unique_ptr<QTcpSocket>> fillers;
