--- a/modules/batch/planner/job_state.h
+++ b/modules/batch/planner/job_state.h
@@ -29,8 +29,10 @@
   /// not list the run proves that it is over. 0 if the start has not been sent,
   /// or if an earlier planner sent it.
   std::uint64_t batch = 0;
-  /// The start has been sent to the agent.
+  /// The start has been sent to the agent, and when; the time is that of the
+  /// first report of an adopted run.
   bool sent = false;
+  core::TimePoint sent_at;
   /// The worker has confirmed the start.
   bool confirmed = false;
   /// The start was sent to an earlier process of the agent, which did not
--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -21,6 +21,9 @@
 constexpr core::Duration kCheckpointPeriod = core::Duration::Milliseconds(1000);
 /// Interval after which a stop is ordered again if the run has not ended.
 constexpr core::Duration kStopRetry = core::Duration::Milliseconds(1500);
+/// Time between the orders for the first and the last member of a gang from
+/// which on it is logged. Members wait for each other for 3 s or more.
+constexpr core::Duration kSlowGangOrders = core::Duration::Milliseconds(500);
 /// Pause before a unit is placed again after its start was rejected.
 constexpr core::Duration kRejectionBackoff = core::Duration::Milliseconds(150);
 /// A call with orders normally ends within a second, with or without an answer.
@@ -589,10 +592,55 @@
   unit.reserved_by_preemption = false;
 }
 
-void Planner::OnMembersRemoved(Job& job, Unit& unit, core::TimePoint now) {
-  if (IsIncompleteGang(job, unit)) {
-    this->StopUnit(unit);
+void Planner::StopIncompleteGang(const Job& job,
+                                 Unit& unit,
+                                 core::TimePoint now) {
+  if (!IsIncompleteGang(job, unit)) {
+    return;
+  }
+  const auto first =
+      std::min_element(unit.members.begin(), unit.members.end(),
+                       [](const UnitMember& left, const UnitMember& right) {
+                         return left.since < right.since;
+                       });
+  const bool is_stopped =
+      std::all_of(unit.members.begin(), unit.members.end(),
+                  [](const UnitMember& each) { return each.stop_requested; });
+  if (first != unit.members.end() && !is_stopped) {
+    this->LogDecision(
+        "gang_stopped", job.record.spec.id,
+        "task=" + job.NameOf(unit, unit.first).ToText() +
+            " run=" + Text(first->run) +
+            " members=" + Text(static_cast<std::int64_t>(unit.members.size())) +
+            " size=" + Text(unit.size) +
+            " placed_ms=" + Text((now - first->since).InMilliseconds()));
+  }
+  this->StopUnit(unit);
+}
+
+void Planner::LogSlowGangOrders(const Job& job,
+                                const Unit& unit,
+                                core::TimePoint now) {
+  core::TimePoint first_sent = now;
+  for (const UnitMember& member : unit.members) {
+    if (!member.sent) {
+      return;
+    }
+    first_sent = std::min(first_sent, member.sent_at);
   }
+  const bool is_ordered_now = std::any_of(
+      unit.members.begin(), unit.members.end(),
+      [now](const UnitMember& each) { return each.sent_at == now; });
+  if (is_ordered_now && now - first_sent >= kSlowGangOrders) {
+    this->LogDecision("gang_ordered_slowly", job.record.spec.id,
+                      "task=" + job.NameOf(unit, unit.first).ToText() +
+                          " run=" + Text(unit.highest_run) + " spread_ms=" +
+                          Text((now - first_sent).InMilliseconds()));
+  }
+}
+
+void Planner::OnMembersRemoved(Job& job, Unit& unit, core::TimePoint now) {
+  this->StopIncompleteGang(job, unit, now);
   if (unit.members.empty()) {
     unit.ready_since = now;
   }
@@ -650,6 +698,7 @@
       found_member.index = task.index;
       found_member.run = active.key.run;
       found_member.sent = true;
+      found_member.sent_at = now;
       found_member.adopted = true;
       found_member.since = now;
       found_member.stop_requested = !job.IsOpen() ||
@@ -1073,7 +1122,7 @@
   this->RecountUsage();
   this->SumGuaranteedNeeds();
   if (!this->IsRecovering(now)) {
-    this->CheckGangs();
+    this->CheckGangs(now);
   }
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
@@ -1201,12 +1250,10 @@
   this->backfill_limit.SetUsage(accelerators, backfill_accelerators);
 }
 
-void Planner::CheckGangs() {
+void Planner::CheckGangs(core::TimePoint now) {
   for (auto& [id, job] : this->jobs) {
     for (Unit& unit : job.units) {
-      if (IsIncompleteGang(job, unit)) {
-        this->StopUnit(unit);
-      }
+      this->StopIncompleteGang(job, unit, now);
     }
   }
 }
@@ -1509,6 +1556,7 @@
             batches[member->agent].starts.push_back(
                 {key, job.record.spec.payload, member->started_from, ""});
             member->sent = true;
+            member->sent_at = now;
             member->batch = number;
             // The batch is addressed to the worker's present incarnation, which
             // may have begun since the placement.
@@ -1522,6 +1570,9 @@
         }
         ++member;
       }
+      if (job.StepOf(unit).gang) {
+        this->LogSlowGangOrders(job, unit, now);
+      }
     }
   }
   for (auto& [agent, view] : this->fleet) {
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -321,7 +321,11 @@
   /// Makes blocked units ready that are due and whose earlier steps are done.
   void UpdatePhases(core::TimePoint now, std::int64_t wall_ms);
   /// Stops gangs of which some members are missing.
-  void CheckGangs();
+  void CheckGangs(core::TimePoint now);
+  /// Stops the rest of the unit if it is a gang with missing members.
+  void StopIncompleteGang(const Job& job, Unit& unit, core::TimePoint now);
+  /// Logs that the last member of a gang was ordered long after the first.
+  void LogSlowGangOrders(const Job& job, const Unit& unit, core::TimePoint now);
   /// Stops runs on draining workers that would not end before their worker
   /// leaves, if they can continue elsewhere or can start again elsewhere in
   /// time.
--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -60,6 +60,8 @@
   bool too_large = false;
   /// Qt has sent the whole request at least once.
   bool sent = false;
+  /// Bytes of the response body until the time limit.
+  qint64 received_bytes = 0;
 };
 
 /// Returns true if the request certainly did not reach the peer.
@@ -89,7 +91,8 @@
         core::ErrorCode::kTimeout,
         (exchange.sent ? "no complete response from " + peer
                        : "no connection to send the request to " + peer) +
-            " within the time limit of the call");
+            " within the time limit of the call, " +
+            std::to_string(exchange.received_bytes) + " bytes received");
   }
   // Qt error codes from ContentAccessDenied (201) up stand for HTTP statuses,
   // which this client reports as responses.
@@ -231,6 +234,7 @@
                    });
   QObject::connect(timer, &QTimer::timeout, reply, [reply, exchange] {
     exchange->timed_out = true;
+    exchange->received_bytes = reply->bytesAvailable();
     reply->abort();
   });
   QObject::connect(
