--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -225,13 +225,22 @@
   QObject::connect(reply, &QNetworkReply::requestSent, owner,
                    [exchange] { exchange->sent = true; });
   const auto max_bytes = static_cast<qint64>(call.max_response_bytes);
-  QObject::connect(reply, &QNetworkReply::readyRead, owner,
-                   [reply, exchange, max_bytes] {
-                     if (reply->bytesAvailable() > max_bytes) {
-                       exchange->too_large = true;
-                       reply->abort();
-                     }
-                   });
+  const core::TimePoint transfer_end = core::Clock::Now() + call.max_transfer;
+  QObject::connect(
+      reply, &QNetworkReply::readyRead, owner,
+      [reply, exchange, max_bytes, timer, transfer_end,
+       timeout = call.timeout] {
+        if (reply->bytesAvailable() > max_bytes) {
+          exchange->too_large = true;
+          reply->abort();
+          return;
+        }
+        const core::Duration left = transfer_end - core::Clock::Now();
+        if (left.InMilliseconds() > timer->remainingTime()) {
+          timer->start(
+              static_cast<int>(std::min(timeout, left).InMilliseconds()));
+        }
+      });
   QObject::connect(timer, &QTimer::timeout, reply, [reply, exchange] {
     exchange->timed_out = true;
     exchange->received_bytes = reply->bytesAvailable();
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -37,6 +37,10 @@
   /// response. An `HttpStream` applies it to the first data of the response
   /// only.
   core::Duration timeout = core::Duration::Seconds(2);
+  /// If longer than `timeout`, `timeout` begins anew whenever data of the
+  /// response arrives, and this limits the whole exchange. For responses whose
+  /// size the caller does not choose. Ignored by an `HttpStream`.
+  core::Duration max_transfer;
   /// When true, the request is sent at most once. By default Qt sends a request
   /// again, whatever its method, when the peer closes the connection before
   /// answering. A request that starts non-repeatable work must set this.
@@ -59,7 +63,7 @@
   /// - kUnavailable: the request certainly did not reach the peer (connection
   ///   refused or host not found, and nothing sent).
   /// - kTimeout: the peer may have received the request (no response within
-  ///   `HttpCall::timeout`, or connection lost).
+  ///   `HttpCall::timeout` or `max_transfer`, or connection lost).
   /// - kTooLarge: the response exceeds `HttpCall::max_response_bytes`.
   using Done = std::function<void(core::Expected<HttpResponse>)>;
 
--- a/modules/wire/client/http_client_test.cc
+++ b/modules/wire/client/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "modules/wire/loop/run_later.h"
 #include "modules/wire/server/http_server.h"
 #include "modules/wire/testing/wait_for.h"
 
@@ -29,6 +30,20 @@
   return *answer;
 }
 
+constexpr std::size_t kLargeBodyBytes = 500'000;
+
+/// A server that answers each request with a body of `kLargeBodyBytes`.
+std::unique_ptr<HttpServer> ServeLargeBody() {
+  auto server = HttpServer::Listen(
+      "127.0.0.1", 0, {}, [](const HttpRequest&, HttpResponder responder) {
+        HttpResponse response;
+        response.body = std::string(kLargeBodyBytes, 'x');
+        responder.Respond(std::move(response));
+      });
+  BOOST_REQUIRE(server.has_value());
+  return std::move(*server);
+}
+
 /// A peer that reads each request and closes the connection without answering.
 class ClosingPeer {
  public:
@@ -283,24 +298,49 @@
 
 // Guards against a response that exhausts the memory of this process.
 BOOST_AUTO_TEST_CASE(ResponseAboveItsLimitIsCutOff) {
-  auto server = HttpServer::Listen(
-      "127.0.0.1", 0, {}, [](const HttpRequest&, HttpResponder responder) {
-        HttpResponse response;
-        response.body.assign(500'000, 'x');
-        responder.Respond(std::move(response));
-      });
-  BOOST_REQUIRE(server.has_value());
+  const auto server = ServeLargeBody();
   HttpClient client;
   HttpCall call;
-  call.endpoint = {"127.0.0.1", (*server)->Port()};
-  call.max_response_bytes = 500'000;
+  call.endpoint = {"127.0.0.1", server->Port()};
+  call.max_response_bytes = kLargeBodyBytes;
   BOOST_TEST(SendAndWait(client, call).has_value());
-  call.max_response_bytes = 499'999;
+  call.max_response_bytes = kLargeBodyBytes - 1;
   const Answer answer = SendAndWait(client, call);
   BOOST_REQUIRE(!answer.has_value());
   BOOST_TEST((answer.error().code == core::ErrorCode::kTooLarge));
 }
 
+// Guards against a large response that is cut off and asked for again for ever
+// because a slow link needs longer for it than the limit on silence.
+BOOST_AUTO_TEST_CASE(AResponseThatKeepsArrivingOutlastsTheTimeout) {
+  constexpr int kPieces = 10;
+  constexpr int kPieceMs = 60;
+  QTcpServer slow;
+  slow.listen(QHostAddress::LocalHost);
+  QObject::connect(&slow, &QTcpServer::newConnection, [&slow] {
+    QTcpSocket* socket = slow.nextPendingConnection();
+    QObject::connect(socket, &QTcpSocket::readyRead, [socket] {
+      socket->readAll();
+      socket->write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+      for (int piece = 0; piece < kPieces; ++piece) {
+        RunLater(socket, core::Duration::Milliseconds(piece * kPieceMs),
+                 [socket] { socket->write("x"); });
+      }
+    });
+  });
+  HttpClient client;
+  HttpCall call;
+  call.endpoint = {"127.0.0.1", slow.serverPort()};
+  call.timeout = core::Duration::Milliseconds(4 * kPieceMs);
+  BOOST_TEST(!SendAndWait(client, call).has_value());
+  call.max_transfer = core::Duration::Milliseconds(2 * kPieces * kPieceMs);
+  const Answer answer = SendAndWait(client, call);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->body == std::string(kPieces, 'x'));
+  call.max_transfer = core::Duration::Milliseconds(kPieces * kPieceMs / 2);
+  BOOST_TEST(!SendAndWait(client, call).has_value());
+}
+
 // Guards against a call that never ends because the peer accepts the connection
 // but sends no response.
 BOOST_AUTO_TEST_CASE(SilentPeerEndsInTimeout) {
