Compress large responses between processes

An entry behind a slow link gets a configuration from its peers, too, each copy as large as the one from the store, and so do relayed reads. The limit on the size of a response also holds for the decoded body.

--- a/modules/wire/client/http_client.cc
+++ b/modules/wire/client/http_client.cc
@@ -248,12 +248,15 @@
   });
   QObject::connect(
       reply, &QNetworkReply::finished, owner,
-      [owner, reply, exchange, connections, endpoint = call.endpoint,
+      [owner, reply, exchange, connections, max_bytes, endpoint = call.endpoint,
        callback = std::move(done)] {
         owner->pool.Release(endpoint, connections,
                             exchange->timed_out
                                 ? detail::ConnectionPool::CallEnd::kTimedOut
                                 : detail::ConnectionPool::CallEnd::kAnswered);
+        // The size of a compressed body is known once it is decoded.
+        exchange->too_large =
+            exchange->too_large || reply->bytesAvailable() > max_bytes;
         core::Expected<HttpResponse> response = ToResponse(reply, *exchange);
         owner->bytes_moved += response ? response->body.size() : 0;
         reply->deleteLater();
--- a/modules/wire/client/http_client.h
+++ b/modules/wire/client/http_client.h
@@ -55,7 +55,8 @@
 /// Sends requests from the thread that owns the client. Qt runs at most six
 /// exchanges with one endpoint at a time, so a long-running call (a watch, a
 /// long poll) needs a client of its own. After a call has timed out, later
-/// calls to its endpoint use new connections.
+/// calls to its endpoint use new connections. Peers may compress responses
+/// (RFC 9110, section 8.4); callers get them decoded.
 class HttpClient {
  public:
   /// Receives the response or an error. A response with any HTTP status counts
--- a/modules/wire/client/http_client_test.cc
+++ b/modules/wire/client/http_client_test.cc
@@ -341,6 +341,37 @@
   BOOST_TEST(!SendAndWait(client, call).has_value());
 }
 
+// Guards against large responses that fill slow links between entries.
+BOOST_AUTO_TEST_CASE(LargeResponsesAreCompressedOnTheWay) {
+  const auto server = ServeLargeBody();
+  HttpClient client;
+  HttpCall call;
+  call.endpoint = {"127.0.0.1", server->Port()};
+  const Answer answer = SendAndWait(client, call);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->body == std::string(kLargeBodyBytes, 'x'));
+
+  for (const std::string encodings : {"gzip, deflate", "gzip", "identity"}) {
+    QTcpSocket plain;
+    plain.connectToHost(QHostAddress::LocalHost, server->Port());
+    plain.write(("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                 "Accept-Encoding: " +
+                 encodings + "\r\n\r\n")
+                    .c_str());
+    std::string received;
+    QObject::connect(&plain, &QTcpSocket::readyRead, [&plain, &received] {
+      received += plain.readAll().toStdString();
+    });
+    BOOST_TEST(testing::WaitFor([&plain] {
+      return plain.state() == QAbstractSocket::UnconnectedState;
+    }));
+    const bool is_compressed = encodings == "gzip, deflate";
+    BOOST_TEST((received.find("Content-Encoding: deflate") !=
+                std::string::npos) == is_compressed);
+    BOOST_TEST((received.size() < kLargeBodyBytes / 10) == is_compressed);
+  }
+}
+
 // Guards against a call that never ends because the peer accepts the connection
 // but sends no response.
 BOOST_AUTO_TEST_CASE(SilentPeerEndsInTimeout) {
--- a/modules/wire/server/http_connection.cc
+++ b/modules/wire/server/http_connection.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "modules/wire/loop/run_later.h"
+#include "modules/wire/server/response_compression.h"
 
 namespace hemlockdoor::wire::detail {
 
@@ -314,6 +315,7 @@
   this->phase = Phase::kHandling;
   this->parser.reset();
   ++this->request_number;
+  this->accepts_deflate = AcceptsDeflate(this->request.headers);
   this->context->on_request(std::move(this->request), this->shared_from_this());
   Free(this->request);
 }
@@ -323,6 +325,15 @@
 }
 
 bool HttpConnection::TryAnswer(HttpResponse& response) {
+  if (this->accepts_deflate) {
+    if (std::optional<HttpResponse> smaller = Compress(response)) {
+      return this->TrySend(*smaller);
+    }
+  }
+  return this->TrySend(response);
+}
+
+bool HttpConnection::TrySend(HttpResponse& response) {
   const bool is_small =
       response.body.size() <= this->context->limits.small_body_bytes;
   ByteBudget& budget =
--- a/modules/wire/server/http_connection.h
+++ b/modules/wire/server/http_connection.h
@@ -99,6 +99,7 @@
   void StartReadingBody();
   void Dispatch();
   void BeginNextRequest();
+  bool TrySend(HttpResponse& response);
   void Send(HttpResponse response, bool keeps_alive);
   void WriteMore();
   bool WriteAll(const std::string& text, std::size_t& offset);
@@ -122,6 +123,7 @@
   std::size_t body_bytes = 0;
   std::size_t wanted_share_bytes = 0;
   bool request_keeps_alive = true;
+  bool accepts_deflate = false;
   std::uint64_t request_number = 0;
 
   std::string output_head;
