Fetch the configuration from one peer at a time

Peers are now asked for versions only; the content is fetched from one of them, limited by progress, and others that know more are asked afterwards. An answer without the content of a later version confirms nothing.

TheContentIsFetchedFromOnePeerAtATime: the content arrives once.

--- a/modules/batch/model/operator_snapshot.cc
+++ b/modules/batch/model/operator_snapshot.cc
@@ -109,22 +109,25 @@
   return is_changed;
 }
 
-std::string ToText(const SnapshotSummary& summary) {
-  return model::DumpJson(ToJson(summary));
+std::string ToText(const SnapshotRequest& request) {
+  nlohmann::json document = ToJson(request.summary);
+  document["accepts_content"] = request.accepts_content;
+  return model::DumpJson(document);
 }
 
-core::Expected<SnapshotSummary> SnapshotSummaryFromText(
+core::Expected<SnapshotRequest> SnapshotRequestFromText(
     const std::string& text) {
   const core::Expected<nlohmann::json> document = ParseObject(text);
   if (!document) {
     return tl::unexpected<core::Error>(document.error());
   }
   model::JsonReader reader(*document, "$");
-  SnapshotSummary summary = ReadSummary(reader);
+  SnapshotRequest request{ReadSummary(reader)};
+  request.accepts_content = reader.OptionalBool("accepts_content", true);
   if (const core::Expected<void> end = reader.FinishLenient(); !end) {
     return tl::unexpected<core::Error>(end.error());
   }
-  return summary;
+  return request;
 }
 
 std::string ToText(const SnapshotAnswer& answer) {
--- a/modules/batch/model/operator_snapshot.h
+++ b/modules/batch/model/operator_snapshot.h
@@ -52,15 +52,23 @@
   OperatorSnapshot::KeyVersions versions;
 };
 
-/// An answer to a summary. The content is absent if the asker's content is the
-/// same or of a later version.
+/// A question of one entry to another.
+struct SnapshotRequest {
+  SnapshotSummary summary;
+  /// The answer may contain content. Entries of an earlier version do not state
+  /// it and mean that it may.
+  bool accepts_content = true;
+};
+
+/// An answer to a request. The content is absent if the asker's content is the
+/// same or of a later version, or if the asker does not accept any.
 struct SnapshotAnswer {
   SnapshotSummary summary;
   std::optional<OperatorSnapshot> content;
 };
 
-std::string ToText(const SnapshotSummary& summary);
-core::Expected<SnapshotSummary> SnapshotSummaryFromText(
+std::string ToText(const SnapshotRequest& request);
+core::Expected<SnapshotRequest> SnapshotRequestFromText(
     const std::string& text);
 std::string ToText(const SnapshotAnswer& answer);
 core::Expected<SnapshotAnswer> SnapshotAnswerFromText(const std::string& text);
--- a/modules/batch/model/operator_snapshot_test.cc
+++ b/modules/batch/model/operator_snapshot_test.cc
@@ -72,8 +72,8 @@
              "{\"a\":\"\xc3\xa9\"}");
   answer.content.reset();
   BOOST_TEST(!SnapshotAnswerFromText(ToText(answer))->content.has_value());
-  BOOST_TEST((SnapshotSummaryFromText(ToText(answer.summary))->versions ==
-              answer.summary.versions));
+  BOOST_TEST((SnapshotRequestFromText(ToText(SnapshotRequest{answer.summary}))
+                  ->summary.versions == answer.summary.versions));
 }
 
 // Another process may answer at the address of a former entry.
--- a/modules/batch/process/configuration_exchange.cc
+++ b/modules/batch/process/configuration_exchange.cc
@@ -86,61 +86,100 @@
 }
 
 void ConfigurationExchange::Ask(const std::string& peer) {
+  if (!this->asked_peers.insert(peer).second) {
+    return;
+  }
+  this->Send(peer, false, [this, peer] { this->asked_peers.erase(peer); });
+}
+
+void ConfigurationExchange::Fetch(const std::string& peer) {
+  if (std::exchange(this->is_fetching, true)) {
+    this->newer_peer = peer;
+    return;
+  }
+  this->Send(peer, true, [this] {
+    this->is_fetching = false;
+    if (const std::string next = std::exchange(this->newer_peer, {});
+        !next.empty()) {
+      // What has just arrived may be all that this peer knows.
+      wire::RunLater(&this->context, core::Duration(),
+                     [this, next] { this->Ask(next); });
+    }
+  });
+}
+
+void ConfigurationExchange::Send(const std::string& peer,
+                                 bool accepts_content,
+                                 std::function<void()> on_end) {
   const core::Expected<wire::Endpoint> address = wire::Endpoint::Parse(peer);
-  if (!address || !this->asked_peers.insert(peer).second) {
+  if (!address) {
+    on_end();
     return;
   }
   wire::HttpCall call;
   call.endpoint = *address;
   call.method = wire::HttpMethod::kPost;
   call.target = internal_api::kConfiguration;
-  call.body = ToText(this->Summary());
+  call.body = ToText(SnapshotRequest{this->Summary(), accepts_content});
   call.timeout = kTimeout;
-  const core::TimePoint sent_at = core::Clock::Now();
+  call.max_transfer = kMaxTransfer;
   this->client.Send(
-      call, [this, peer,
-             sent_at](const core::Expected<wire::HttpResponse>& response) {
-        this->asked_peers.erase(peer);
-        if (!response || response->status != wire::http_status::kOk) {
-          return;
-        }
-        const core::Expected<SnapshotAnswer> answer =
-            SnapshotAnswerFromText(response->body);
-        if (!answer) {
-          observe::Log(
-              observe::LogLevel::kWarn,
-              answer.error().path + ": " + answer.error().message, {},
-              {{"event", "configuration_answer_invalid"}, {"peer", peer}});
-          return;
+      call,
+      [this, peer, sent_at = core::Clock::Now(), on_end = std::move(on_end)](
+          const core::Expected<wire::HttpResponse>& response) {
+        on_end();
+        if (response && response->status == wire::http_status::kOk) {
+          this->OnAnswer(peer, response->body, sent_at);
         }
-        this->handlers.on_answer(*answer, sent_at);
       });
 }
 
+void ConfigurationExchange::OnAnswer(const std::string& peer,
+                                     const std::string& text,
+                                     core::TimePoint sent_at) {
+  const core::Expected<SnapshotAnswer> answer = SnapshotAnswerFromText(text);
+  if (!answer) {
+    observe::Log(observe::LogLevel::kWarn,
+                 answer.error().path + ": " + answer.error().message, {},
+                 {{"event", "configuration_answer_invalid"}, {"peer", peer}});
+  } else if (!answer->content && this->KnowsMore(answer->summary)) {
+    // Without the content, the answer confirms nothing.
+    this->Fetch(peer);
+  } else {
+    this->handlers.on_answer(*answer, sent_at);
+  }
+}
+
+bool ConfigurationExchange::KnowsMore(const SnapshotSummary& summary) const {
+  const OperatorSnapshot& snapshot = this->handlers.snapshot();
+  return summary.revision > snapshot.Revision() &&
+         summary.versions != snapshot.Versions();
+}
+
 bool ConfigurationExchange::HandlePeer(const wire::HttpRequest& request,
                                        const wire::HttpResponder& responder) {
   if (request.path != internal_api::kConfiguration) {
     return false;
   }
   wire::HttpResponse response;
-  const core::Expected<SnapshotSummary> asked =
-      SnapshotSummaryFromText(request.body);
+  const core::Expected<SnapshotRequest> asked =
+      SnapshotRequestFromText(request.body);
   if (!asked) {
     response.status = wire::http_status::kBadRequest;
     responder.Respond(std::move(response));
     return true;
   }
-  this->RememberCaller(asked->endpoint, core::Clock::Now());
+  const SnapshotSummary& asker = asked->summary;
+  this->RememberCaller(asker.endpoint, core::Clock::Now());
   SnapshotAnswer answer{this->Summary(), std::nullopt};
-  if (answer.summary.revision > asked->revision &&
-      answer.summary.versions != asked->versions) {
+  if (asked->accepts_content && answer.summary.revision > asker.revision &&
+      answer.summary.versions != asker.versions) {
     answer.content = this->handlers.snapshot();
   }
   response.body = ToText(answer);
   responder.Respond(std::move(response));
-  if (asked->revision > answer.summary.revision &&
-      asked->versions != answer.summary.versions) {
-    this->Ask(asked->endpoint);
+  if (this->KnowsMore(asker)) {
+    this->Fetch(asker.endpoint);
   }
   return true;
 }
--- a/modules/batch/process/configuration_exchange.h
+++ b/modules/batch/process/configuration_exchange.h
@@ -30,9 +30,10 @@
 
 /// Keeps an entry up to date that the store does not answer, or answers late.
 /// An entry that learns of a change tells its peers, and a peer that is behind
-/// asks for the content. An entry that the store has not confirmed for
-/// `kMaxStoreAge` asks its peers by itself until the store does. (Anti-entropy
-/// and rumour mongering; Demers et al., PODC 1987.)
+/// fetches the content, from one entry at a time: it may be large and the link
+/// slow, and copies would delay each other. An entry that the store has not
+/// confirmed for `kMaxStoreAge` asks its peers by itself until the store does.
+/// (Anti-entropy and rumour mongering; Demers et al., PODC 1987.)
 ///
 /// Peers are those of the settings and entries that have called this one: the
 /// settings name only a few, all of which the store may turn away.
@@ -69,6 +70,9 @@
   static constexpr core::Duration kNotifyDelay =
       core::Duration::Milliseconds(20);
   static constexpr core::Duration kTimeout = core::Duration::Milliseconds(500);
+  /// Limit on a transfer of content that keeps arriving.
+  static constexpr core::Duration kMaxTransfer =
+      core::Duration::Milliseconds(5000);
   /// Most peers that are asked or told at once.
   static constexpr std::size_t kMaxPeersAtOnce = 4;
   /// A peer that has called counts for this long.
@@ -82,7 +86,23 @@
   std::vector<std::string> AllPeers() const;
   /// Asks up to `kMaxPeersAtOnce` peers.
   void AskSeveral();
+  /// Tells a peer what this entry knows and asks what it knows, and fetches the
+  /// content if the peer knows more.
   void Ask(const std::string& peer);
+  /// Fetches the content from a peer that knows more. While another transfer
+  /// runs, the peer is asked again at its end.
+  void Fetch(const std::string& peer);
+  /// Sends a request; `on_end` runs at the end of the call, before its answer
+  /// is used.
+  void Send(const std::string& peer,
+            bool accepts_content,
+            std::function<void()> on_end);
+  void OnAnswer(const std::string& peer,
+                const std::string& text,
+                core::TimePoint sent_at);
+  /// Returns whether the sender of the summary knows changes that this entry
+  /// does not know.
+  bool KnowsMore(const SnapshotSummary& summary) const;
   void RememberCaller(const std::string& caller, core::TimePoint now);
   SnapshotSummary Summary() const;
 
@@ -91,6 +111,10 @@
   ExchangeHandlers handlers;
   wire::HttpClient client;
   std::set<std::string> asked_peers;
+  /// A transfer of content runs.
+  bool is_fetching = false;
+  /// A peer that was found to know more during the transfer; or empty.
+  std::string newer_peer;
   /// Entries that have called, with the time of their latest call.
   std::map<std::string, core::TimePoint> callers;
   std::size_t next_peer = 0;
--- a/modules/batch/process/configuration_exchange_test.cc
+++ b/modules/batch/process/configuration_exchange_test.cc
@@ -24,7 +24,10 @@
         [this](const wire::HttpRequest& request,
                const wire::HttpResponder& responder) {
           ++this->calls;
-          BOOST_TEST(this->exchange->HandlePeer(request, responder));
+          wire::RunLater(
+              &this->context, this->answer_delay, [this, request, responder] {
+                BOOST_TEST(this->exchange->HandlePeer(request, responder));
+              });
         });
     BOOST_REQUIRE(listening.has_value());
     this->server = std::move(*listening);
@@ -37,6 +40,7 @@
             [this](const SnapshotAnswer& answer, core::TimePoint) {
               this->confirmed = true;
               if (answer.content) {
+                ++this->contents;
                 this->snapshot.OnSnapshot(*answer.content);
               }
             }});
@@ -63,9 +67,13 @@
   core::Duration age_at_store;
   bool confirmed = false;
   int calls = 0;
+  /// Answers with content that this entry got.
+  int contents = 0;
+  core::Duration answer_delay;
   std::unique_ptr<ConfigurationExchange> exchange;
 
  private:
+  QObject context;
   std::unique_ptr<wire::HttpServer> server;
 };
 
@@ -102,6 +110,29 @@
   BOOST_TEST(WaitFor([&late] { return late.Version() == 2U; }, kLearnMs));
 }
 
+// Guards against copies of a large configuration from several peers, which
+// delay each other on a slow link until none of them arrives in time.
+BOOST_AUTO_TEST_CASE(TheContentIsFetchedFromOnePeerAtATime) {
+  std::vector<std::unique_ptr<ExchangingEntry>> sound;
+  ExchangingEntry late;
+  late.SetVersion(1);
+  for (int i = 0; i < 4; ++i) {
+    sound.push_back(std::make_unique<ExchangingEntry>());
+    sound.back()->peers = {late.Endpoint()};
+    sound.back()->SetVersion(2);
+    sound.back()->answer_delay = core::Duration::Milliseconds(100);
+    sound.back()->exchange->NotifyPeers();
+  }
+  BOOST_TEST(WaitFor([&late] { return late.Version() == 2U; }, kLearnMs));
+  WaitFor([] { return false; }, kLearnMs);
+  BOOST_TEST(late.contents == 1);
+  // One that knew of a later change meanwhile is asked after the transfer.
+  sound.front()->exchange->NotifyPeers();
+  sound.back()->SetVersion(3);
+  sound.back()->exchange->NotifyPeers();
+  BOOST_TEST(WaitFor([&late] { return late.Version() == 3U; }, kLearnMs));
+}
+
 // Guards against load on the entries while the store serves all of them.
 BOOST_AUTO_TEST_CASE(AnEntryThatTheStoreConfirmsAsksNobody) {
   ExchangingEntry first;
