Failing test: members of a gang that wait in vain, judged by the exploration

The worker model of the exploration now lets members of a gang wait for each other and end alone, as the protocol says, and a run that ends so with no fault in the 3 s before is a violation.

--- a/tests/exploration/batch_exploration_test.cc
+++ b/tests/exploration/batch_exploration_test.cc
@@ -95,6 +95,13 @@
   return scenario;
 }
 
+/// Returns the scenario of the seed with gangs that come near its faults.
+Scenario DrawGangsNearFaults(std::uint64_t seed) {
+  Scenario scenario = DrawScenario(seed);
+  AddGangs(scenario);
+  return scenario;
+}
+
 /// Plays the scenarios that `draw` returns for the seeds of the environment,
 /// without those of `known_red`, until `kMaxFailures` of them have failed.
 template <typename Draw, std::size_t kCount>
@@ -146,6 +153,12 @@
   PlayRange(DrawFailingWorkers, kNoSeeds);
 }
 
+// Gangs that come near planners that end, cut or paused agents and stores that
+// fail. Guards against members that wait for others that nobody starts.
+BOOST_AUTO_TEST_CASE(NoMemberOfAGangWaitsInVain) {
+  PlayRange(DrawGangsNearFaults, kKnownRedSeeds);
+}
+
 // Seeds in which a run is over while a copy of its start has no answer, and its
 // task or gang gets no other start until no copy can arrive any more, 12 s
 // later.
--- a/tests/exploration/simulation.cc
+++ b/tests/exploration/simulation.cc
@@ -50,6 +50,9 @@
 constexpr Duration kUnstableExtension = Duration::Milliseconds(6000);
 constexpr const char* kEvacuationPrefix = "op/evacuate/";
 
+/// Time after a fault for which its effects are allowed; the users' bound.
+constexpr Duration kContact = Duration::Milliseconds(3000);
+
 /// A job that could run must not stand for longer; the users' bound.
 constexpr Duration kIdleBound = Duration::Milliseconds(3000);
 constexpr Duration kIdleCheckPeriod = Duration::Milliseconds(100);
@@ -124,10 +127,28 @@
   verdict.violations.insert(verdict.violations.end(),
                             this->idle_violations.begin(),
                             this->idle_violations.end());
+  this->JudgeGangs(verdict);
   verdict.story = this->witness.Story();
   return verdict;
 }
 
+void Simulation::JudgeGangs(Verdict& verdict) const {
+  for (const auto& [key, ended] : this->witness.Alone()) {
+    const bool is_fault_near = std::any_of(
+        this->scenario.faults.begin(), this->scenario.faults.end(),
+        [this, end = ended](const Fault& fault) {
+          const core::TimePoint begun = this->begin + fault.at;
+          return begun <= end && begun + fault.length + kContact >= end;
+        });
+    if (!is_fault_near) {
+      verdict.violations.push_back(
+          "GANG: run " + std::to_string(key.run) + " of " + key.task.ToText() +
+          " waited for its gang in vain until " +
+          std::to_string((ended - this->begin).InMilliseconds()) + " ms");
+    }
+  }
+}
+
 void Simulation::SendAcross(int index, std::function<void()> deliver) {
   const Agent& agent = this->AgentAt(index);
   const bool is_cut = this->Now() < agent.cut_until;
@@ -360,7 +381,7 @@
       WorkerIdentity{WorkerId("worker-" + std::to_string(index)),
                      this->Now().InMilliseconds()},
       core::DataCentreId(DataCentreName(index)), drift, this->Now(),
-      this->witness, this->broken_gangs);
+      this->witness, this->gangs);
   agent.worker->FailUntil(agent.fails_until);
   agent.worker_started = this->Now();
   this->Note("the worker of " + agent.id.Text() + " starts, born " +
@@ -395,7 +416,7 @@
   JobRecord record = testing::MakeJob("j" + std::to_string(index), {step});
   record.max_attempts = this->scenario.max_attempts;
   record.spec.payload = std::to_string(job.run_time.InMilliseconds()) +
-                        (job.gang ? kGangMark : "");
+                        (job.gang ? kGangMark + std::to_string(job.tasks) : "");
   record.accepted_wall_ms = this->Now().InMilliseconds();
   this->store.jobs.push_back(record);
   if (this->planner) {
--- a/tests/exploration/simulation.h
+++ b/tests/exploration/simulation.h
@@ -159,6 +159,9 @@
               std::function<bool()> apply,
               CommitDone done);
   bool AllJobsCompleted() const;
+  /// Judges by the rule GANG: no member of a gang waits for the others in vain
+  /// unless a fault is near.
+  void JudgeGangs(Verdict& verdict) const;
   /// Judges by the rule IDLE: no job that could run stands for long.
   void CheckIdleJobs();
   /// Describes what the planner knows of the ready units of a job and of the
@@ -197,7 +200,7 @@
   core::TimePoint members_retry_at;
   bool progress_in_flight = false;
   core::TimePoint progress_retry_at;
-  std::set<GangRun> broken_gangs;
+  std::map<GangRun, GangState> gangs;
   core::TimePoint planner_began;
   /// Since when open jobs have stood although they could run.
   std::map<core::JobId, core::TimePoint> idle_since;
--- a/tests/exploration/witness.h
+++ b/tests/exploration/witness.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "modules/batch/batch.h"
@@ -25,6 +26,10 @@
   void OnDone(const RunKey& key,
               const WorkerIdentity& worker,
               core::TimePoint now);
+  /// A member of a gang has waited for the others in vain.
+  void OnAlone(const RunKey& key, core::TimePoint now) {
+    this->alone.emplace_back(key, now);
+  }
   /// The system has acknowledged the end `done` of the run on the worker, and
   /// the lease has not expired in between. An end of the same run on another
   /// incarnation of the worker is another end.
@@ -41,6 +46,10 @@
   const std::vector<std::string>& Violations() const {
     return this->violations;
   }
+  /// Runs that ended because the rest of their gang did not begin, and when.
+  const std::vector<std::pair<RunKey, core::TimePoint>>& Alone() const {
+    return this->alone;
+  }
   const std::vector<std::string>& Story() const { return this->story; }
 
  private:
@@ -56,6 +65,7 @@
 
   std::map<TaskName, TaskHistory> tasks;
   std::map<WorkerId, core::TimePoint> forbidden_from;
+  std::vector<std::pair<RunKey, core::TimePoint>> alone;
   std::vector<std::string> violations;
   std::vector<std::string> story;
 };
--- a/tests/exploration/worker_model.cc
+++ b/tests/exploration/worker_model.cc
@@ -1,6 +1,7 @@
 #include "tests/exploration/worker_model.h"
 
 #include <algorithm>
+#include <cstring>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,13 +33,13 @@
                          std::int64_t clock_drift_per_mille,
                          core::TimePoint now,
                          Witness& run_witness,
-                         std::set<GangRun>& gangs_that_broke)
+                         std::map<GangRun, GangState>& all_gangs)
     : identity(std::move(own_identity)),
       data_centre(std::move(own_data_centre)),
       drift_per_mille(clock_drift_per_mille),
       born(now),
       witness(run_witness),
-      broken_gangs(gangs_that_broke) {}
+      gangs(all_gangs) {}
 
 WorkerDescription WorkerModel::Describe() const {
   WorkerDescription description = testing::MakeWorker(this->identity.id.Text());
@@ -81,7 +82,17 @@
     return rejected(RejectReason::kNoCapacity);
   }
   const std::int64_t run_ms = std::stoll(call.order.payload);
-  const bool is_gang = call.order.payload.ends_with(kGangMark);
+  const std::size_t mark = call.order.payload.find(kGangMark);
+  const bool is_gang = mark != std::string::npos;
+  if (is_gang) {
+    const std::size_t size =
+        std::stoul(call.order.payload.substr(mark + std::strlen(kGangMark)));
+    GangState& gang = this->gangs[GangOf(key)];
+    gang.begun.insert(key.task.index);
+    if (gang.begun.size() == size && !gang.complete_since) {
+      gang.complete_since = now;
+    }
+  }
   this->active[key] = {clock, run_ms, clock + run_ms, false, is_gang};
   this->witness.OnStart(key, this->identity, now);
   return {StartResult::kStarted, RejectReason::kInvalid, clock};
@@ -134,8 +145,10 @@
   for (const auto& [key, task] : this->active) {
     ActiveRun run;
     run.key = key;
-    run.percent =
-        static_cast<int>((clock - task.starts_ms) * kPercent / task.run_ms);
+    if (const std::optional<std::int64_t> end = this->WorkEnd(key, task)) {
+      const std::int64_t worked_ms = task.run_ms - (*end - clock);
+      run.percent = static_cast<int>(worked_ms * kPercent / task.run_ms);
+    }
     listing.running.push_back(run);
   }
   for (const auto& [number, end] : this->ends) {
@@ -171,18 +184,38 @@
   if (clock >= this->lease_ms) {
     return RunEndKind::kLeaseExpired;
   }
-  if (clock >= task.finishes_ms) {
-    return task.is_stopping ? RunEndKind::kStopped : RunEndKind::kDone;
+  if (task.is_stopping && clock >= task.finishes_ms) {
+    return RunEndKind::kStopped;
   }
-  if (task.is_gang && this->broken_gangs.contains(GangOf(key))) {
+  const std::optional<std::int64_t> work_end = this->WorkEnd(key, task);
+  if (!task.is_stopping && work_end && clock >= *work_end) {
+    return RunEndKind::kDone;
+  }
+  if (task.is_gang && this->gangs.at(GangOf(key)).is_broken) {
     return RunEndKind::kGangBroken;
   }
+  if (!task.is_stopping && !work_end &&
+      clock >= task.starts_ms + kGangWait.InMilliseconds()) {
+    return RunEndKind::kGangIncomplete;
+  }
   if (now < this->fails_until && clock >= task.starts_ms + kFailsAfterMs) {
     return RunEndKind::kFailed;
   }
   return std::nullopt;
 }
 
+std::optional<std::int64_t> WorkerModel::WorkEnd(const RunKey& key,
+                                                 const ActiveTask& task) const {
+  if (!task.is_gang) {
+    return task.starts_ms + task.run_ms;
+  }
+  const GangState& gang = this->gangs.at(GangOf(key));
+  if (!gang.complete_since) {
+    return std::nullopt;
+  }
+  return this->ClockAt(*gang.complete_since) + task.run_ms;
+}
+
 std::size_t WorkerModel::FreeRoom() const {
   return kRoom - this->active.size();
 }
@@ -196,7 +229,7 @@
 void WorkerModel::Crash() {
   for (const auto& [key, task] : this->active) {
     if (task.is_gang) {
-      this->broken_gangs.insert(GangOf(key));
+      this->gangs[GangOf(key)].is_broken = true;
     }
     this->witness.OnOver(key, this->identity);
   }
@@ -210,7 +243,7 @@
 
 void WorkerModel::End(const RunKey& key, RunEndKind kind, core::TimePoint now) {
   if (kind != RunEndKind::kDone && this->active.at(key).is_gang) {
-    this->broken_gangs.insert(GangOf(key));
+    this->gangs[GangOf(key)].is_broken = true;
   }
   this->active.erase(key);
   std::int64_t& highest = this->highest_over[key.task];
@@ -218,6 +251,9 @@
   ++this->last_end;
   this->ends[this->last_end] = {this->last_end, key, kind, {}};
   this->witness.OnOver(key, this->identity);
+  if (kind == RunEndKind::kGangIncomplete) {
+    this->witness.OnAlone(key, now);
+  }
   if (kind == RunEndKind::kDone) {
     this->witness.OnDone(key, this->identity, now);
   } else {
--- a/tests/exploration/worker_model.h
+++ b/tests/exploration/worker_model.h
@@ -22,13 +22,27 @@
 /// A run of a gang: its job, occurrence, step and run number.
 using GangRun = std::tuple<core::JobId, int, int, std::int64_t>;
 
-/// Follows the run time in the payload of the tasks of a gang.
-inline constexpr const char* kGangMark = " gang";
+/// What the workers together know of a run of a gang.
+struct GangState {
+  /// Indexes of the tasks that have begun, and since when all have.
+  std::set<int> begun;
+  std::optional<core::TimePoint> complete_since;
+  /// A member, on any worker, ended other than done.
+  bool is_broken = false;
+};
+
+/// Follows the run time in the payload of the tasks of a gang; the number of
+/// the members follows.
+inline constexpr const char* kGangMark = " gang ";
+
+/// Time for which a member of a gang waits for the others.
+inline constexpr core::Duration kGangWait = core::Duration::Milliseconds(3000);
 
 /// Runs tasks within a lease on its own clock. Refuses starts of lower epochs,
 /// of run numbers that are not above those stopped or ended here, and without
-/// room. The payload of a start is the run time in milliseconds, and for a gang
-/// also `kGangMark`.
+/// room. Members of a gang work from the time when all have begun, and wait for
+/// each other for `kGangWait`. The payload of a start is the run time in
+/// milliseconds, and for a gang also `kGangMark` and its size.
 class WorkerModel {
  public:
   /// `drift_per_mille` is by how much the worker's clock is slow.
@@ -37,7 +51,7 @@
               std::int64_t drift_per_mille,
               core::TimePoint now,
               Witness& run_witness,
-              std::set<GangRun>& gangs_that_broke);
+              std::map<GangRun, GangState>& all_gangs);
 
   const WorkerIdentity& Identity() const { return this->identity; }
   WorkerDescription Describe() const;
@@ -74,6 +88,10 @@
     bool is_gang = false;
   };
 
+  /// Returns when the task's work is done, or nothing while its gang waits.
+  std::optional<std::int64_t> WorkEnd(const RunKey& key,
+                                      const ActiveTask& task) const;
+
   void ExtendLease(std::int64_t deadline_ms, std::int64_t clock_ms);
   void End(const RunKey& key, RunEndKind kind, core::TimePoint now);
   std::optional<RunEndKind> HowItEnds(const RunKey& key,
@@ -86,8 +104,7 @@
   core::TimePoint born;
   std::optional<core::Duration> drains_for;
   Witness& witness;
-  /// Runs of gangs of which a member, on any worker, ended other than done.
-  std::set<GangRun>& broken_gangs;
+  std::map<GangRun, GangState>& gangs;
   core::TimePoint fails_until;
   FencingToken fence;
   std::int64_t lease_ms = 0;
