--- a/tests/soak/configuration_soak_test.cc
+++ b/tests/soak/configuration_soak_test.cc
@@ -38,12 +38,19 @@
 constexpr Range kPartitionMs{500, 9000};
 constexpr Range kPausedMs{300, 6000};
 constexpr Range kDownMs{100, 1500};
+/// Further routes of a configuration that grows, about 0.2 to 0.4 MB.
+constexpr Range kFurtherRoutes{800, 1500};
+constexpr std::int64_t kSlowLinkBytesPerSecond = 1'250'000;
+/// Keeps the draws of a slow link apart from those of the faults.
+constexpr std::uint64_t kSlowLinkSeed = 1'000'003;
 
 /// One seed, from the start of the processes to the checks.
 class ConfigurationPlay {
  public:
   explicit ConfigurationPlay(std::uint64_t play_seed)
-      : dice(play_seed), rig(this->dice.Draw(kEntries)) {}
+      : dice(play_seed), rig(this->dice.Draw(kEntries)) {
+    this->DrawSlowLink(play_seed);
+  }
 
   /// Returns what is wrong, or nothing.
   std::string Run() {
@@ -74,6 +81,18 @@
   }
 
  private:
+  /// Lets one entry have a slow link, and the configuration many routes.
+  void DrawSlowLink(std::uint64_t play_seed) {
+    Dice own(play_seed + kSlowLinkSeed);
+    if (!own.Chance(40)) {
+      return;
+    }
+    this->rig.LimitBandwidth(own.Draw({0, this->rig.EntryCount() - 1}),
+                             kSlowLinkBytesPerSecond);
+    this->rig.SetFurtherRoutes(own.Draw(kFurtherRoutes));
+    this->faults.Add("slow_link", 0);
+  }
+
   void ChangeUntil(std::int64_t end) {
     if (NowMs() >= end) {
       return;
