Stop a gang whose members wait for one that does not begin

Cause: the planner took a gang for complete as soon as each member was ordered. A member stays listed while its start has no answer, up to the end of its worker's leases, and so does one whose worker has just been lost. The class of fault: an order that was sent is taken for one that was carried out.

The planner now stops a gang when, half of the allowed wait after its start, a member has stood still for 900 ms and another one is not confirmed or its worker does not answer. It also holds while a new planner recovers and while starts are withheld. gang_wait_ms comes from the platform; 3000 unless set.

StopsAGangOfWhichAMemberDoesNotBegin fails without the rule.

--- a/modules/batch/planner/planner.cc
+++ b/modules/batch/planner/planner.cc
@@ -24,6 +24,9 @@
 /// Time between the orders for the first and the last member of a gang from
 /// which on it is logged. Members wait for each other for 3 s or more.
 constexpr core::Duration kSlowGangOrders = core::Duration::Milliseconds(500);
+/// Time without progress after which a member of a gang counts as waiting for
+/// the others. Agents report a standstill of 900 ms at once.
+constexpr core::Duration kGangStandstill = core::Duration::Milliseconds(900);
 /// Pause before a unit is placed again after its start was rejected.
 constexpr core::Duration kRejectionBackoff = core::Duration::Milliseconds(150);
 /// A call with orders normally ends within a second, with or without an answer.
@@ -595,9 +598,12 @@
 void Planner::StopIncompleteGang(const Job& job,
                                  Unit& unit,
                                  core::TimePoint now) {
-  if (!IsIncompleteGang(job, unit)) {
-    return;
+  if (IsIncompleteGang(job, unit)) {
+    this->StopGang(job, unit, now);
   }
+}
+
+void Planner::StopGang(const Job& job, Unit& unit, core::TimePoint now) {
   const auto first =
       std::min_element(unit.members.begin(), unit.members.end(),
                        [](const UnitMember& left, const UnitMember& right) {
@@ -606,18 +612,53 @@
   const bool is_stopped =
       std::all_of(unit.members.begin(), unit.members.end(),
                   [](const UnitMember& each) { return each.stop_requested; });
-  if (first != unit.members.end() && !is_stopped) {
-    this->LogDecision(
-        "gang_stopped", job.record.spec.id,
-        "task=" + job.NameOf(unit, unit.first).ToText() +
-            " run=" + Text(first->run) +
-            " members=" + Text(static_cast<std::int64_t>(unit.members.size())) +
-            " size=" + Text(unit.size) +
-            " placed_ms=" + Text((now - first->since).InMilliseconds()));
+  if (is_stopped) {
+    return;
   }
+  const auto begun =
+      std::count_if(unit.members.begin(), unit.members.end(),
+                    [](const UnitMember& each) { return each.confirmed; });
+  this->LogDecision(
+      "gang_stopped", job.record.spec.id,
+      "task=" + job.NameOf(unit, unit.first).ToText() +
+          " run=" + Text(first->run) +
+          " members=" + Text(static_cast<std::int64_t>(unit.members.size())) +
+          " confirmed=" + Text(begun) + " size=" + Text(unit.size) +
+          " placed_ms=" + Text((now - first->since).InMilliseconds()));
   this->StopUnit(unit);
 }
 
+void Planner::StopWaitingGangs(core::TimePoint now) {
+  for (auto& [id, job] : this->jobs) {
+    for (Unit& unit : job.units) {
+      const bool may_wait =
+          job.StepOf(unit).gang && unit.phase != UnitPhase::kDone;
+      if (may_wait && this->WaitsInVain(unit, now)) {
+        this->StopGang(job, unit, now);
+      }
+    }
+  }
+}
+
+bool Planner::WaitsInVain(const Unit& unit, core::TimePoint now) const {
+  const core::Duration limit = this->options.gang_wait / 2;
+  const auto has_waited = [this, now, limit](const UnitMember& member) {
+    return member.confirmed && member.still >= kGangStandstill &&
+           now >= member.sent_at + limit &&
+           now < member.sent_at + this->options.gang_wait;
+  };
+  const auto may_be_missing = [this](const UnitMember& member) {
+    const auto found = this->fleet.find(member.agent);
+    return !member.confirmed || found == this->fleet.end() ||
+           !found->second.worker_reachable;
+  };
+  const bool is_sure =
+      static_cast<int>(unit.members.size()) == unit.size &&
+      std::none_of(unit.members.begin(), unit.members.end(), may_be_missing);
+  return !is_sure &&
+         std::any_of(unit.members.begin(), unit.members.end(), has_waited);
+}
+
 void Planner::LogSlowGangOrders(const Job& job,
                                 const Unit& unit,
                                 core::TimePoint now) {
@@ -1124,6 +1165,7 @@
   if (!this->IsRecovering(now)) {
     this->CheckGangs(now);
   }
+  this->StopWaitingGangs(now);
   this->EvacuateDrainingWorkers(now);
   this->MoveStalledUnits(now);
   this->MigrateLongRunningUnits(now);
--- a/modules/batch/planner/planner.h
+++ b/modules/batch/planner/planner.h
@@ -48,6 +48,8 @@
   /// a stop takes. Used by `OverloadPolicy::kCallerCost`.
   core::Duration restore_time = core::Duration::Milliseconds(300);
   core::Duration stop_time = core::Duration::Milliseconds(600);
+  /// Time for which a worker lets a member of a gang wait for the others.
+  core::Duration gang_wait = core::Duration::Milliseconds(3000);
 };
 
 /// Log entry for one decision.
@@ -324,6 +326,15 @@
   void CheckGangs(core::TimePoint now);
   /// Stops the rest of the unit if it is a gang with missing members.
   void StopIncompleteGang(const Job& job, Unit& unit, core::TimePoint now);
+  /// Stops gangs whose members have waited for each other for half of the time
+  /// that their workers allow, while some of them may not have begun.
+  void StopWaitingGangs(core::TimePoint now);
+  /// Returns whether the gang's work cannot have begun, as far as is known:
+  /// some member has waited for long without progress, and another one has not
+  /// begun or may have ended.
+  bool WaitsInVain(const Unit& unit, core::TimePoint now) const;
+  /// Stops all members of the gang, and logs it.
+  void StopGang(const Job& job, Unit& unit, core::TimePoint now);
   /// Logs that the last member of a gang was ordered long after the first.
   void LogSlowGangOrders(const Job& job, const Unit& unit, core::TimePoint now);
   /// Stops runs on draining workers that would not end before their worker
--- a/modules/batch/planner/planner_test.cc
+++ b/modules/batch/planner/planner_test.cc
@@ -284,6 +284,46 @@
   BOOST_TEST(fleet.Active().size() == 3U);
 }
 
+// Guards against members of a gang that wait until their workers give up, since
+// a start on a worker that has just been lost gets no answer.
+BOOST_AUTO_TEST_CASE(StopsAGangOfWhichAMemberDoesNotBegin) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  StepSpec gang = MakeStep(2, kWide);
+  gang.gang = true;
+  fleet.planner.AddJob(MakeJob("j", {gang}), fleet.now);
+  fleet.Settle();
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 2U);
+  // Both are listed, and one of them is not confirmed.
+  fleet.ReportOf("w1").active.front().confirmed = true;
+  fleet.ReportOf("w2").active.front().confirmed = false;
+  fleet.Advance(1000);
+  fleet.ReportOf("w1").active.front().still = core::Duration::Milliseconds(950);
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 2U);
+  BOOST_TEST(fleet.Active().front().second.run == 1);
+  fleet.Advance(700);
+  // Both were stopped, and the gang has started again.
+  BOOST_REQUIRE_EQUAL(fleet.Active().size(), 2U);
+  BOOST_TEST(fleet.Active().front().second.run == 2);
+}
+
+// A gang whose members are all known to have begun may make slow progress.
+BOOST_AUTO_TEST_CASE(LetsAGangGoOnThatHasBegun) {
+  SimulatedFleet fleet({MakeWorker("w1"), MakeWorker("w2")});
+  StepSpec gang = MakeStep(2, kWide);
+  gang.gang = true;
+  fleet.planner.AddJob(MakeJob("j", {gang}), fleet.now);
+  fleet.Settle();
+  for (const char* worker : {"w1", "w2"}) {
+    fleet.ReportOf(worker).active.front().confirmed = true;
+    fleet.ReportOf(worker).active.front().still =
+        core::Duration::Milliseconds(1200);
+  }
+  fleet.Advance(4000);
+  BOOST_TEST(fleet.Active().size() == 2U);
+  const auto& unit = fleet.planner.Jobs().at(core::JobId("j")).units.front();
+  BOOST_TEST(!unit.IsStopping());
+}
+
 BOOST_AUTO_TEST_CASE(UrgentJobPreemptsAndStartsOnceTheVictimsHaveEnded) {
   SimulatedFleet fleet({MakeWorker("w1")});
   fleet.planner.AddJob(MakeJob("low", {MakeStep(8, kSmall)}, 2), fleet.now);
--- a/modules/batch/process/hosted_settings.cc
+++ b/modules/batch/process/hosted_settings.cc
@@ -149,6 +149,7 @@
     loaded.overload_policy = ReadOverloadPolicy(reader);
     loaded.restore_time = OptionalMilliseconds(reader, "restore_ms");
     loaded.stop_time = OptionalMilliseconds(reader, "stop_ms");
+    loaded.gang_wait = OptionalMilliseconds(reader, "gang_wait_ms");
   });
 }
 
--- a/modules/batch/process/hosted_settings.h
+++ b/modules/batch/process/hosted_settings.h
@@ -56,6 +56,9 @@
   /// a stop takes. Without them `PlannerOptions` has assumptions.
   std::optional<core::Duration> restore_time;
   std::optional<core::Duration> stop_time;
+  /// Time for which a worker lets a member of a gang wait for the others.
+  /// Without it `PlannerOptions` has the shortest usual time.
+  std::optional<core::Duration> gang_wait;
 };
 
 /// Settings of `hemlockdoor hosted-agent`.
--- a/modules/batch/process/hosted_settings_test.cc
+++ b/modules/batch/process/hosted_settings_test.cc
@@ -88,6 +88,15 @@
   BOOST_TEST(with->configuration_limits.acceptance.InMilliseconds() == 9000);
 }
 
+BOOST_AUTO_TEST_CASE(TheTimeThatGangsWaitIsOptional) {
+  const auto without = Load(EntrySettings("2", "6000"));
+  BOOST_REQUIRE(without.has_value());
+  BOOST_TEST(!without->gang_wait.has_value());
+  const auto with = Load(EntrySettings("2, \"gang_wait_ms\": 5000", "6000"));
+  BOOST_REQUIRE(with.has_value());
+  BOOST_TEST(with->gang_wait.value().InMilliseconds() == 5000);
+}
+
 // A misspelt policy must not fall back to the default unnoticed.
 BOOST_AUTO_TEST_CASE(AnUnknownOverloadPolicyIsRefused) {
   BOOST_TEST(!Load(EntrySettings("2, \"overload_policy\": \"cost\"", "6000"))
--- a/modules/batch/process/planner_service.h
+++ b/modules/batch/process/planner_service.h
@@ -42,6 +42,7 @@
   OverloadPolicy overload_policy = OverloadPolicy::kPriority;
   core::Duration restore_time = PlannerOptions().restore_time;
   core::Duration stop_time = PlannerOptions().stop_time;
+  core::Duration gang_wait = PlannerOptions().gang_wait;
 };
 
 /// Where a planner service learns whether the evacuations that it was given are
@@ -428,6 +429,7 @@
       planner_options.overload_policy = this->options.overload_policy;
       planner_options.restore_time = this->options.restore_time;
       planner_options.stop_time = this->options.stop_time;
+      planner_options.gang_wait = this->options.gang_wait;
       this->planner = std::make_unique<Planner>(planner_options);
       this->planner->SetConfiguration(this->configuration);
       this->planner->SetEvacuations(this->evacuations, now);
